--- /dev/null
+++ b/Source/Protocol/messages.h
@@ -0,0 +1,403 @@
+#pragma once
+
+#include "Base/clock.h"
+#include "Base/error.h"
+#include "Base/location.h"
+#include "Protocol/fields.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace Oleander {
+
+/** Version of the protocol between the system's own processes; stands in every frame. */
+constexpr std::uint32_t ProtocolVersion = 1;
+
+/** Processors, memory and accelerators: a capacity, a commitment or a declared size. */
+struct Resources
+{
+    std::uint32_t milliCores = 0;
+    std::uint64_t memoryMiB = 0;
+    std::uint32_t accelerators = 0;
+
+    bool operator==(const Resources &) const = default;
+};
+
+template<typename F>
+void visitFields(F &&f, Fields<Resources> auto &&v)
+{
+    f(v.milliCores);
+    f(v.memoryMiB);
+    f(v.accelerators);
+}
+
+/** State of one minion as its agent sees it. */
+enum class MinionState { Serving, Draining, Lapsed };
+
+/** One minion in a heartbeat. */
+struct MinionStatus
+{
+    std::string name;
+    std::string service;
+    MinionState state = MinionState::Serving;
+    std::uint32_t slots = 0;
+    std::uint32_t connections = 0;
+    std::uint32_t running = 0;
+    std::uint32_t queued = 0;
+};
+
+template<typename F>
+void visitFields(F &&f, Fields<MinionStatus> auto &&v)
+{
+    f(v.name);
+    f(v.service);
+    f(v.state);
+    f(v.slots);
+    f(v.connections);
+    f(v.running);
+    f(v.queued);
+}
+
+/** State of one attempt of a task as the worker reports it. */
+enum class AttemptState {
+    Starting,
+    Running,
+    Checkpointing,
+    Stopping,
+    Stopped,
+    Succeeded,
+    Failed,
+};
+
+/** Report of one attempt of one task. */
+struct AttemptReport
+{
+    std::string task;
+    std::uint32_t attempt = 0;
+    AttemptState state = AttemptState::Starting;
+    std::string reason;
+    /** Number of the last whole checkpoint that the worker holds; 0 means none. */
+    std::uint64_t checkpoint = 0;
+};
+
+template<typename F>
+void visitFields(F &&f, Fields<AttemptReport> auto &&v)
+{
+    f(v.task);
+    f(v.attempt);
+    f(v.state);
+    f(v.reason);
+    f(v.checkpoint);
+}
+
+/** Observed use of one task; \a age says how long ago it was true when the message was sent. */
+struct UsageReport
+{
+    std::string task;
+    std::uint32_t attempt = 0;
+    Duration age{};
+    Resources used;
+    /** Service latency p99, or 0 for batch work. */
+    Duration latencyP99{};
+    /** Share of its undisturbed speed at which the task progressed. */
+    double progress = 0.0;
+};
+
+template<typename F>
+void visitFields(F &&f, Fields<UsageReport> auto &&v)
+{
+    f(v.task);
+    f(v.attempt);
+    f(v.age);
+    f(v.used);
+    f(v.latencyP99);
+    f(v.progress);
+}
+
+/** Agent to each entry: the agent is alive, and this is what its host holds. */
+struct Heartbeat
+{
+    /** Number of this heartbeat; the reply repeats it and the worker's lease counts from it. */
+    std::uint64_t stamp = 0;
+    /** Address of the agent's inbox, to which entries send. */
+    std::string inbox;
+    Location location;
+    Resources capacity;
+    std::vector<MinionStatus> minions;
+    std::vector<AttemptReport> attempts;
+    std::vector<UsageReport> usage;
+};
+
+template<typename F>
+void visitFields(F &&f, Fields<Heartbeat> auto &&v)
+{
+    f(v.stamp);
+    f(v.inbox);
+    f(v.location);
+    f(v.capacity);
+    f(v.minions);
+    f(v.attempts);
+    f(v.usage);
+}
+
+/** Entry to agent: answer to a heartbeat. Only the leader grants a lease. */
+struct HeartbeatReply
+{
+    std::uint64_t stamp = 0;
+    /** Length of the worker's lease from the moment the agent made \a stamp; 0 grants none. */
+    Duration lease{};
+    std::string leader;
+};
+
+template<typename F>
+void visitFields(F &&f, Fields<HeartbeatReply> auto &&v)
+{
+    f(v.stamp);
+    f(v.lease);
+    f(v.leader);
+}
+
+/** One HTTP header field. */
+struct HeaderField
+{
+    std::string name;
+    std::string value;
+};
+
+template<typename F>
+void visitFields(F &&f, Fields<HeaderField> auto &&v)
+{
+    f(v.name);
+    f(v.value);
+}
+
+/** Entry to agent: run this caller's request on this minion. */
+struct RequestDispatch
+{
+    std::string request;
+    std::string minion;
+    std::string method;
+    std::string path;
+    std::vector<HeaderField> headers;
+    std::string body;
+    Duration timeRemaining{};
+    bool idempotent = false;
+};
+
+template<typename F>
+void visitFields(F &&f, Fields<RequestDispatch> auto &&v)
+{
+    f(v.request);
+    f(v.minion);
+    f(v.method);
+    f(v.path);
+    f(v.headers);
+    f(v.body);
+    f(v.timeRemaining);
+    f(v.idempotent);
+}
+
+/** Entry to agent: the answer to this request is no longer wanted. */
+struct RequestCancel
+{
+    std::string request;
+};
+
+template<typename F>
+void visitFields(F &&f, Fields<RequestCancel> auto &&v)
+{
+    f(v.request);
+}
+
+/** What is known of a request: it surely did not run, it may have run, or it ran. */
+enum class Outcome { NotRun, Unknown, Ran };
+
+/** Agent to entry: the whole answer of the minion, or why there is none. */
+struct RequestAnswer
+{
+    std::string request;
+    Outcome outcome = Outcome::Unknown;
+    /** HTTP status of the minion's answer; 0 when there is no whole answer. */
+    std::uint32_t status = 0;
+    std::vector<HeaderField> headers;
+    std::string body;
+    Step step = Step::None;
+    std::string peer;
+    std::string detail;
+};
+
+template<typename F>
+void visitFields(F &&f, Fields<RequestAnswer> auto &&v)
+{
+    f(v.request);
+    f(v.outcome);
+    f(v.status);
+    f(v.headers);
+    f(v.body);
+    f(v.step);
+    f(v.peer);
+    f(v.detail);
+}
+
+/** What the leader wants done with one attempt of a task. */
+enum class TaskAction { Start, Stop, Checkpoint, Throttle };
+
+/** Leader to agent: an order for one attempt; safe to resend. */
+struct TaskOrder
+{
+    std::string task;
+    std::uint32_t attempt = 0;
+    TaskAction action = TaskAction::Start;
+    Resources declared;
+    /** Command line or image reference of the record, passed to the worker untouched. */
+    std::string payload;
+    /** Checkpoint from which a start resumes; 0 starts from the beginning. */
+    std::uint64_t checkpoint = 0;
+    /** Processor share in percent that a throttle allows. */
+    std::uint32_t throttlePercent = 100;
+};
+
+template<typename F>
+void visitFields(F &&f, Fields<TaskOrder> auto &&v)
+{
+    f(v.task);
+    f(v.attempt);
+    f(v.action);
+    f(v.declared);
+    f(v.payload);
+    f(v.checkpoint);
+    f(v.throttlePercent);
+}
+
+/** Agent to leader: news of attempts between heartbeats. */
+struct TaskReport
+{
+    std::vector<AttemptReport> attempts;
+};
+
+template<typename F>
+void visitFields(F &&f, Fields<TaskReport> auto &&v)
+{
+    f(v.attempts);
+}
+
+/** Either way: the sender lacks the configuration that the receiver's frames named. */
+struct ConfigurationPull
+{
+    std::uint64_t known = 0;
+};
+
+template<typename F>
+void visitFields(F &&f, Fields<ConfigurationPull> auto &&v)
+{
+    f(v.known);
+}
+
+/** Either way: a whole configuration; applied only when its version is higher than the own. */
+struct ConfigurationPush
+{
+    std::uint64_t version = 0;
+    /** True when a quorum confirmed the version less than the configuration lease ago. */
+    bool fresh = false;
+    std::map<std::string, std::string> values;
+};
+
+template<typename F>
+void visitFields(F &&f, Fields<ConfigurationPush> auto &&v)
+{
+    f(v.version);
+    f(v.fresh);
+    f(v.values);
+}
+
+/** Replica to replica: one message of the replicated log, encoded by the Control package. */
+struct ReplicaFrame
+{
+    std::string bytes;
+};
+
+template<typename F>
+void visitFields(F &&f, Fields<ReplicaFrame> auto &&v)
+{
+    f(v.bytes);
+}
+
+/** Entry to leader: commit this command and tell the outcome, or only read when \a bytes is a
+ * query.
+ */
+struct ForwardRequest
+{
+    std::uint64_t id = 0;
+    std::string bytes;
+};
+
+template<typename F>
+void visitFields(F &&f, Fields<ForwardRequest> auto &&v)
+{
+    f(v.id);
+    f(v.bytes);
+}
+
+/** Leader to entry: the outcome of a forwarded command or query. */
+struct ForwardReply
+{
+    std::uint64_t id = 0;
+    /** False when the receiver is not the leader or cannot commit; nothing was appended then. */
+    bool accepted = false;
+    std::string bytes;
+    std::string leader;
+};
+
+template<typename F>
+void visitFields(F &&f, Fields<ForwardReply> auto &&v)
+{
+    f(v.id);
+    f(v.accepted);
+    f(v.bytes);
+    f(v.leader);
+}
+
+/** Every message between the system's processes; new alternatives go last. */
+using Message = std::variant<Heartbeat, HeartbeatReply, RequestDispatch, RequestCancel,
+                             RequestAnswer, TaskOrder, TaskReport, ConfigurationPull,
+                             ConfigurationPush, ReplicaFrame, ForwardRequest, ForwardReply>;
+
+/**
+ * \struct Frame
+ * \brief One message with what every message carries.
+ */
+struct Frame
+{
+    std::uint32_t protocol = ProtocolVersion;
+    std::string sender;
+    /** Incarnation of the sending process: higher after each restart. */
+    std::uint64_t incarnation = 0;
+    /** Incarnation for which the message is meant; 0 means any. */
+    std::uint64_t targetIncarnation = 0;
+    /** Version of the configuration in force at the sender. */
+    std::uint64_t configurationVersion = 0;
+    Message message;
+};
+
+template<typename F>
+void visitFields(F &&f, Fields<Frame> auto &&v)
+{
+    f(v.protocol);
+    f(v.sender);
+    f(v.incarnation);
+    f(v.targetIncarnation);
+    f(v.configurationVersion);
+    f(v.message);
+}
+
+/** Encodes a frame for the wire. */
+std::string encodeFrame(const Frame &frame);
+
+/** Decodes a frame; refuses another protocol version and anything malformed. */
+Result<Frame> decodeFrame(std::string_view bytes, const std::string &peer);
+
+} // namespace Oleander
--- /dev/null
+++ b/Source/Runtime/eventloop.cpp
@@ -0,0 +1,185 @@
+#include "Runtime/eventloop.h"
+
+#include <event2/event.h>
+#include <event2/thread.h>
+
+#include <csignal>
+#include <list>
+#include <mutex>
+#include <vector>
+
+namespace Oleander {
+
+namespace {
+
+class SystemClock final : public Clock
+{
+public:
+    TimePoint now() const override
+    {
+        return TimePoint(std::chrono::duration_cast<Duration>(
+            std::chrono::steady_clock::now().time_since_epoch()));
+    }
+    WallTime wallNow() const override
+    {
+        return std::chrono::time_point_cast<std::chrono::milliseconds>(
+            std::chrono::system_clock::now());
+    }
+};
+
+timeval toTimeval(Duration duration)
+{
+    const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(duration);
+    timeval value{};
+    value.tv_sec = seconds.count();
+    value.tv_usec = (duration - seconds).count();
+    return value;
+}
+
+void runHandler(evutil_socket_t, short, void *argument)
+{
+    (*static_cast<std::function<void()> *>(argument))();
+}
+
+} // namespace
+
+struct EventLoop::Private
+{
+    struct SignalWatch
+    {
+        std::function<void()> handler;
+        event *watch = nullptr;
+    };
+
+    SystemClock clock;
+    event_base *base = nullptr;
+    event *wake = nullptr;
+    std::function<void()> drain;
+    std::mutex mutex;
+    std::vector<std::function<void()>> posted;
+    std::list<SignalWatch> signals;
+    bool stopping = false;
+
+    void runPosted()
+    {
+        std::vector<std::function<void()>> batch;
+        {
+            const std::lock_guard lock(mutex);
+            batch.swap(posted);
+        }
+        for (auto &work : batch)
+            work();
+        const std::lock_guard lock(mutex);
+        if (stopping)
+            event_base_loopbreak(base);
+    }
+};
+
+EventLoop::EventLoop() : private_(std::make_unique<Private>())
+{
+    static const bool ThreadsReady = evthread_use_pthreads() == 0;
+    (void)ThreadsReady;
+    std::signal(SIGPIPE, SIG_IGN); // NOLINT(bugprone-signal-handler)
+    private_->base = event_base_new();
+    private_->drain = [this] { private_->runPosted(); };
+    private_->wake = event_new(private_->base, -1, EV_PERSIST, runHandler, &private_->drain);
+    event_add(private_->wake, nullptr);
+}
+
+EventLoop::~EventLoop()
+{
+    for (auto &watch : private_->signals)
+        event_free(watch.watch);
+    event_free(private_->wake);
+    event_base_free(private_->base);
+}
+
+void EventLoop::run()
+{
+    event_base_loop(private_->base, EVLOOP_NO_EXIT_ON_EMPTY);
+    const std::lock_guard lock(private_->mutex);
+    private_->stopping = false;
+}
+
+void EventLoop::stop()
+{
+    {
+        const std::lock_guard lock(private_->mutex);
+        private_->stopping = true;
+    }
+    event_active(private_->wake, EV_READ, 0);
+}
+
+void EventLoop::post(std::function<void()> work)
+{
+    bool first = false;
+    {
+        const std::lock_guard lock(private_->mutex);
+        first = private_->posted.empty();
+        private_->posted.push_back(std::move(work));
+    }
+    if (first)
+        event_active(private_->wake, EV_READ, 0);
+}
+
+void EventLoop::onSignal(int signalNumber, std::function<void()> handler)
+{
+    auto &watch = private_->signals.emplace_back();
+    watch.handler = std::move(handler);
+    watch.watch = evsignal_new(private_->base, signalNumber, runHandler, &watch.handler);
+    event_add(watch.watch, nullptr);
+}
+
+const Clock &EventLoop::clock() const
+{
+    return private_->clock;
+}
+
+event_base *EventLoop::base() const
+{
+    return private_->base;
+}
+
+struct Timer::Private
+{
+    std::function<void()> handler;
+    event_base *base = nullptr;
+    event *timer = nullptr;
+
+    void start(Duration duration, short flags)
+    {
+        event_del(timer);
+        event_assign(timer, base, -1, flags, runHandler, &handler);
+        const timeval delay = toTimeval(std::max(duration, Duration::zero()));
+        event_add(timer, &delay);
+    }
+};
+
+Timer::Timer(EventLoop &loop, std::function<void()> handler) : private_(std::make_unique<Private>())
+{
+    private_->handler = std::move(handler);
+    private_->base = loop.base();
+    private_->timer = event_new(loop.base(), -1, 0, runHandler, &private_->handler);
+}
+
+Timer::~Timer()
+{
+    event_free(private_->timer);
+}
+
+void Timer::startOnce(Duration delay)
+{
+    private_->start(delay, 0);
+}
+
+void Timer::startEvery(Duration period)
+{
+    private_->start(period, EV_PERSIST);
+}
+
+void Timer::cancel()
+{
+    event_del(private_->timer);
+}
+
+} // namespace Oleander
--- /dev/null
+++ b/Utilities/format.sh
@@ -0,0 +1,10 @@
+#!/usr/bin/env bash
+# Formats every source file in place, or only checks them when called with --check.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+mode=(-i)
+if [ "${1:-}" = "--check" ]; then
+    mode=(--dry-run --Werror)
+fi
+find Source Tests -name '*.h' -o -name '*.cpp' | xargs --no-run-if-empty -P 8 -n 16 clang-format "${mode[@]}"
