settings: Check INI files whole and log numbered events

Every mistake of a settings file is reported in one run with file, line, section, key, value and what is allowed. inih tells no line numbers as Debian builds it and stops counting at the first broken line, so its lines are fed one by one and broken ones are reported before it sees them.

--- a/Source/Runtime/httpserver.h
+++ b/Source/Runtime/httpserver.h
@@ -37,8 +37,8 @@
 /** What a door takes at most. */
 struct HttpLimits
 {
-    std::size_t maxHeaderBytes = 16 * 1024;
-    std::size_t maxBodyBytes = 2 * 1024 * 1024;
+    std::size_t maxHeaderBytes = std::size_t{16} * 1024;
+    std::size_t maxBodyBytes = std::size_t{2} * 1024 * 1024;
     /** Time that a sender may pause within a request or an idle connection may stay open. */
     Duration idleTimeout = std::chrono::seconds(10);
     std::size_t maxConnections = 1024;
--- /dev/null
+++ b/Source/Runtime/logevent.cpp
@@ -0,0 +1,89 @@
+#include "Runtime/logevent.h"
+
+#include "Base/nametable.h"
+
+#include <algorithm>
+#include <array>
+
+namespace Oleander {
+
+namespace {
+
+constexpr NameTable<LogLevel, 4> LevelNames = {{
+    {LogLevel::Debug, "debug"},
+    {LogLevel::Info, "info"},
+    {LogLevel::Warning, "warning"},
+    {LogLevel::Error, "error"},
+}};
+
+constexpr auto EventRows = std::to_array<LogEventRow>({
+    {LogEvent::ProcessStarted, LogLevel::Info, "process.started"},
+    {LogEvent::ProcessStopping, LogLevel::Info, "process.stopping"},
+    {LogEvent::ProcessStopped, LogLevel::Info, "process.stopped"},
+    {LogEvent::SettingsRefused, LogLevel::Error, "settings.refused"},
+    {LogEvent::StartFailed, LogLevel::Error, "process.start-failed"},
+    {LogEvent::LinesLeftOut, LogLevel::Warning, "log.lines-left-out"},
+    {LogEvent::StateDump, LogLevel::Info, "process.state"},
+
+    {LogEvent::RequestFailed, LogLevel::Warning, "request.failed"},
+    {LogEvent::RequestRetried, LogLevel::Info, "request.retried"},
+    {LogEvent::RequestShed, LogLevel::Warning, "request.shed"},
+    {LogEvent::MinionAnnounced, LogLevel::Info, "minion.announced"},
+    {LogEvent::MinionDraining, LogLevel::Info, "minion.draining"},
+    {LogEvent::MinionLapsed, LogLevel::Warning, "minion.lapsed"},
+    {LogEvent::MinionEjected, LogLevel::Warning, "minion.ejected"},
+    {LogEvent::MinionRestored, LogLevel::Info, "minion.restored"},
+
+    {LogEvent::TaskPlaced, LogLevel::Info, "task.placed"},
+    {LogEvent::TaskOrderRefused, LogLevel::Warning, "task.order-refused"},
+    {LogEvent::TaskStateChanged, LogLevel::Info, "task.state-changed"},
+    {LogEvent::TaskImpossible, LogLevel::Warning, "task.impossible"},
+    {LogEvent::WorkerLeaseGranted, LogLevel::Info, "worker.lease-granted"},
+    {LogEvent::WorkerLeaseLost, LogLevel::Error, "worker.lease-lost"},
+    {LogEvent::WorkerSuspect, LogLevel::Warning, "worker.suspect"},
+    {LogEvent::WorkerUnreachable, LogLevel::Warning, "worker.unreachable"},
+
+    {LogEvent::LeaderElected, LogLevel::Info, "control.leader-elected"},
+    {LogEvent::LeaderStoodDown, LogLevel::Warning, "control.leader-stood-down"},
+    {LogEvent::TermChanged, LogLevel::Info, "control.term-changed"},
+    {LogEvent::SnapshotTaken, LogLevel::Info, "control.snapshot-taken"},
+    {LogEvent::SnapshotInstalled, LogLevel::Info, "control.snapshot-installed"},
+    {LogEvent::LogTailCut, LogLevel::Warning, "control.log-tail-cut"},
+    {LogEvent::StorageFailed, LogLevel::Error, "control.storage-failed"},
+    {LogEvent::ReplicaJoined, LogLevel::Info, "control.replica-joined"},
+    {LogEvent::ReplicaLeft, LogLevel::Warning, "control.replica-left"},
+
+    {LogEvent::RecordAccepted, LogLevel::Info, "record.accepted"},
+    {LogEvent::RecordRefused, LogLevel::Info, "record.refused"},
+    {LogEvent::ConfigurationApplied, LogLevel::Info, "configuration.applied"},
+    {LogEvent::ConfigurationStale, LogLevel::Warning, "configuration.stale"},
+    {LogEvent::ConfigurationRefused, LogLevel::Warning, "configuration.refused"},
+
+    {LogEvent::PeerConnected, LogLevel::Info, "peer.connected"},
+    {LogEvent::PeerLost, LogLevel::Warning, "peer.lost"},
+    {LogEvent::FrameMalformed, LogLevel::Warning, "peer.frame-malformed"},
+    {LogEvent::DoorOpened, LogLevel::Info, "door.opened"},
+    {LogEvent::DoorClosed, LogLevel::Info, "door.closed"},
+});
+
+} // namespace
+
+std::string_view logLevelName(LogLevel level)
+{
+    return nameIn(LevelNames, level);
+}
+
+std::span<const LogEventRow> logEventTable()
+{
+    return EventRows;
+}
+
+const LogEventRow &logEventRow(LogEvent event)
+{
+    static constexpr LogEventRow Missing{LogEvent::LinesLeftOut, LogLevel::Error, "event.unlisted"};
+    const auto row =
+        std::ranges::find(EventRows, event, [](const LogEventRow &r) { return r.event; });
+    return row == EventRows.end() ? Missing : *row;
+}
+
+} // namespace Oleander
--- /dev/null
+++ b/Source/Runtime/logevent.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include <cstdint>
+#include <span>
+#include <string_view>
+
+namespace Oleander {
+
+/** Weight of a log line. Alarms are warnings and errors; the runbook says what to do on each. */
+enum class LogLevel { Debug, Info, Warning, Error };
+
+/** Returns the name of \a level as log lines show it. */
+std::string_view logLevelName(LogLevel level);
+
+/**
+ * Every event that a process logs, with its number. Numbers are never used again for another
+ * event. Blocks: 1000 process, 2000 request, 3000 task, 4000 control log, 5000 record and
+ * configuration, 6000 link and door.
+ */
+enum class LogEvent : std::uint32_t {
+    ProcessStarted = 1000,
+    ProcessStopping = 1001,
+    ProcessStopped = 1002,
+    SettingsRefused = 1003,
+    StartFailed = 1004,
+    LinesLeftOut = 1005,
+    StateDump = 1006,
+
+    RequestFailed = 2000,
+    RequestRetried = 2001,
+    RequestShed = 2002,
+    MinionAnnounced = 2010,
+    MinionDraining = 2011,
+    MinionLapsed = 2012,
+    MinionEjected = 2013,
+    MinionRestored = 2014,
+
+    TaskPlaced = 3000,
+    TaskOrderRefused = 3001,
+    TaskStateChanged = 3002,
+    TaskImpossible = 3003,
+    WorkerLeaseGranted = 3010,
+    WorkerLeaseLost = 3011,
+    WorkerSuspect = 3012,
+    WorkerUnreachable = 3013,
+
+    LeaderElected = 4000,
+    LeaderStoodDown = 4001,
+    TermChanged = 4002,
+    SnapshotTaken = 4003,
+    SnapshotInstalled = 4004,
+    LogTailCut = 4005,
+    StorageFailed = 4006,
+    ReplicaJoined = 4007,
+    ReplicaLeft = 4008,
+
+    RecordAccepted = 5000,
+    RecordRefused = 5001,
+    ConfigurationApplied = 5010,
+    ConfigurationStale = 5011,
+    ConfigurationRefused = 5012,
+
+    PeerConnected = 6000,
+    PeerLost = 6001,
+    FrameMalformed = 6002,
+    DoorOpened = 6010,
+    DoorClosed = 6011,
+};
+
+/** One row of the table of events. */
+struct LogEventRow
+{
+    LogEvent event;
+    LogLevel level;
+    std::string_view name;
+};
+
+/** The table of events, in order of their numbers; docs/reference/events.md explains each. */
+std::span<const LogEventRow> logEventTable();
+
+/** Returns the row of \a event. */
+const LogEventRow &logEventRow(LogEvent event);
+
+} // namespace Oleander
--- /dev/null
+++ b/Source/Settings/agentsettings.cpp
@@ -0,0 +1,103 @@
+#include "Settings/agentsettings.h"
+
+#include "Settings/commonsettings.h"
+#include "Settings/settingsvalue.h"
+
+#include <fmt/format.h>
+
+namespace Oleander {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+constexpr const char *AgentSection = "agent";
+constexpr const char *EntriesSection = "entries";
+constexpr const char *WorkerSection = "worker";
+constexpr const char *AdmissionSection = "admission";
+
+constexpr std::uint64_t MiB = 1ULL << 20;
+constexpr std::uint64_t MaxMilliCores = 4'096'000;
+
+/** Longest configuration lease: an accepted configuration is in force everywhere within it. */
+constexpr Duration MaxConfigurationLease = seconds(4);
+
+void bindAgent(SettingsBinder &binder, AgentSettings &settings)
+{
+    binder.name(AgentSection, "name", settings.name, Presence::Required);
+    bindLocation(binder, AgentSection, settings.location);
+    bindLink(binder, AgentSection, settings.link, settings.linkAdvertised);
+    binder.address(AgentSection, "minion-door", settings.minionDoor, Presence::Required,
+                   PortRule::OrPickedBySystem);
+    binder.duration(AgentSection, "heartbeat-interval", settings.heartbeatInterval,
+                    milliseconds(20), seconds(30));
+    binder.duration(AgentSection, "configuration-lease", settings.configurationLease,
+                    milliseconds(200), MaxConfigurationLease);
+    binder.peers(EntriesSection, settings.entries);
+}
+
+void bindWorker(SettingsBinder &binder, WorkerSettings &worker)
+{
+    std::uint64_t milliCores = worker.capacity.milliCores;
+    std::uint64_t memory = worker.capacity.memoryMiB * MiB;
+    std::uint64_t accelerators = worker.capacity.accelerators;
+    binder.address(WorkerSection, "address", worker.address, Presence::Optional, PortRule::Fixed);
+    const auto needed = worker.address.empty() ? Presence::Optional : Presence::Required;
+    binder.number(WorkerSection, "milli-cores", milliCores, 1, MaxMilliCores, needed);
+    binder.bytes(WorkerSection, "memory", memory, MiB, 1ULL << 46, needed);
+    binder.number(WorkerSection, "accelerators", accelerators, 0, 1024);
+    binder.duration(WorkerSection, "usage-interval", worker.usageInterval, milliseconds(50),
+                    minutes(5));
+    binder.duration(WorkerSection, "call-timeout", worker.callTimeout, milliseconds(10),
+                    minutes(5));
+    worker.capacity.milliCores = static_cast<std::uint32_t>(milliCores);
+    worker.capacity.memoryMiB = memory / MiB;
+    worker.capacity.accelerators = static_cast<std::uint32_t>(accelerators);
+}
+
+void bindAdmission(SettingsBinder &binder, AdmissionSettings &admission)
+{
+    binder.number(AdmissionSection, "max-queued", admission.maxQueued, 0, 1'000'000);
+    binder.number(AdmissionSection, "remembered-requests", admission.rememberedRequests, 16,
+                  10'000'000);
+    binder.duration(AdmissionSection, "max-minion-lifetime", admission.maxMinionLifetime,
+                    milliseconds(100), minutes(60));
+}
+
+void checkEntries(SettingsBinder &binder, const AgentSettings &settings)
+{
+    if (settings.entries.empty()) {
+        binder.addMistake(EntriesSection, "", "The agent knows no entry.",
+                          "at least one line: NAME = ADDRESS:PORT");
+    }
+    for (const auto &entry : settings.entries) {
+        if (entry.address == settings.linkAdvertised) {
+            binder.addMistake(EntriesSection, entry.name.c_str(),
+                              "The address is that of the agent's own link.",
+                              "the address of the entry's link");
+        }
+    }
+}
+
+} // namespace
+
+CheckedSettings<AgentSettings> parseAgentSettings(IniFile file)
+{
+    SettingsBinder binder(std::move(file));
+    CheckedSettings<AgentSettings> checked;
+    auto &settings = checked.settings;
+    bindAgent(binder, settings);
+    bindLimits(binder, "minion-limits", settings.minionLimits);
+    bindWorker(binder, settings.worker);
+    bindAdmission(binder, settings.admission);
+    checkDifferent(binder, AgentSection, "minion-door", settings.minionDoor, "link", settings.link);
+    checkEntries(binder, settings);
+    binder.finish();
+    checked.mistakes = binder.mistakes();
+    checked.keys = binder.keys();
+    return checked;
+}
+
+} // namespace Oleander
--- /dev/null
+++ b/Source/Settings/inifile.cpp
@@ -0,0 +1,161 @@
+#include "Settings/inifile.h"
+
+#include <fmt/format.h>
+#include <ini.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <cstring>
+#include <fstream>
+#include <sstream>
+
+namespace Oleander {
+
+namespace {
+
+constexpr std::string_view Blanks = " \t\r\n";
+
+std::string_view trimmed(std::string_view text)
+{
+    const auto first = text.find_first_not_of(Blanks);
+    if (first == std::string_view::npos)
+        return {};
+    return text.substr(first, text.find_last_not_of(Blanks) - first + 1);
+}
+
+enum class LineKind { Empty, Section, Pair, BrokenSection, BrokenPair, Continuation };
+
+LineKind kindOf(std::string_view raw)
+{
+    const std::string_view line = trimmed(raw);
+    if (line.empty() || line.front() == ';' || line.front() == '#')
+        return LineKind::Empty;
+    if (raw.front() == ' ' || raw.front() == '\t')
+        return LineKind::Continuation;
+    if (line.front() == '[')
+        return line.find(']') == std::string_view::npos ? LineKind::BrokenSection
+                                                        : LineKind::Section;
+    return line.find_first_of("=:") == std::string_view::npos ? LineKind::BrokenPair
+                                                              : LineKind::Pair;
+}
+
+/** Hands lines to the parser one by one, so that each entry can be given its line number. */
+struct Feeder
+{
+    std::string_view rest;
+    int line = 0;
+    IniFile *file = nullptr;
+
+    /** Returns the next line, with those that the parser would misread left blank. */
+    std::string next()
+    {
+        const auto end = rest.find('\n');
+        const std::string_view raw = rest.substr(0, end);
+        rest = end == std::string_view::npos ? std::string_view() : rest.substr(end + 1);
+        ++line;
+        switch (kindOf(raw)) {
+        case LineKind::BrokenSection:
+            addMistake(raw, "The section heading has no closing bracket.", "[section]");
+            return {};
+        case LineKind::BrokenPair:
+            addMistake(raw, "The line is neither a section, a comment nor a key with a value.",
+                       "key = value");
+            return {};
+        case LineKind::Continuation:
+            addMistake(raw, "The line begins with a blank.", "lines that begin in column 1");
+            return {};
+        default:
+            return std::string(raw);
+        }
+    }
+
+    void addMistake(std::string_view raw, std::string problem, std::string allowed)
+    {
+        file->mistakes.push_back({file->name,
+                                  line,
+                                  {},
+                                  {},
+                                  std::string(trimmed(raw)),
+                                  std::move(problem),
+                                  std::move(allowed)});
+    }
+};
+
+char *readLine(char *buffer, int size, void *stream)
+{
+    auto &feeder = *static_cast<Feeder *>(stream);
+    if (feeder.rest.empty())
+        return nullptr;
+    std::string line = feeder.next();
+    const auto room = static_cast<std::size_t>(size) - 2;
+    if (line.size() > room) {
+        feeder.addMistake(line.substr(0, 40), "The line is too long.",
+                          fmt::format("at most {} characters", room));
+        line.clear();
+    }
+    line += '\n';
+    std::memcpy(buffer, line.c_str(), line.size() + 1);
+    return buffer;
+}
+
+int keepEntry(void *user, const char *section, const char *key, const char *value)
+{
+    auto &feeder = *static_cast<Feeder *>(user);
+    feeder.file->entries.push_back({feeder.line, section, key, value});
+    return 1;
+}
+
+} // namespace
+
+std::string SettingsMistake::text() const
+{
+    std::string text = line > 0 ? fmt::format("{}:{}:", file, line) : fmt::format("{}:", file);
+    if (!section.empty())
+        text += fmt::format(" [{}]", section);
+    if (!key.empty())
+        text += fmt::format(" {}", key);
+    if (!value.empty())
+        text += fmt::format("{}\"{}\"", key.empty() ? " " : " = ", value);
+    if (!section.empty() || !key.empty() || !value.empty())
+        text += ':';
+    text += fmt::format(" {}", problem);
+    if (!allowed.empty())
+        text += fmt::format(" Allowed: {}.", allowed);
+    return text;
+}
+
+IniFile parseIni(std::string name, std::string_view content)
+{
+    IniFile file;
+    file.name = std::move(name);
+    Feeder feeder{content, 0, &file};
+    ini_parse_stream(readLine, &feeder, keepEntry, &feeder);
+    return file;
+}
+
+IniFile readIniFile(const std::string &path)
+{
+    errno = 0;
+    std::ifstream stream(path, std::ios::binary);
+    std::ostringstream content;
+    if (stream)
+        content << stream.rdbuf();
+    if (!stream || stream.bad()) {
+        IniFile file;
+        file.name = path;
+        const int cause = errno == 0 ? EIO : errno;
+        file.mistakes.push_back(
+            {path,
+             0,
+             {},
+             {},
+             {},
+             fmt::format("The file cannot be read: {}.",
+                         std::error_code(cause, std::generic_category()).message()),
+             "a readable file"});
+        return file;
+    }
+    return parseIni(path, content.str());
+}
+
+} // namespace Oleander
