--- /dev/null
+++ b/Source/Oleander/main.cpp
@@ -0,0 +1,128 @@
+#include "Cli/operatorcommand.h"
+#include "Entry/entry.h"
+#include "Settings/commandline.h"
+#include "Settings/exitcode.h"
+#include "Settings/settingsfile.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <iostream>
+
+using namespace Oleander;
+
+namespace {
+
+struct LocalCommand
+{
+    std::string_view name;
+    std::string_view arguments;
+    std::string_view summary;
+    int (*run)(const std::string &path);
+};
+
+int serve(const std::string &path)
+{
+    const auto settings = loadEntrySettings(path, std::cerr);
+    if (!settings)
+        return static_cast<int>(ExitCode::Settings);
+    return runEntry(*settings);
+}
+
+int checkConfig(const std::string &path)
+{
+    const bool good = checkSettingsFile(path, std::cout, std::cerr);
+    return static_cast<int>(good ? ExitCode::Success : ExitCode::Settings);
+}
+
+constexpr LocalCommand LocalCommands[] = {
+    {"serve", "SETTINGS", "Runs an entry with the settings of an INI file.", serve},
+    {"check-config", "SETTINGS", "Checks a settings file of either program.", checkConfig},
+};
+
+int usage(std::string_view problem)
+{
+    fmt::print(stderr, "oleander: {}\n", problem);
+    return static_cast<int>(ExitCode::Usage);
+}
+
+void printHelpLine(std::string_view name, std::string_view summary)
+{
+    fmt::print("  {:<14}{}\n", name, summary);
+}
+
+void printHelp()
+{
+    fmt::print("oleander: an entry of the scheduler and its operator's command line.\n\n"
+               "usage: oleander SUBCOMMAND [--help] ...\n"
+               "       oleander --help | --version\n\n"
+               "Subcommands:\n");
+    for (const auto &command : LocalCommands)
+        printHelpLine(command.name, command.summary);
+    for (const auto &command : operatorCommands())
+        printHelpLine(command.name, command.summary);
+    fmt::print("\nExit codes:\n");
+    for (const auto &row : exitCodeTable())
+        fmt::print("  {}  {}\n", static_cast<int>(row.code), row.meaning);
+}
+
+void printCommandHelp(std::string_view name, std::string_view arguments, std::string_view summary,
+                      std::span<const std::string_view> flags)
+{
+    fmt::print("usage: oleander {} {}\n\n{}\n", name, arguments, summary);
+    if (!flags.empty())
+        fmt::print("\nFlags:\n{}", flagHelp(flags));
+}
+
+int runLocal(const LocalCommand &command, const CommandLine &line)
+{
+    if (line.help) {
+        printCommandHelp(command.name, command.arguments, command.summary, {});
+        return 0;
+    }
+    if (const auto flags = checkFlags(line, command.name, {}); !flags)
+        return usage(flags.error().text());
+    if (line.words.size() != 2)
+        return usage(fmt::format("The usage is: oleander {} {}.", command.name, command.arguments));
+    return command.run(line.words[1]);
+}
+
+int runOperator(const OperatorCommand &command, const CommandLine &line)
+{
+    if (line.help) {
+        printCommandHelp(command.name, command.arguments, command.summary, command.flags);
+        return 0;
+    }
+    if (const auto flags = checkFlags(line, command.name, command.flags); !flags)
+        return usage(flags.error().text());
+    return runOperatorCommand(line.words, std::cin, std::cout, std::cerr);
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    const auto line = readCommandLine({argv + 1, static_cast<std::size_t>(argc - 1)});
+    if (!line)
+        return usage(line.error().text());
+    if (line->version) {
+        fmt::print("oleander {}\n", OLEANDER_VERSION);
+        return 0;
+    }
+    if (line->words.empty()) {
+        if (!line->help)
+            return usage("No subcommand was given; --help lists them.");
+        printHelp();
+        return 0;
+    }
+    const std::string &word = line->words[0];
+    for (const auto &command : LocalCommands) {
+        if (command.name == word)
+            return runLocal(command, *line);
+    }
+    for (const auto &command : operatorCommands()) {
+        if (command.name == word)
+            return runOperator(command, *line);
+    }
+    return usage(fmt::format("The subcommand \"{}\" is unknown; --help lists them.", word));
+}
--- /dev/null
+++ b/Tests/Support/Selftest/forwardertest.cpp
@@ -0,0 +1,65 @@
+#include "Support/forwarder.h"
+
+#include "Support/loopback.h"
+#include "Support/socket.h"
+#include "Support/waitfor.h"
+
+#include <catch2/catch.hpp>
+#include <poll.h>
+#include <sys/socket.h>
+
+using namespace Oleander::Testing;
+
+namespace {
+
+/** Bytes that wait at \a socket; an empty string when none come within \a limit. */
+std::string received(const Socket &socket, int limitMilliseconds)
+{
+    pollfd wait{socket.descriptor(), POLLIN, 0};
+    char buffer[64];
+    if (poll(&wait, 1, limitMilliseconds) <= 0)
+        return {};
+    const ssize_t count = recv(socket.descriptor(), buffer, sizeof(buffer), 0);
+    return count > 0 ? std::string(buffer, static_cast<std::size_t>(count)) : std::string();
+}
+
+constexpr int Long = 60'000;
+constexpr int Short = 100;
+
+} // namespace
+
+TEST_CASE("A forwarder passes bytes both ways, holds them while cut, and lets them go when healed")
+{
+    const std::string host = Loopback::nextHost();
+    const Socket listener = Socket::listeningOn(host + ":0");
+    Forwarder forwarder(host + ":0", listener.address());
+    const Socket dialer = Socket::connectedTo(forwarder.address());
+    const Socket target(accept(listener.descriptor(), nullptr, nullptr));
+    REQUIRE(dialer.valid());
+    REQUIRE(target.valid());
+
+    CHECK(dialer.sendAll("ask"));
+    CHECK(received(target, Long) == "ask");
+    forwarder.cut(Way::ToTarget);
+    CHECK(dialer.sendAll("held"));
+    CHECK(target.sendAll("answer"));
+    CHECK(received(dialer, Long) == "answer");
+    CHECK(received(target, Short).empty());
+    forwarder.heal();
+    CHECK(received(target, Long) == "held");
+
+    forwarder.setDelay(std::chrono::milliseconds(50));
+    const auto start = std::chrono::steady_clock::now();
+    CHECK(dialer.sendAll("late"));
+    CHECK(received(target, Long) == "late");
+    CHECK(std::chrono::steady_clock::now() - start >= std::chrono::milliseconds(50));
+}
+
+TEST_CASE("Test programs get hosts of 127.0.0.0/8 and free ports")
+{
+    const auto first = Loopback::nextHost();
+    const auto second = Loopback::nextHost();
+    CHECK(first.starts_with("127."));
+    CHECK(first != second);
+    CHECK(Socket::listeningOn(Loopback::freeAddress(first)).valid());
+}
