routing: Add the pure parts of the request path

Minion table fed by heartbeats, choice, outlier ejection, retry budget, admission queue, duplicate table with tombstones, and the claim table of Idempotency-Keys. An answer carries the minion's load (new last fields), since a heartbeat a second is too seldom for two choices by free slots.

A full claim table refuses new claims and never forgets one before its time; a full duplicate table keeps each entry's highest forgotten sequence, so that a very late copy is refused as well.

--- a/Source/Protocol/messages.h
+++ b/Source/Protocol/messages.h
@@ -228,6 +228,9 @@
     Step step = Step::None;
     std::string peer;
     std::string detail;
+    /** Requests at the minion, running and queued, when the answer left its agent. */
+    std::uint32_t running = 0;
+    std::uint32_t queued = 0;
 };
 
 template<typename F>
@@ -241,6 +244,8 @@
     f(v.step);
     f(v.peer);
     f(v.detail);
+    f(v.running);
+    f(v.queued);
 }
 
 /** What the leader wants done with one attempt of a task. */
--- /dev/null
+++ b/Source/Routing/claimtable.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include "Routing/claimcommands.h"
+
+#include <map>
+#include <set>
+#include <string>
+#include <utility>
+
+namespace Oleander {
+
+/** One claim and, once it ended, its answer. */
+struct Claim
+{
+    std::uint64_t fingerprint = 0;
+    std::string token;
+    std::string entry;
+    bool finished = false;
+    ClaimAnswer answer;
+    WallTime expiry{};
+};
+
+template<typename F>
+void visitFields(F &&f, Fields<Claim> auto &&v)
+{
+    f(v.fingerprint);
+    f(v.token);
+    f(v.entry);
+    f(v.finished);
+    f(v.answer);
+    f(v.expiry);
+}
+
+/**
+ * \class ClaimTable
+ * \brief Claims of Idempotency-Keys; a part of the replicated state.
+ *
+ * Applying the same commands in the same order gives the same table on every replica: time comes
+ * with the commands, and the highest time seen is the table's own. A full table refuses new claims
+ * and never forgets one before its time, since a forgotten claim could run twice.
+ */
+class ClaimTable
+{
+public:
+    static constexpr std::size_t MaxClaims = 100'000;
+    static constexpr std::size_t MaxTotalBytes = 64 * 1024 * 1024;
+    static constexpr std::size_t MaxAnswerBytes = 64 * 1024;
+    static constexpr Duration MaxKeepFor = std::chrono::hours(24);
+
+    ClaimBatchOutcome apply(const ClaimBatch &batch);
+    ClaimOutcome apply(const ClaimRequest &command);
+    ClaimOutcome apply(const FinishRequest &command);
+
+    const Claim *find(const std::string &key) const;
+    std::size_t size() const { return claims_.size(); }
+    std::size_t totalBytes() const { return bytes_; }
+
+    template<typename F>
+    friend void visitFields(F &&f, Fields<ClaimTable> auto &&v)
+    {
+        f(v.claims_);
+        f(v.expiries_);
+        f(v.bytes_);
+        f(v.now_);
+    }
+
+private:
+    void advance(WallTime now);
+    void remove(const std::string &key);
+
+    std::map<std::string, Claim> claims_;
+    std::set<std::pair<WallTime, std::string>> expiries_;
+    std::uint64_t bytes_ = 0;
+    WallTime now_{};
+};
+
+/** Cuts \a answer down to what a ClaimTable keeps; an answer that is cut is marked so. */
+ClaimAnswer boundedAnswer(ClaimAnswer answer);
+
+} // namespace Oleander
--- /dev/null
+++ b/Source/Routing/outlierejection.cpp
@@ -0,0 +1,72 @@
+#include "Routing/outlierejection.h"
+
+#include <algorithm>
+
+namespace Oleander {
+
+namespace {
+
+/** Doublings after which the ejection time stops growing, whatever its maximum. */
+constexpr std::uint32_t MaxDoublings = 16;
+
+} // namespace
+
+OutlierEjection::State OutlierEjection::state(TimePoint now) const
+{
+    if (!ejected_)
+        return State::Healthy;
+    return now < ejectedUntil_ ? State::Ejected : State::Probing;
+}
+
+bool OutlierEjection::admits(TimePoint now) const
+{
+    switch (state(now)) {
+    case State::Healthy:
+        return true;
+    case State::Ejected:
+        return false;
+    case State::Probing:
+        return !probeOut_;
+    }
+    return false;
+}
+
+void OutlierEjection::started(TimePoint now)
+{
+    if (state(now) == State::Probing)
+        probeOut_ = true;
+}
+
+void OutlierEjection::succeeded()
+{
+    *this = OutlierEjection();
+}
+
+void OutlierEjection::failed(const OutlierSettings &settings, bool mayEject, TimePoint now)
+{
+    ++failuresInRow_;
+    const bool probeFailed = ejected_ && probeOut_;
+    probeOut_ = false;
+    if (!probeFailed && (ejected_ || failuresInRow_ < settings.consecutiveFailures || !mayEject))
+        return;
+    const Duration time = settings.ejectionTime * (1U << std::min(ejections_, MaxDoublings));
+    ejectedUntil_ = now + std::min(time, settings.maxEjectionTime);
+    ejected_ = true;
+    ++ejections_;
+}
+
+void OutlierEjection::abandoned()
+{
+    probeOut_ = false;
+}
+
+std::size_t ejectionCap(const OutlierSettings &settings, std::size_t minions)
+{
+    if (minions < 2)
+        return 0;
+    const auto share =
+        static_cast<std::size_t>(static_cast<double>(minions) * settings.maxEjectedShare);
+    return std::min(std::max<std::size_t>(share, 1), minions - 1);
+}
+
+} // namespace Oleander
--- /dev/null
+++ b/Tests/Routing/admissionqueuetest.cpp
@@ -0,0 +1,107 @@
+#include "Routing/admissionqueue.h"
+
+#include "Routing/retrybudget.h"
+
+#include <catch2/catch.hpp>
+
+using namespace Oleander;
+using namespace std::chrono_literals;
+using Verdict = AdmissionQueue::Verdict;
+
+namespace {
+
+constexpr TimePoint Start{10s};
+
+Deadline in(Duration remaining)
+{
+    return {Start, remaining};
+}
+
+} // namespace
+
+TEST_CASE("Slots run, connections queue, and what exceeds both is refused")
+{
+    AdmissionQueue queue({2, 4});
+    CHECK(queue.offer("a", in(1s), Start) == Verdict::Run);
+    CHECK(queue.offer("b", in(1s), Start) == Verdict::Run);
+    CHECK(queue.offer("c", in(1s), Start) == Verdict::Queued);
+    CHECK(queue.offer("d", in(1s), Start) == Verdict::Queued);
+    CHECK(queue.offer("e", in(1s), Start) == Verdict::Full);
+    CHECK(queue.next(Start).start.empty());
+    queue.finished(1ms, Start);
+    CHECK(queue.next(Start).start == std::vector<std::string>{"c"});
+    CHECK(queue.running() == 2);
+    CHECK(queue.remove("d"));
+    CHECK_FALSE(queue.remove("d"));
+    CHECK(queue.queued() == 0);
+}
+
+TEST_CASE("A request that cannot be answered in time is refused at once")
+{
+    AdmissionQueue queue({1, 64});
+    queue.offer("a", in(10s), Start);
+    queue.finished(100ms, Start);
+    CHECK(queue.offer("expired", in(0s), Start) == Verdict::TooLate);
+    CHECK(queue.offer("b", in(10s), Start) == Verdict::Run);
+    CHECK(queue.offer("c", in(150ms), Start) == Verdict::Queued);
+    CHECK(queue.offer("d", in(150ms), Start) == Verdict::TooLate);
+    CHECK(queue.offer("e", in(1s), Start) == Verdict::Queued);
+}
+
+TEST_CASE("A deadline that passes in the queue frees its place before any slot is given")
+{
+    AdmissionQueue queue({1, 64});
+    queue.offer("a", in(10s), Start);
+    queue.offer("late", in(10ms), Start);
+    queue.offer("patient", in(10s), Start);
+    queue.finished(1ms, Start + 20ms);
+    const auto next = queue.next(Start + 20ms);
+    CHECK(next.tooLate == std::vector<std::string>{"late"});
+    CHECK(next.start == std::vector<std::string>{"patient"});
+}
+
+TEST_CASE("Slots that were busy before the agent's start stay taken until the minion frees them")
+{
+    AdmissionQueue queue({4, 8});
+    queue.announceBusy(3);
+    CHECK(queue.offer("a", in(1s), Start) == Verdict::Run);
+    CHECK(queue.offer("b", in(1s), Start) == Verdict::Queued);
+    // The announcement was on its way when "a" started: it must not free a slot that is in use.
+    queue.announceBusy(3);
+    CHECK(queue.next(Start).start == std::vector<std::string>{"b"});
+    queue.announceBusy(4);
+    CHECK(queue.strays() == 2);
+    queue.announceBusy(2);
+    CHECK(queue.strays() == 0);
+    queue.announceBusy(4);
+    CHECK(queue.strays() == 0);
+}
+
+TEST_CASE("Retries stay within their share of the traffic")
+{
+    RetryBudget budget({.share = 0.1, .minimumPerSecond = 2.0, .maximumSaved = 10.0}, Start);
+    CHECK(budget.withdraw(Start));
+    CHECK(budget.withdraw(Start));
+    CHECK_FALSE(budget.withdraw(Start));
+    for (int i = 0; i < 25; ++i)
+        budget.deposit();
+    CHECK(budget.withdraw(Start));
+    CHECK(budget.withdraw(Start));
+    CHECK_FALSE(budget.withdraw(Start));
+    CHECK(budget.withdraw(Start + 1s));
+    for (int i = 0; i < 1000; ++i)
+        budget.deposit();
+    int allowed = 0;
+    while (budget.withdraw(Start + 1s))
+        ++allowed;
+    CHECK(allowed == 10);
+}
+
+TEST_CASE("The latency quantile settles where its share lies below")
+{
+    LatencyQuantile quantile(0.95);
+    for (int i = 0; i < 20000; ++i)
+        quantile.observe(std::chrono::microseconds(1000 + (i * 7919) % 1000));
+    CHECK(quantile.value() > 1800us);
+    CHECK(quantile.value() < 2200us);
+}
