--- a/Source/Routing/claimtable.h
+++ b/Source/Routing/claimtable.h
@@ -43,8 +43,8 @@
 {
 public:
     static constexpr std::size_t MaxClaims = 100'000;
-    static constexpr std::size_t MaxTotalBytes = 64 * 1024 * 1024;
-    static constexpr std::size_t MaxAnswerBytes = 64 * 1024;
+    static constexpr std::size_t MaxTotalBytes = std::size_t(64) * 1024 * 1024;
+    static constexpr std::size_t MaxAnswerBytes = std::size_t(64) * 1024;
     static constexpr Duration MaxKeepFor = std::chrono::hours(24);
 
     ClaimBatchOutcome apply(const ClaimBatch &batch);
