--- a/Tests/Routing/miniontabletest.cpp
+++ b/Tests/Routing/miniontabletest.cpp
@@ -167,6 +167,7 @@
 {
     Fixture f;
     std::vector<MinionStatus> minions;
+    minions.reserve(10);
     for (int i = 0; i < 10; ++i)
         minions.push_back(status("m" + std::to_string(i)));
     f.table.update("agent-1", 1, heartbeat(1, "a", minions), f.now);
