--- a/Source/Settings/commandline.cpp
+++ b/Source/Settings/commandline.cpp
@@ -23,6 +23,12 @@
     return name;
 }
 
+/** Debian's Abseil has a string view of its own. */
+absl::string_view toAbsl(std::string_view text)
+{
+    return {text.data(), text.size()};
+}
+
 std::string shownName(std::string_view name)
 {
     std::string shown(name);
@@ -33,10 +39,10 @@
 Result<void> setFlag(absl::CommandLineFlag &flag, std::string_view value)
 {
     std::string problem;
-    if (flag.ParseFrom(value, &problem))
+    if (flag.ParseFrom(toAbsl(value), &problem))
         return {};
     return refuse(fmt::format("The value \"{}\" of --{} is not allowed: {}", value,
-                              shownName(flag.Name()), problem));
+                              shownName(std::string(flag.Name())), problem));
 }
 
 } // namespace
@@ -97,7 +103,7 @@
 {
     std::string text;
     for (const auto name : names) {
-        const absl::CommandLineFlag *flag = absl::FindCommandLineFlag(name);
+        const absl::CommandLineFlag *flag = absl::FindCommandLineFlag(toAbsl(name));
         if (flag == nullptr)
             continue;
         text += fmt::format("  --{}  {}", shownName(name), flag->Help());
--- a/Tests/Support/forwarder.cpp
+++ b/Tests/Support/forwarder.cpp
@@ -104,10 +104,10 @@
                                   SteadyClock::time_point now)
 {
     auto &pipe = connection.pipes.at(way);
-    const auto &target = connection.ends.at(1 - way);
+    const auto &receiver = connection.ends.at(1 - way);
     while (!isCut.at(way) && !pipe.held.empty() && pipe.held.front().due <= now) {
         auto &bytes = pipe.held.front().bytes;
-        const ssize_t count = send(target.descriptor(), bytes.data(), bytes.size(), MSG_NOSIGNAL);
+        const ssize_t count = send(receiver.descriptor(), bytes.data(), bytes.size(), MSG_NOSIGNAL);
         if (count < 0) {
             connection.broken = connection.broken || errno != EAGAIN;
             return;
@@ -119,7 +119,7 @@
         pipe.held.pop_front();
     }
     if (pipe.sourceClosed && pipe.held.empty() && !isCut.at(way) && !pipe.endPassedOn) {
-        shutdown(target.descriptor(), SHUT_WR);
+        shutdown(receiver.descriptor(), SHUT_WR);
         pipe.endPassedOn = true;
     }
 }
