--- a/Source/Runtime/metrics.h
+++ b/Source/Runtime/metrics.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <tuple>
 #include <variant>
 #include <vector>
 
@@ -17,7 +18,11 @@
     std::string name;
     std::string value;
 
-    auto operator<=>(const MetricLabel &) const = default;
+    bool operator==(const MetricLabel &) const = default;
+    bool operator<(const MetricLabel &other) const
+    {
+        return std::tie(name, value) < std::tie(other.name, other.value);
+    }
 };
 
 using MetricLabels = std::vector<MetricLabel>;
--- a/Source/Settings/settingsbinder.h
+++ b/Source/Settings/settingsbinder.h
@@ -34,8 +34,6 @@
     std::string key;
     Presence presence = Presence::Optional;
     std::string allowed;
-
-    auto operator<=>(const SettingsKey &) const = default;
 };
 
 /**
