--- a/Source/Runtime/metrics.cpp
+++ b/Source/Runtime/metrics.cpp
@@ -151,7 +151,7 @@
 template<typename T>
 T &Metrics::find(const std::string &name, const std::string &help, MetricLabels labels)
 {
-    std::ranges::sort(labels);
+    std::sort(labels.begin(), labels.end());
     auto &family = families_[name];
     if (family.help.empty())
         family.help = help;
