--- a/Source/Settings/agentsettings.cpp
+++ b/Source/Settings/agentsettings.cpp
@@ -31,6 +31,8 @@
     bindLink(binder, AgentSection, settings.link, settings.linkAdvertised);
     binder.address(AgentSection, "minion-door", settings.minionDoor, Presence::Required,
                    PortRule::OrPickedBySystem);
+    binder.address(AgentSection, "operator-door", settings.operatorDoor, Presence::Optional,
+                   PortRule::OrPickedBySystem);
     binder.duration(AgentSection, "heartbeat-interval", settings.heartbeatInterval,
                     milliseconds(20), seconds(30));
     binder.duration(AgentSection, "configuration-lease", settings.configurationLease,
@@ -90,9 +92,14 @@
     auto &settings = checked.settings;
     bindAgent(binder, settings);
     bindLimits(binder, "minion-limits", settings.minionLimits);
+    bindLimits(binder, "operator-limits", settings.operatorLimits);
     bindWorker(binder, settings.worker);
     bindAdmission(binder, settings.admission);
     checkDifferent(binder, AgentSection, "minion-door", settings.minionDoor, "link", settings.link);
+    checkDifferent(binder, AgentSection, "operator-door", settings.operatorDoor, "minion-door",
+                   settings.minionDoor);
+    checkDifferent(binder, AgentSection, "operator-door", settings.operatorDoor, "link",
+                   settings.link);
     checkEntries(binder, settings);
     binder.finish();
     checked.mistakes = binder.mistakes();
--- a/Source/Settings/agentsettings.h
+++ b/Source/Settings/agentsettings.h
@@ -50,7 +50,10 @@
     std::string linkAdvertised;
     /** Address of the door at which minions announce themselves. */
     std::string minionDoor;
+    /** Address of the door for the state dump and metrics; empty opens none. */
+    std::string operatorDoor;
     HttpLimits minionLimits;
+    HttpLimits operatorLimits;
     /** Entries to which this agent announces itself, with the addresses of their links. */
     std::vector<PeerAddress> entries;
     WorkerSettings worker;
--- a/Source/Settings/entrysettings.h
+++ b/Source/Settings/entrysettings.h
@@ -46,10 +46,10 @@
 struct ControlSettings
 {
     /** Least time without a leader's message before an election; the most is twice as long. */
-    Duration electionTimeout = std::chrono::milliseconds(500);
-    Duration heartbeatInterval = std::chrono::milliseconds(100);
+    Duration electionTimeout = std::chrono::milliseconds(400);
+    Duration heartbeatInterval = std::chrono::milliseconds(80);
     /** Entries of the log after which a snapshot is taken. */
-    std::uint64_t snapshotEntries = 10'000;
+    std::uint64_t snapshotEntries = 20'000;
     /** Time for which a proposal or a read waits for its outcome. */
     Duration proposalTimeout = std::chrono::seconds(5);
 };
--- a/Tests/Support/cluster.cpp
+++ b/Tests/Support/cluster.cpp
@@ -32,6 +32,7 @@
         auto &agent = agents_.emplace_back();
         agent.name = "agent-" + std::to_string(i + 1);
         agent.minionDoor = Loopback::freeAddress(host);
+        agent.operatorDoor = Loopback::freeAddress(host);
         agent.workerDoor = Loopback::freeAddress(host);
         agent.minionAt = Loopback::freeAddress(host);
         agent.link = Loopback::freeAddress(host);
@@ -171,10 +172,10 @@
 std::string Cluster::agentSettings(std::size_t index)
 {
     const auto &agent = agents_[index];
-    std::string text = "[agent]\nname = " + agent.name + '\n' + placeLines(index)
-                       + "link = " + agent.link
-                       + "\nlink-advertised = " + dialled(Anyone, agent.name, agent.link)
-                       + "\nminion-door = " + agent.minionDoor + "\n[entries]\n";
+    std::string text =
+        "[agent]\nname = " + agent.name + '\n' + placeLines(index) + "link = " + agent.link
+        + "\nlink-advertised = " + dialled(Anyone, agent.name, agent.link) + "\nminion-door = "
+        + agent.minionDoor + "\noperator-door = " + agent.operatorDoor + "\n[entries]\n";
     for (const auto &entry : entries_)
         text += entry.name + " = " + dialled(agent.name, entry.name, entry.link) + '\n';
     if (options_.workers) {
--- a/Tests/Support/cluster.h
+++ b/Tests/Support/cluster.h
@@ -73,6 +73,11 @@
         return agents_.at(agent).workerDoor;
     }
     const std::string &minionAddress(std::size_t agent) const { return agents_.at(agent).minionAt; }
+    /** Door of an agent for its state dump and metrics. */
+    const std::string &agentOperatorDoor(std::size_t agent) const
+    {
+        return agents_.at(agent).operatorDoor;
+    }
     /** Folder of an entry's replica, to lose or damage. */
     std::filesystem::path dataFolder(std::size_t entry) const;
 
@@ -99,6 +104,7 @@
     {
         std::string name;
         std::string minionDoor;
+        std::string operatorDoor;
         std::string workerDoor;
         std::string minionAt;
         std::string link;
