--- /dev/null
+++ b/Source/Placement/capacitytree.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "Protocol/messages.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <random>
+#include <vector>
+
+namespace Oleander::Placement {
+
+/**
+ * \class CapacityTree
+ * \brief Finds workers with enough free resources without looking at all of them.
+ *
+ * A binary tree over the workers' numbers; each node holds the largest free amount of each
+ * resource below it. A node whose largest amounts do not hold a size has no worker that does. The
+ * three maxima may come from different workers, so a search can meet a dead end and backs out.
+ */
+class CapacityTree
+{
+public:
+    /** Sets the free resources of \a worker; workers are numbered from 0 without large gaps. */
+    void set(std::size_t worker, const Resources &available);
+    /** Takes \a worker out of every search. */
+    void close(std::size_t worker);
+
+    /** Returns the lowest-numbered worker from \a from on with room for \a size. */
+    std::optional<std::size_t> first(const Resources &size, std::size_t from = 0) const;
+    /**
+     * Returns a worker with room for \a size, or nothing when there is none. Each search takes a
+     * random turn at each node, so that repeated searches return different workers.
+     */
+    std::optional<std::size_t> any(const Resources &size, std::minstd_rand &random) const;
+
+    std::size_t size() const { return count_; }
+
+private:
+    struct Node
+    {
+        Resources most;
+        bool isOpen = false;
+    };
+
+    bool holds(std::size_t node, const Resources &size) const;
+    void update(std::size_t worker, const Node &leaf);
+    void grow(std::size_t workers);
+    std::optional<std::size_t> firstBelow(std::size_t node, std::size_t begin, std::size_t width,
+                                          const Resources &size, std::size_t from) const;
+    std::optional<std::size_t> anyBelow(std::size_t node, const Resources &size,
+                                        std::minstd_rand &random) const;
+
+    std::size_t leaves_ = 0;
+    std::size_t count_ = 0;
+    /** Node 1 is the root, nodes 2n and 2n + 1 are the children of n. */
+    std::vector<Node> nodes_;
+};
+
+} // namespace Oleander::Placement
--- /dev/null
+++ b/Source/Placement/clusterview.cpp
@@ -0,0 +1,144 @@
+#include "Placement/clusterview.h"
+
+#include "Placement/workerledger.h"
+
+#include <algorithm>
+
+namespace Oleander::Placement {
+
+namespace {
+
+constexpr double MilliCoresPerCore = 1000.0;
+
+/** Share of the fullest dimension that is committed. */
+double loadOf(const WorkerView &worker)
+{
+    const auto share = [](double available, double capacity) {
+        return capacity > 0 ? 1.0 - available / capacity : 0.0;
+    };
+    return std::max({share(worker.available.milliCores, worker.capacity.milliCores),
+                     share(static_cast<double>(worker.available.memoryMiB),
+                           static_cast<double>(worker.capacity.memoryMiB)),
+                     share(worker.available.accelerators, worker.capacity.accelerators)});
+}
+
+} // namespace
+
+Number ClusterView::setWorker(const std::string &name, const Location &location,
+                              const Resources &capacity, bool accepts)
+{
+    const auto [entry, isNew] =
+        workerNumbers_.try_emplace(name, static_cast<Number>(workers_.size()));
+    if (isNew) {
+        workers_.emplace_back();
+        loads_.push_back(-1);
+    }
+    WorkerView &worker = workers_[entry->second];
+    worker.name = name;
+    worker.failureDomain = intern("domain/" + location.region + "/" + location.failureDomain);
+    worker.rack =
+        intern("rack/" + location.region + "/" + location.failureDomain + "/" + location.rack);
+    worker.capacity = capacity;
+    worker.accepts = accepts;
+    refresh(entry->second);
+    return entry->second;
+}
+
+Resident &ClusterView::add(const TaskTraits &traits, Number worker, TimePoint now)
+{
+    remove(traits.id);
+    Resident &resident = residents_[traits.id];
+    resident.traits = traits;
+    resident.worker = worker;
+    resident.since = now;
+    workers_[worker].residents.push_back(&resident);
+    count(resident, 1);
+    refresh(worker);
+    setUse(resident, traits.declared.milliCores / MilliCoresPerCore);
+    return resident;
+}
+
+void ClusterView::remove(const std::string &task)
+{
+    const auto found = residents_.find(task);
+    if (found == residents_.end())
+        return;
+    Resident &resident = found->second;
+    const Number worker = resident.worker;
+    setUse(resident, 0);
+    std::erase(workers_[worker].residents, &resident);
+    count(resident, -1);
+    residents_.erase(found);
+    refresh(worker);
+}
+
+Resident *ClusterView::find(const std::string &task)
+{
+    const auto found = residents_.find(task);
+    return found == residents_.end() ? nullptr : &found->second;
+}
+
+void ClusterView::setUse(Resident &resident, double cores)
+{
+    workers_[resident.worker].coresUsed += cores - resident.cores;
+    resident.cores = cores;
+}
+
+Number ClusterView::intern(const std::string &text)
+{
+    return interned_.try_emplace(text, static_cast<Number>(interned_.size())).first->second;
+}
+
+Number ClusterView::workerNumber(const std::string &name) const
+{
+    const auto found = workerNumbers_.find(name);
+    return found == workerNumbers_.end() ? NoNumber : found->second;
+}
+
+std::uint32_t ClusterView::groupInDomain(Number group, Number failureDomain) const
+{
+    const auto found = groupCounts_.find({group, failureDomain});
+    return found == groupCounts_.end() ? 0 : found->second;
+}
+
+std::uint32_t ClusterView::groupInRack(Number group, Number rack) const
+{
+    return groupInDomain(group, rack);
+}
+
+std::uint32_t ClusterView::groupSize(Number group) const
+{
+    return groupInDomain(group, NoNumber);
+}
+
+void ClusterView::count(const Resident &resident, int by)
+{
+    if (resident.traits.group == NoNumber)
+        return;
+    const WorkerView &worker = workers_[resident.worker];
+    for (const Number place : {worker.failureDomain, worker.rack, NoNumber}) {
+        std::uint32_t &counted = groupCounts_[{resident.traits.group, place}];
+        counted += static_cast<std::uint32_t>(by);
+        if (counted == 0)
+            groupCounts_.erase({resident.traits.group, place});
+    }
+}
+
+void ClusterView::refresh(Number number)
+{
+    WorkerView &worker = workers_[number];
+    Resources committed;
+    for (const Resident *resident : worker.residents)
+        committed = sum(committed, resident->traits.declared);
+    worker.available = remainder(worker.capacity, committed);
+    byLoad_.erase({loads_[number], number});
+    if (worker.accepts && fitsInto(committed, worker.capacity)) {
+        loads_[number] = loadOf(worker);
+        byLoad_.insert({loads_[number], number});
+        tree_.set(number, worker.available);
+    } else {
+        tree_.close(number);
+    }
+}
+
+} // namespace Oleander::Placement
--- /dev/null
+++ b/Source/Placement/clusterview.h
@@ -0,0 +1,118 @@
+#pragma once
+
+#include "Base/clock.h"
+#include "Base/location.h"
+#include "Placement/capacitytree.h"
+#include "Protocol/messages.h"
+#include "Records/record.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace Oleander::Placement {
+
+/** Number of a worker, a task kind or a group within one ClusterView; never leaves the process. */
+using Number = std::uint32_t;
+constexpr Number NoNumber = UINT32_MAX;
+
+/** What a policy knows of a task before and while it runs. */
+struct TaskTraits
+{
+    std::string id;
+    /** Tasks of one kind are taken to behave alike: a service, or the jobs of one program. */
+    Number kind = NoNumber;
+    /** Record whose tasks are spread over places; NoNumber for batch jobs. */
+    Number group = NoNumber;
+    bool isService = false;
+    bool urgent = false;
+    /** True when the task can be stopped and started again. */
+    bool mayRestart = true;
+    Resources declared;
+    Records::Spread spread = Records::Spread::Anywhere;
+    Duration latencyTarget{};
+};
+
+/** A task on a worker. */
+struct Resident
+{
+    TaskTraits traits;
+    Number worker = NoNumber;
+    TimePoint since{};
+    /** Processors in use by the last report, or the corrected declared size before the first. */
+    double cores = 0;
+    std::uint32_t throttlePercent = 100;
+    /** True while it is being stopped: it still occupies its size, but no decision moves it. */
+    bool isLeaving = false;
+};
+
+/** A worker as decisions see it. */
+struct WorkerView
+{
+    std::string name;
+    Number failureDomain = 0;
+    Number rack = 0;
+    Resources capacity;
+    Resources available;
+    /** False while the worker is lost, suspended, drained or shrunk. */
+    bool accepts = false;
+    /** Processors in use by the last reports. */
+    double coresUsed = 0;
+    std::vector<Resident *> residents;
+};
+
+/**
+ * \class ClusterView
+ * \brief The leader's working copy of workers and residents that placement policies decide on.
+ *
+ * It follows the task book by changes, and is never the source of truth: the book refuses a
+ * placement that came from an outdated view.
+ */
+class ClusterView
+{
+public:
+    /** Adds the worker or changes it; returns its number. */
+    Number setWorker(const std::string &name, const Location &location, const Resources &capacity,
+                     bool accepts);
+    /** Puts a task on a worker; a task that is elsewhere moves. */
+    Resident &add(const TaskTraits &traits, Number worker, TimePoint now);
+    void remove(const std::string &task);
+    Resident *find(const std::string &task);
+    /** Notes the processors that a resident uses. */
+    void setUse(Resident &resident, double cores);
+
+    /** Returns the number that stands for \a text; equal texts have equal numbers. */
+    Number intern(const std::string &text);
+
+    const std::vector<WorkerView> &workers() const { return workers_; }
+    const WorkerView &worker(Number number) const { return workers_[number]; }
+    Number workerNumber(const std::string &name) const;
+    const CapacityTree &capacities() const { return tree_; }
+    /** Workers that accept tasks, the least loaded first; load is the fullest dimension. */
+    const std::set<std::pair<double, Number>> &byLoad() const { return byLoad_; }
+    /** Tasks of a group in a failure domain. */
+    std::uint32_t groupInDomain(Number group, Number failureDomain) const;
+    std::uint32_t groupInRack(Number group, Number rack) const;
+    std::uint32_t groupSize(Number group) const;
+    std::size_t residentCount() const { return residents_.size(); }
+
+private:
+    void refresh(Number worker);
+    void count(const Resident &resident, int by);
+
+    std::vector<WorkerView> workers_;
+    std::unordered_map<std::string, Number> workerNumbers_;
+    std::unordered_map<std::string, Number> interned_;
+    std::unordered_map<std::string, Resident> residents_;
+    CapacityTree tree_;
+    std::vector<double> loads_;
+    std::set<std::pair<double, Number>> byLoad_;
+    /** By group and place; the place is a domain, a rack, or NoNumber for the whole group. */
+    std::map<std::pair<Number, Number>, std::uint32_t> groupCounts_;
+};
+
+} // namespace Oleander::Placement
--- /dev/null
+++ b/Source/Placement/fitting.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "Placement/task.h"
+
+#include <map>
+#include <string>
+
+namespace Oleander::Placement {
+
+/** Whether any worker could hold a size while it is otherwise empty. */
+struct FitVerdict
+{
+    bool fitsSomewhere = false;
+    /** Full sentence that names the worker nearest to holding it and what it lacks. */
+    std::string explanation;
+};
+
+/** Compares \a size with the whole capacity of every known worker, lost ones included. */
+FitVerdict judgeFit(const Resources &size, const std::map<std::string, Worker> &workers);
+
+/** Text of a size for people: "2000 millicores, 512 MiB, 1 accelerator". */
+std::string describe(const Resources &size);
+
+} // namespace Oleander::Placement
--- a/Source/Records/record.h
+++ b/Source/Records/record.h
@@ -130,7 +130,11 @@
     RecordKind kind = RecordKind::Service;
     std::string name;
 
-    auto operator<=>(const RecordKey &) const = default;
+    bool operator==(const RecordKey &) const = default;
+    bool operator<(const RecordKey &other) const
+    {
+        return kind != other.kind ? kind < other.kind : name < other.name;
+    }
 };
 
 template<typename F>
