--- a/Source/Protocol/messages.h
+++ b/Source/Protocol/messages.h
@@ -151,6 +151,8 @@
     /** Length of the worker's lease from the moment the agent made \a stamp; 0 grants none. */
     Duration lease{};
     std::string leader;
+    /** Session of the worker: attempts and orders of lower sessions have ended. */
+    std::uint64_t session = 0;
 };
 
 template<typename F>
@@ -159,6 +161,7 @@
     f(v.stamp);
     f(v.lease);
     f(v.leader);
+    f(v.session);
 }
 
 /** One HTTP header field. */
@@ -264,6 +267,10 @@
     std::uint64_t checkpoint = 0;
     /** Processor share in percent that a throttle allows. */
     std::uint32_t throttlePercent = 100;
+    /** Session of the worker to which the attempt belongs. */
+    std::uint64_t session = 0;
+    /** Stamp of the agent's last heartbeat before the order; an order too far behind is refused. */
+    std::uint64_t stamp = 0;
 };
 
 template<typename F>
@@ -276,6 +283,8 @@
     f(v.payload);
     f(v.checkpoint);
     f(v.throttlePercent);
+    f(v.session);
+    f(v.stamp);
 }
 
 /** Agent to leader: news of attempts between heartbeats. */
