--- /dev/null
+++ b/Tests/Settings/examplestest.cpp
@@ -0,0 +1,56 @@
+#include "Records/knownvalues.h"
+#include "Records/parse.h"
+#include "Settings/settingsfile.h"
+
+#include <catch2/catch.hpp>
+
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+
+using namespace Oleander;
+
+namespace {
+
+std::vector<std::filesystem::path> examples(const std::string &extension)
+{
+    std::vector<std::filesystem::path> files;
+    for (const auto &file :
+         std::filesystem::recursive_directory_iterator(OLEANDER_ROOT "/Examples")) {
+        if (file.path().extension() == extension)
+            files.push_back(file.path());
+    }
+    return files;
+}
+
+} // namespace
+
+TEST_CASE("Every settings file of Examples is good")
+{
+    const auto files = examples(".ini");
+    CHECK(files.size() == 12);
+    for (const auto &file : files) {
+        std::ostringstream output;
+        std::ostringstream errors;
+        CHECK(checkSettingsFile(file.string(), output, errors));
+        CHECK(errors.str().empty());
+    }
+}
+
+TEST_CASE("Every record of Examples is good; its kind is the first word of its name")
+{
+    const auto files = examples(".json");
+    CHECK(files.size() == 10);
+    for (const auto &file : files) {
+        const std::string name = file.stem().string();
+        const auto kind = Records::kindNamed(name.substr(0, name.find('-')));
+        REQUIRE(kind);
+        std::ostringstream body;
+        body << std::ifstream(file).rdbuf();
+        const auto parsed = Records::parseBody(*kind, body.str());
+        INFO(file);
+        INFO((parsed ? std::string() : parsed.error().text()));
+        REQUIRE(parsed);
+        CHECK(Records::checkKnownValues({*kind, name.substr(name.find('-') + 1)}, parsed->spec));
+    }
+}
