records: Parse bodies of both schemas and keep the record book

Withdrawn records and answers are bounded; a floor under revisions keeps an old amendment from hitting a name that is used anew. Weighed: remembering only accepted answers; ruled out, since a resend of a lost refusal could then be accepted.

--- /dev/null
+++ b/Source/Records/fieldreader.cpp
@@ -0,0 +1,202 @@
+#include "Records/fieldreader.h"
+
+#include <fmt/format.h>
+#include <fmt/ranges.h>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace Oleander::Records {
+
+namespace {
+
+constexpr std::size_t MaxShownBytes = 80;
+
+const nlohmann::json &emptyObject()
+{
+    static const auto Empty = nlohmann::json::object();
+    return Empty;
+}
+
+std::string shown(const nlohmann::json &value)
+{
+    constexpr bool EnsureAscii = true;
+    std::string text = value.dump(-1, ' ', EnsureAscii, nlohmann::json::error_handler_t::replace);
+    if (text.size() > MaxShownBytes)
+        text = text.substr(0, MaxShownBytes) + "...";
+    return text;
+}
+
+bool isNameStart(char c)
+{
+    return (c >= 'a' && c <= 'z') || (c >= '0' && c <= '9');
+}
+
+bool isNamePart(char c)
+{
+    return isNameStart(c) || c == '-' || c == '_' || c == '.';
+}
+
+std::string allowedText(std::size_t maxBytes)
+{
+    return fmt::format("a text of 1 to {} bytes", maxBytes);
+}
+
+} // namespace
+
+bool isName(std::string_view text)
+{
+    return !text.empty() && text.size() <= MaxNameBytes && isNameStart(text.front())
+           && std::all_of(text.begin(), text.end(), isNamePart);
+}
+
+std::string_view allowedName()
+{
+    return "a name of 1 to 128 lower-case letters, digits, '.', '-' and '_' that starts with a "
+           "letter or digit";
+}
+
+FieldReader::FieldReader(const nlohmann::json &object, std::string prefix,
+                         std::vector<std::string> &errors)
+    : object_(object), prefix_(std::move(prefix)), errors_(errors)
+{}
+
+const nlohmann::json *FieldReader::find(std::string_view field)
+{
+    known_.emplace_back(field);
+    const auto found = object_.find(std::string(field));
+    return found == object_.end() ? nullptr : &*found;
+}
+
+void FieldReader::refuse(std::string_view field, std::string_view allowed)
+{
+    errors_.push_back(fmt::format("Field '{}{}' is {}; allowed is {}.", prefix_, field,
+                                  shown(object_.at(std::string(field))), allowed));
+}
+
+void FieldReader::missing(std::string_view field, std::string_view allowed)
+{
+    errors_.push_back(
+        fmt::format("Field '{}{}' is missing; it has to be {}.", prefix_, field, allowed));
+}
+
+std::uint64_t FieldReader::number(std::string_view field, std::uint64_t least, std::uint64_t most,
+                                  std::optional<std::uint64_t> fallback)
+{
+    const auto allowed = fmt::format("a whole number from {} to {}", least, most);
+    const auto *value = find(field);
+    if (!value) {
+        if (!fallback)
+            missing(field, allowed);
+        return fallback.value_or(least);
+    }
+    if (!value->is_number_unsigned() || value->get<std::uint64_t>() < least
+        || value->get<std::uint64_t>() > most) {
+        refuse(field, allowed);
+        return least;
+    }
+    return value->get<std::uint64_t>();
+}
+
+std::string FieldReader::text(std::string_view field, std::size_t maxBytes,
+                              const std::optional<std::string> &fallback)
+{
+    const auto *value = find(field);
+    if (!value) {
+        if (!fallback)
+            missing(field, allowedText(maxBytes));
+        return fallback.value_or("");
+    }
+    if (!value->is_string() || value->get_ref<const std::string &>().empty()
+        || value->get_ref<const std::string &>().size() > maxBytes) {
+        refuse(field, allowedText(maxBytes));
+        return {};
+    }
+    return value->get<std::string>();
+}
+
+std::string FieldReader::name(std::string_view field)
+{
+    const auto *value = find(field);
+    if (!value) {
+        missing(field, allowedName());
+        return {};
+    }
+    if (!value->is_string() || !isName(value->get_ref<const std::string &>())) {
+        refuse(field, allowedName());
+        return {};
+    }
+    return value->get<std::string>();
+}
+
+bool FieldReader::flag(std::string_view field, bool fallback)
+{
+    const auto *value = find(field);
+    if (!value)
+        return fallback;
+    if (!value->is_boolean()) {
+        refuse(field, "true or false");
+        return fallback;
+    }
+    return value->get<bool>();
+}
+
+std::optional<std::string> FieldReader::optionalText(std::string_view field)
+{
+    const auto *value = find(field);
+    if (!value)
+        return std::nullopt;
+    // A value that is no string is shown to the table of words as what it is, so that it is
+    // refused with the list of the words.
+    return value->is_string() ? value->get<std::string>() : shown(*value);
+}
+
+std::map<std::string, std::string> FieldReader::texts(std::string_view field,
+                                                      std::size_t maxEntries, std::size_t maxBytes)
+{
+    std::map<std::string, std::string> result;
+    const auto allowed = fmt::format("an object of at most {} names with texts", maxEntries);
+    const auto *value = find(field);
+    if (!value) {
+        missing(field, allowed);
+        return result;
+    }
+    if (!value->is_object() || value->size() > maxEntries) {
+        refuse(field, allowed);
+        return result;
+    }
+    FieldReader inner(*value, fmt::format("{}{}.", prefix_, field), errors_);
+    for (const auto &[key, held] : value->items()) {
+        if (!isName(key)) {
+            errors_.push_back(fmt::format("Field '{}{}' holds the name {}; allowed is {}.", prefix_,
+                                          field, shown(key), allowedName()));
+            continue;
+        }
+        result[key] = inner.text(key, maxBytes);
+    }
+    return result;
+}
+
+FieldReader FieldReader::object(std::string_view field)
+{
+    const auto *value = find(field);
+    if (!value)
+        missing(field, "an object");
+    else if (!value->is_object())
+        refuse(field, "an object");
+    return {value && value->is_object() ? *value : emptyObject(),
+            fmt::format("{}{}.", prefix_, field), errors_};
+}
+
+void FieldReader::finish()
+{
+    for (const auto &[key, value] : object_.items()) {
+        if (std::find(known_.begin(), known_.end(), key) == known_.end()) {
+            errors_.push_back(fmt::format("Field '{}' is not known (value {}); allowed are {}.",
+                                          prefix_ + shown(key), shown(value),
+                                          fmt::join(known_, ", ")));
+        }
+    }
+}
+
+} // namespace Oleander::Records
--- /dev/null
+++ b/Source/Records/fieldreader.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include "Base/nametable.h"
+
+#include <nlohmann/json_fwd.hpp>
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace Oleander::Records {
+
+/** Longest name of a record, team or worker, in bytes. */
+constexpr std::size_t MaxNameBytes = 128;
+
+/** True when \a text is a name: lower-case letters, digits, '.', '-' and '_', no leading sign. */
+bool isName(std::string_view text);
+
+/** What a name may be, for error messages. */
+std::string_view allowedName();
+
+/**
+ * \class FieldReader
+ * \brief Reads the fields of one JSON object and collects a full sentence for each mistake.
+ *
+ * Each read marks its field as known; finish() reports the fields that nobody read.
+ */
+class FieldReader
+{
+public:
+    FieldReader(const nlohmann::json &object, std::string prefix, std::vector<std::string> &errors);
+
+    /** Whole number from \a least to \a most; \a fallback stands in for an absent field. */
+    std::uint64_t number(std::string_view field, std::uint64_t least, std::uint64_t most,
+                         std::optional<std::uint64_t> fallback = std::nullopt);
+    std::string text(std::string_view field, std::size_t maxBytes,
+                     const std::optional<std::string> &fallback = std::nullopt);
+    std::string name(std::string_view field);
+    bool flag(std::string_view field, bool fallback);
+    /** One of the words of \a table; \a fallback stands in for an absent field. */
+    template<typename Enum, std::size_t Size>
+    Enum word(std::string_view field, const NameTable<Enum, Size> &table, Enum fallback)
+    {
+        const auto held = optionalText(field);
+        if (!held)
+            return fallback;
+        if (const auto value = valueIn(table, *held))
+            return *value;
+        refuse(field, allowedNames(table));
+        return fallback;
+    }
+    /** Names and texts of a nested object; at most \a maxEntries. */
+    std::map<std::string, std::string> texts(std::string_view field, std::size_t maxEntries,
+                                             std::size_t maxBytes);
+    /** Reader of a nested object; an absent or wrong one is reported and read as empty. */
+    FieldReader object(std::string_view field);
+    /** Reports every field that was not read. */
+    void finish();
+
+private:
+    const nlohmann::json *find(std::string_view field);
+    std::optional<std::string> optionalText(std::string_view field);
+    void refuse(std::string_view field, std::string_view allowed);
+    void missing(std::string_view field, std::string_view allowed);
+
+    const nlohmann::json &object_;
+    std::string prefix_;
+    std::vector<std::string> &errors_;
+    std::vector<std::string> known_;
+};
+
+} // namespace Oleander::Records
--- a/Source/Records/record.h
+++ b/Source/Records/record.h
@@ -9,6 +9,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <variant>
 
 namespace Oleander::Records {
@@ -130,7 +131,11 @@
     RecordKind kind = RecordKind::Service;
     std::string name;
 
-    auto operator<=>(const RecordKey &) const = default;
+    bool operator==(const RecordKey &) const = default;
+    bool operator<(const RecordKey &other) const
+    {
+        return std::tie(kind, name) < std::tie(other.kind, other.name);
+    }
 };
 
 template<typename F>
--- /dev/null
+++ b/Source/Records/recordbook.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "Records/answermemory.h"
+#include "Records/change.h"
+#include "Records/event.h"
+#include "Records/record.h"
+
+#include <map>
+#include <set>
+#include <utility>
+#include <vector>
+
+namespace Oleander::Records {
+
+/** Withdrawn records that are still shown; older ones are forgotten. */
+constexpr std::size_t DefaultWithdrawnKept = 10000;
+
+/**
+ * \class RecordBook
+ * \brief The operators' records in force, changed only by commands of the replicated log.
+ *
+ * Every apply() is deterministic. Of two changes that name the same revision the first in the log
+ * wins; the second is refused with the record in force. A command whose idempotency key is known
+ * changes nothing and gets the first answer.
+ */
+class RecordBook
+{
+public:
+    ChangeOutcome apply(std::uint64_t index, const Submit &command,
+                        std::vector<EventDraft> &events);
+    ChangeOutcome apply(std::uint64_t index, const Withdraw &command,
+                        std::vector<EventDraft> &events);
+
+    /** The record, withdrawn or not, or nullptr. */
+    const Record *find(const RecordKey &key) const;
+    /** Every record, in the order of kind and name. */
+    const std::map<RecordKey, Record> &records() const { return records_; }
+    AnswerMemory &answers() { return answers_; }
+    void setWithdrawnKept(std::size_t kept);
+
+    template<typename F>
+    friend void visitFields(F &&f, Fields<RecordBook> auto &&v)
+    {
+        f(v.records_);
+        f(v.withdrawn_);
+        f(v.withdrawnKept_);
+        f(v.revisionFloor_);
+        f(v.answers_);
+    }
+
+private:
+    Change submit(std::uint64_t index, const Submit &command, std::vector<EventDraft> &events);
+    Change withdraw(std::uint64_t index, const Withdraw &command, const RecordKey &key,
+                    std::vector<EventDraft> &events);
+    Change store(std::uint64_t index, const Submit &command, std::vector<EventDraft> &events);
+    void forgetWithdrawn();
+
+    std::map<RecordKey, Record> records_;
+    /** Withdrawn records by the log index of their withdrawal. */
+    std::set<std::pair<std::uint64_t, RecordKey>> withdrawn_;
+    std::uint64_t withdrawnKept_ = DefaultWithdrawnKept;
+    /** Highest revision of any forgotten record; a new record starts above it. */
+    std::uint64_t revisionFloor_ = 0;
+    AnswerMemory answers_;
+};
+
+} // namespace Oleander::Records
