state: Compose records, tasks, claims, configuration and events into one state machine

An accepted record reaches the task book and the configuration in the step that accepts it, so no replica shows the one without the other. Time comes only with commands; the bounds of histories are values of the replicated configuration, since replicas with different bounds would drift. Weighed: bounds in each entry's settings; ruled out for that reason.

--- a/Source/Records/answermemory.h
+++ b/Source/Records/answermemory.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Records/change.h"
+#include "Records/knownvalues.h"
 
 #include <cstdint>
 #include <map>
@@ -10,9 +11,6 @@
 
 namespace Oleander::Records {
 
-/** Answers about single records that are remembered over all idempotency keys. */
-constexpr std::size_t DefaultAnswersKept = 20000;
-
 /**
  * \class AnswerMemory
  * \brief Remembers the first answer to each idempotency key of each operator.
@@ -62,7 +60,7 @@
 
     void forget();
 
-    std::uint64_t kept_ = DefaultAnswersKept;
+    std::uint64_t kept_ = AnswersKept.fallback;
     std::uint64_t held_ = 0;
     std::uint64_t next_ = 1;
     std::map<Key, Answer> answers_;
--- a/Source/Records/eventhistory.h
+++ b/Source/Records/eventhistory.h
@@ -1,15 +1,13 @@
 #pragma once
 
 #include "Records/event.h"
+#include "Records/knownvalues.h"
 
 #include <map>
 #include <vector>
 
 namespace Oleander::Records {
 
-/** Events kept when the configuration does not say otherwise. */
-constexpr std::size_t DefaultEventsKept = 10000;
-
 /** A page of the history. */
 struct EventPage
 {
@@ -46,7 +44,7 @@
     void drop();
 
     std::uint64_t next_ = 1;
-    std::uint64_t kept_ = DefaultEventsKept;
+    std::uint64_t kept_ = EventsKept.fallback;
     std::map<std::uint64_t, Event> events_;
 };
 
--- a/Source/Records/recordbook.h
+++ b/Source/Records/recordbook.h
@@ -3,6 +3,7 @@
 #include "Records/answermemory.h"
 #include "Records/change.h"
 #include "Records/event.h"
+#include "Records/knownvalues.h"
 #include "Records/record.h"
 
 #include <map>
@@ -12,9 +13,6 @@
 
 namespace Oleander::Records {
 
-/** Withdrawn records that are still shown; older ones are forgotten. */
-constexpr std::size_t DefaultWithdrawnKept = 10000;
-
 /**
  * \class RecordBook
  * \brief The operators' records in force, changed only by commands of the replicated log.
@@ -58,7 +56,7 @@
     std::map<RecordKey, Record> records_;
     /** Withdrawn records by the log index of their withdrawal. */
     std::set<std::pair<std::uint64_t, RecordKey>> withdrawn_;
-    std::uint64_t withdrawnKept_ = DefaultWithdrawnKept;
+    std::uint64_t withdrawnKept_ = WithdrawnKept.fallback;
     /** Highest revision of any forgotten record; a new record starts above it. */
     std::uint64_t revisionFloor_ = 0;
     AnswerMemory answers_;
--- /dev/null
+++ b/Source/State/configuration.cpp
@@ -0,0 +1,37 @@
+#include "State/configuration.h"
+
+#include <charconv>
+
+namespace Oleander::State {
+
+void Configuration::follow(const Records::Record &record)
+{
+    const auto *spec = std::get_if<Records::ConfigurationSpec>(&record.spec);
+    if (!spec)
+        return;
+    // No name of a record or value holds the separator, so values of two records never meet.
+    const auto prefix = record.name + "/";
+    auto it = values.lower_bound(prefix);
+    while (it != values.end() && it->first.compare(0, prefix.size(), prefix) == 0)
+        it = values.erase(it);
+    if (!record.withdrawn) {
+        for (const auto &[name, value] : spec->values)
+            values[prefix + name] = value;
+    }
+    version = record.index;
+}
+
+std::uint64_t Configuration::number(const std::string &name, std::uint64_t least,
+                                    std::uint64_t most, std::uint64_t fallback) const
+{
+    const auto found = values.find(name);
+    if (found == values.end())
+        return fallback;
+    const auto &text = found->second;
+    std::uint64_t value = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+    const bool isWhole = error == std::errc() && end == text.data() + text.size();
+    return isWhole && value >= least && value <= most ? value : fallback;
+}
+
+} // namespace Oleander::State
--- /dev/null
+++ b/Source/State/controlstate.cpp
@@ -0,0 +1,183 @@
+#include "State/controlstate.h"
+
+#include "Protocol/codec.h"
+#include "Records/knownvalues.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace Oleander::State {
+
+namespace {
+
+/** Calendar time that a command brings, or nothing. */
+struct TimeOf
+{
+    std::optional<WallTime> operator()(const Records::Submit &command) const
+    {
+        return command.origin.time;
+    }
+    std::optional<WallTime> operator()(const Records::Withdraw &command) const
+    {
+        return command.origin.time;
+    }
+    std::optional<WallTime> operator()(const ConfirmConfiguration &command) const
+    {
+        return command.time;
+    }
+    std::optional<WallTime> operator()(const ClaimBatch &) const { return std::nullopt; }
+    std::optional<WallTime> operator()(const Placement::TaskCommand &command) const
+    {
+        return std::visit(
+            [](const auto &held) -> std::optional<WallTime> {
+                if constexpr (requires { held.at; })
+                    return held.at;
+                else
+                    return std::nullopt;
+            },
+            command);
+    }
+};
+
+/** What a snapshot holds; new fields go last. */
+struct SnapshotImage
+{
+    Records::RecordBook records;
+    Records::EventHistory events;
+    std::string tasks;
+    ClaimTable claims;
+    Configuration configuration;
+    std::uint64_t confirmed = 0;
+    WallTime latest{};
+};
+
+template<typename F>
+void visitFields(F &&f, Fields<SnapshotImage> auto &&v)
+{
+    f(v.records);
+    f(v.events);
+    f(v.tasks);
+    f(v.claims);
+    f(v.configuration);
+    f(v.confirmed);
+    f(v.latest);
+}
+
+} // namespace
+
+std::string ControlState::apply(std::uint64_t index, std::string_view command)
+{
+    const auto decoded = decode<Command>(command);
+    if (!decoded) {
+        return encode(Outcome(UnreadableCommand{
+            fmt::format("The command at log index {} cannot be read by this build; nothing was "
+                        "changed.",
+                        index)}));
+    }
+    if (const auto time = std::visit(TimeOf{}, *decoded))
+        latest_ = std::max(latest_, *time);
+    Drafts drafts;
+    const auto outcome =
+        std::visit([&](const auto &held) { return run(index, held, drafts); }, *decoded);
+    for (auto &draft : drafts)
+        events_.add(index, latest_, std::move(draft));
+    return encode(outcome);
+}
+
+Outcome ControlState::run(std::uint64_t index, const Records::Submit &command, Drafts &drafts)
+{
+    auto outcome = records_.apply(index, command, drafts);
+    follow(outcome, drafts);
+    return outcome;
+}
+
+Outcome ControlState::run(std::uint64_t index, const Records::Withdraw &command, Drafts &drafts)
+{
+    auto outcome = records_.apply(index, command, drafts);
+    follow(outcome, drafts);
+    return outcome;
+}
+
+Outcome ControlState::run(std::uint64_t, const Placement::TaskCommand &command, Drafts &drafts)
+{
+    return tasks_.apply(command, drafts);
+}
+
+Outcome ControlState::run(std::uint64_t, const ClaimBatch &command, Drafts &)
+{
+    return claims_.apply(command);
+}
+
+Outcome ControlState::run(std::uint64_t, const ConfirmConfiguration &command, Drafts &drafts)
+{
+    if (command.version != configuration_.version || command.version <= confirmed_)
+        return ConfirmOutcome{false};
+    confirmed_ = command.version;
+    drafts.push_back({Records::SubjectKind::Configuration,
+                      fmt::to_string(command.version),
+                      fmt::format("Configuration {} is in force everywhere: {} processes "
+                                  "confirmed it.",
+                                  command.version, command.processes),
+                      {},
+                      "Nothing is left to do."});
+    return ConfirmOutcome{true};
+}
+
+void ControlState::follow(const Records::ChangeOutcome &outcome, Drafts &drafts)
+{
+    if (outcome.replayed)
+        return;
+    for (const auto &change : outcome.changes) {
+        const bool isChanged = change.result == Records::ChangeResult::Created
+                               || change.result == Records::ChangeResult::Amended
+                               || change.result == Records::ChangeResult::Withdrawn;
+        const auto *record = isChanged ? records_.find(change.key) : nullptr;
+        if (!record)
+            continue;
+        tasks_.recordChanged(*record, drafts);
+        configuration_.follow(*record);
+    }
+    followLimits();
+}
+
+void ControlState::followLimits()
+{
+    using namespace Records;
+    const auto valueOf = [this](const KnownValue &known) {
+        return configuration_.number(known.name, known.least, known.most, known.fallback);
+    };
+    events_.setKept(valueOf(EventsKept));
+    records_.answers().setKept(valueOf(AnswersKept));
+    records_.setWithdrawnKept(valueOf(WithdrawnKept));
+}
+
+std::string ControlState::snapshot() const
+{
+    return encode(SnapshotImage{records_, events_, tasks_.snapshot(), claims_, configuration_,
+                                confirmed_, latest_});
+}
+
+Result<void> ControlState::restore(std::string_view bytes)
+{
+    auto image = decode<SnapshotImage>(bytes);
+    if (!image) {
+        return fail(Failure::Corrupt, Step::Snapshot, {},
+                    "The snapshot does not hold a control state of the expected shape.");
+    }
+    // The task book is restored into a fresh object first, so that a refused snapshot leaves the
+    // whole state as it was.
+    Placement::TaskBook tasks;
+    if (auto restored = tasks.restore(image->tasks); !restored)
+        return restored;
+    records_ = std::move(image->records);
+    events_ = std::move(image->events);
+    tasks_ = std::move(tasks);
+    claims_ = std::move(image->claims);
+    configuration_ = std::move(image->configuration);
+    confirmed_ = image->confirmed;
+    latest_ = image->latest;
+    return {};
+}
+
+} // namespace Oleander::State
