--- a/Utilities/packages.sh
+++ b/Utilities/packages.sh
@@ -6,7 +6,7 @@
     g++ cmake ninja-build ccache pkg-config clang-format clang-tidy
     libsigc++-3.0-dev libevent-dev libnng-dev libboost-dev libabsl-dev libfmt-dev catch2
     libmsgpack-cxx-dev nlohmann-json3-dev libinih-dev libxxhash-dev librapidcheck-dev
-    libexpected-dev
+    libexpected-dev curl
 )
 
 missing=()
