--- a/Tests/Support/Selftest/forwardertest.cpp
+++ b/Tests/Support/Selftest/forwardertest.cpp
@@ -47,6 +47,7 @@
     CHECK(received(target, Short).empty());
     forwarder.heal();
     CHECK(received(target, Long) == "held");
+    CHECK(forwarder.bytes() == 13);
 
     forwarder.setDelay(std::chrono::milliseconds(50));
     const auto start = std::chrono::steady_clock::now();
--- a/Tests/Support/cluster.cpp
+++ b/Tests/Support/cluster.cpp
@@ -134,6 +134,16 @@
         forwarder->heal();
 }
 
+std::uint64_t Cluster::linkBytes(const std::string &name) const
+{
+    std::uint64_t bytes = 0;
+    for (const auto &[ends, forwarder] : links_) {
+        if (ends.first == name || ends.second == name)
+            bytes += forwarder->bytes();
+    }
+    return bytes;
+}
+
 CommandResult Cluster::operate(std::size_t entry, std::vector<std::string> words,
                                const std::string &input) const
 {
--- a/Tests/Support/cluster.h
+++ b/Tests/Support/cluster.h
@@ -5,6 +5,7 @@
 #include "Support/temporaryfolder.h"
 #include "Support/waitfor.h"
 
+#include <cstdint>
 #include <map>
 #include <memory>
 #include <string>
@@ -67,6 +68,8 @@
     {
         return entries_.at(entry).operatorDoor;
     }
+    /** Address at which an entry takes messages. */
+    const std::string &link(std::size_t entry) const { return entries_.at(entry).link; }
     const std::string &minionDoor(std::size_t agent) const { return agents_.at(agent).minionDoor; }
     const std::string &workerAddress(std::size_t agent) const
     {
@@ -86,6 +89,8 @@
     /** Cuts every link from and to the process called \a name, or heals them. */
     void isolate(const std::string &name);
     void heal();
+    /** Bytes on every link from and to the process called \a name. */
+    std::uint64_t linkBytes(const std::string &name) const;
 
     /** Runs `oleander WORDS --server=...` against one entry. */
     CommandResult operate(std::size_t entry, std::vector<std::string> words,
--- a/Tests/Support/forwarder.cpp
+++ b/Tests/Support/forwarder.cpp
@@ -62,6 +62,7 @@
     std::atomic<std::int64_t> delayMicroseconds = 0;
     std::array<std::atomic<bool>, 2> isCut = {};
     std::atomic<bool> closeAll = false;
+    std::atomic<std::uint64_t> passed = 0;
     std::atomic<bool> stopping = false;
     std::thread thread;
 
@@ -113,6 +114,7 @@
             return;
         }
         pipe.heldBytes -= static_cast<std::size_t>(count);
+        passed += static_cast<std::uint64_t>(count);
         bytes.erase(0, static_cast<std::size_t>(count));
         if (!bytes.empty())
             return;
@@ -225,4 +227,9 @@
     private_->closeAll = true;
 }
 
+std::uint64_t Forwarder::bytes() const
+{
+    return private_->passed;
+}
+
 } // namespace Oleander::Testing
--- a/Tests/Support/forwarder.h
+++ b/Tests/Support/forwarder.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstdint>
 #include <memory>
 #include <string>
 
@@ -32,6 +33,8 @@
     void heal();
     /** Closes every connection; new ones are still taken. */
     void closeConnections();
+    /** Bytes passed on so far, both ways. */
+    std::uint64_t bytes() const;
 
 private:
     struct Private;
--- /dev/null
+++ b/Utilities/capacity.sh
@@ -0,0 +1,23 @@
+#!/usr/bin/env bash
+# Measures the slopes of docs/CAPACITY.md at three sizes each and prints one line a value:
+# capacity NAME SIZE VALUE UNIT.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+Utilities/packages.sh
+log=$(mktemp)
+trap 'rm -f "$log"' EXIT
+if ! { cmake --preset release && cmake --build --preset release; } >"$log" 2>&1; then
+    tail -n 50 "$log" >&2
+    exit 1
+fi
+programs=build/release/Tests/Capacity
+for size in 1000 10000 42300; do
+    "$programs/capacity-state" tasks "$size"
+done
+for size in 1000 4300 10000; do
+    "$programs/capacity-state" changes "$size"
+done
+for size in 10 100 300; do
+    "$programs/capacity-links" "$size"
+done
