runtime: Add links, messenger, HTTP door and HTTP client

Cause: the parts need one way to talk: frames between processes, HTTP to callers and minions. Found on the way, each with its test: evhttp ends the process when bytes of a next request come while it writes an answer, so reading rests until the answer is sent; evhttp reads a body for POST, PUT and PATCH only and would take another method's body for a next request, so that is refused; evhttp declares the length of POST and PUT only, so the client declares it itself; evhttp counts no connections, so the server holds a reference on each stream and sees when evhttp dropped it. Weighed: EV_READ to learn that a caller left (ends the process, see above) against EV_CLOSED, taken. Conclusion: whole answers only, no resends, and a refused send means that not one byte left.

--- /dev/null
+++ b/Source/Runtime/address.cpp
@@ -0,0 +1,37 @@
+#include "Runtime/address.h"
+
+#include <arpa/inet.h>
+#include <fmt/format.h>
+
+#include <charconv>
+
+namespace Oleander {
+
+std::string SocketAddress::text() const
+{
+    return fmt::format("{}:{}", host, port);
+}
+
+Result<SocketAddress> parseSocketAddress(const std::string &text)
+{
+    const auto colon = text.rfind(':');
+    SocketAddress address;
+    in_addr parsed{};
+    bool good = colon != std::string::npos;
+    if (good) {
+        address.host = text.substr(0, colon);
+        const char *end = text.data() + text.size();
+        const auto result = std::from_chars(text.data() + colon + 1, end, address.port);
+        good = result.ec == std::errc() && result.ptr == end
+               && inet_pton(AF_INET, address.host.c_str(), &parsed) == 1;
+    }
+    if (!good) {
+        return fail(Failure::InvalidInput, Step::Settings, text,
+                    fmt::format("\"{}\" is not an address; allowed is an IPv4 number and a port, "
+                                "as in 127.0.0.1:8080.",
+                                text));
+    }
+    return address;
+}
+
+} // namespace Oleander
--- /dev/null
+++ b/Source/Runtime/address.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "Base/error.h"
+
+#include <cstdint>
+#include <string>
+
+namespace Oleander {
+
+/** An IP address and a port. */
+struct SocketAddress
+{
+    std::string host;
+    std::uint16_t port = 0;
+
+    std::string text() const;
+};
+
+/** Parses "ADDRESS:PORT"; the address is an IPv4 number. */
+Result<SocketAddress> parseSocketAddress(const std::string &text);
+
+} // namespace Oleander
--- /dev/null
+++ b/Source/Runtime/httpclient.cpp
@@ -0,0 +1,317 @@
+#include "Runtime/httpclient.h"
+
+#include "Runtime/address.h"
+#include "Runtime/httpmethod.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+#include <fmt/format.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <deque>
+#include <list>
+#include <map>
+
+namespace Oleander {
+
+namespace {
+
+constexpr std::size_t MaxAnswerHeaderBytes = 64 * 1024;
+constexpr std::size_t MaxAnswerBodyBytes = 4 * 1024 * 1024;
+constexpr unsigned StatusNoContent = 204;
+constexpr unsigned StatusNotModified = 304;
+
+HttpCallError callError(Failure failure, Step step, const std::string &peer, bool mayHaveBeenSent,
+                        const std::string &detail)
+{
+    return {makeError(failure, step, peer, detail), mayHaveBeenSent};
+}
+
+HttpResponse readResponse(evhttp_request *native)
+{
+    HttpResponse response;
+    response.status = static_cast<unsigned>(evhttp_request_get_response_code(native));
+    const evkeyvalq *headers = evhttp_request_get_input_headers(native);
+    for (const evkeyval *field = headers->tqh_first; field != nullptr; field = field->next.tqe_next)
+        response.headers.push_back({field->key, field->value});
+    evbuffer *body = evhttp_request_get_input_buffer(native);
+    response.body.resize(evbuffer_get_length(body));
+    evbuffer_copyout(body, response.body.data(), response.body.size());
+    return response;
+}
+
+// An answer that ends with its connection may have been cut, and nobody could tell.
+bool endIsDeclared(evhttp_request *native, const std::string &method, unsigned status)
+{
+    if (method == "HEAD" || status == StatusNoContent || status == StatusNotModified)
+        return true;
+    const evkeyvalq *headers = evhttp_request_get_input_headers(native);
+    return evhttp_find_header(headers, "Content-Length") != nullptr
+           || evhttp_find_header(headers, "Transfer-Encoding") != nullptr;
+}
+
+} // namespace
+
+struct HttpClient::Private
+{
+    struct Connection
+    {
+        evhttp_connection *native = nullptr;
+        CallId call = 0;
+        bool bytesLeft = false;
+    };
+
+    struct Call
+    {
+        HttpClient::Private *client = nullptr;
+        CallId id = 0;
+        HttpRequest request;
+        Callback callback;
+        std::unique_ptr<Timer> timer;
+        Connection *connection = nullptr;
+    };
+
+    EventLoop &loop;
+    std::string address;
+    std::size_t maxConnections;
+    SocketAddress parsed;
+    CallId lastId = 0;
+    std::map<CallId, std::unique_ptr<Call>> calls;
+    std::deque<CallId> waiting;
+    std::list<Connection> connections;
+    std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+
+    Connection *usableConnection();
+    void discard(Connection *connection);
+    void start(Call &call, Connection *connection);
+    void startWaiting();
+    void complete(Call *call, evhttp_request *native);
+    void expire(CallId id);
+    void finish(CallId id, HttpCallResult result);
+};
+
+namespace {
+
+void countDrained(evbuffer *, const evbuffer_cb_info *info, void *flag)
+{
+    if (info->n_deleted > 0)
+        *static_cast<bool *>(flag) = true;
+}
+
+// Bytes that wait on an idle connection belong to no request, and its end means that the peer has
+// closed it: either way the connection must not carry another request.
+bool isQuiet(evhttp_connection *native)
+{
+    bufferevent *stream = evhttp_connection_get_bufferevent(native);
+    if (evbuffer_get_length(bufferevent_get_input(stream)) > 0)
+        return false;
+    const int descriptor = bufferevent_getfd(stream);
+    if (descriptor < 0)
+        return true;
+    char byte = 0;
+    return recv(descriptor, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 && errno == EAGAIN;
+}
+
+} // namespace
+
+HttpClient::Private::Connection *HttpClient::Private::usableConnection()
+{
+    for (auto it = connections.begin(); it != connections.end();) {
+        auto &connection = *it++;
+        if (connection.call != 0)
+            continue;
+        if (isQuiet(connection.native))
+            return &connection;
+        discard(&connection);
+    }
+    if (connections.size() >= maxConnections)
+        return nullptr;
+    auto &connection = connections.emplace_back();
+    connection.native =
+        evhttp_connection_base_new(loop.base(), nullptr, parsed.host.c_str(), parsed.port);
+    evhttp_connection_set_max_headers_size(connection.native, MaxAnswerHeaderBytes);
+    evhttp_connection_set_max_body_size(connection.native, MaxAnswerBodyBytes);
+    evhttp_connection_set_retries(connection.native, 0);
+    evbuffer *output = bufferevent_get_output(evhttp_connection_get_bufferevent(connection.native));
+    evbuffer_add_cb(output, countDrained, &connection.bytesLeft);
+    return &connection;
+}
+
+void HttpClient::Private::discard(Connection *connection)
+{
+    const auto found = std::find_if(connections.begin(), connections.end(),
+                                    [&](const auto &item) { return &item == connection; });
+    if (found == connections.end())
+        return;
+    // evhttp may still be on the stack of this connection, so it is freed in a later turn. The
+    // node moves along, since the callback on the output buffer points into it.
+    auto parked = std::make_shared<std::list<Connection>>();
+    parked->splice(parked->begin(), connections, found);
+    loop.post([parked] { evhttp_connection_free(parked->front().native); });
+}
+
+void HttpClient::Private::start(Call &call, Connection *connection)
+{
+    call.connection = connection;
+    connection->call = call.id;
+    connection->bytesLeft = false;
+    evhttp_request *native = evhttp_request_new(
+        [](evhttp_request *answer, void *argument) {
+            auto *finished = static_cast<Call *>(argument);
+            finished->client->complete(finished, answer);
+        },
+        &call);
+    evkeyvalq *headers = evhttp_request_get_output_headers(native);
+    if (call.request.header("Host").empty())
+        evhttp_add_header(headers, "Host", address.c_str());
+    for (const auto &field : call.request.headers)
+        evhttp_add_header(headers, field.name.c_str(), field.value.c_str());
+    // evhttp itself declares the length only for POST and PUT.
+    const std::string length = std::to_string(call.request.body.size());
+    if (!call.request.body.empty() && call.request.header("Content-Length").empty())
+        evhttp_add_header(headers, "Content-Length", length.c_str());
+    evbuffer_add(evhttp_request_get_output_buffer(native), call.request.body.data(),
+                 call.request.body.size());
+    std::string uri = call.request.path;
+    if (!call.request.query.empty())
+        uri += '?' + call.request.query;
+    const CallId id = call.id;
+    const auto method = httpMethod(call.request.method);
+    if (evhttp_make_request(connection->native, native, method.value_or(EVHTTP_REQ_GET),
+                            uri.c_str())
+        == 0)
+        return;
+    loop.post([this, id, token = std::weak_ptr<bool>(alive)] {
+        if (token.expired() || !calls.contains(id))
+            return;
+        discard(calls[id]->connection);
+        finish(id, tl::make_unexpected(callError(Failure::Unavailable, Step::Connect, address,
+                                                 false, "The request could not be started.")));
+    });
+}
+
+void HttpClient::Private::startWaiting()
+{
+    while (!waiting.empty()) {
+        const auto found = calls.find(waiting.front());
+        if (found == calls.end()) {
+            waiting.pop_front();
+            continue;
+        }
+        Connection *connection = usableConnection();
+        if (connection == nullptr)
+            return;
+        waiting.pop_front();
+        start(*found->second, connection);
+    }
+}
+
+void HttpClient::Private::complete(Call *call, evhttp_request *native)
+{
+    Connection *connection = call->connection;
+    const bool sent = connection->bytesLeft;
+    const CallId id = call->id;
+    if (native == nullptr || evhttp_request_get_response_code(native) == 0) {
+        discard(connection);
+        const char *detail = sent ? "The connection ended before the whole answer had come."
+                                  : "The peer takes no connection.";
+        return finish(id, tl::make_unexpected(callError(Failure::Unavailable,
+                                                        sent ? Step::Answer : Step::Connect,
+                                                        address, sent, detail)));
+    }
+    HttpResponse response = readResponse(native);
+    if (!endIsDeclared(native, call->request.method, response.status)) {
+        discard(connection);
+        return finish(id,
+                      tl::make_unexpected(callError(
+                          Failure::Protocol, Step::Answer, address, true,
+                          "The answer declares neither its length nor chunks, so it may be cut.")));
+    }
+    connection->call = 0;
+    if (!isQuiet(connection->native))
+        discard(connection);
+    finish(id, std::move(response));
+}
+
+void HttpClient::Private::expire(CallId id)
+{
+    const auto found = calls.find(id);
+    if (found == calls.end())
+        return;
+    Connection *connection = found->second->connection;
+    const bool sent = connection != nullptr && connection->bytesLeft;
+    if (connection != nullptr) {
+        evhttp_connection_free(connection->native);
+        connections.remove_if([&](const auto &item) { return &item == connection; });
+    }
+    finish(id, tl::make_unexpected(callError(Failure::DeadlineExceeded,
+                                             sent ? Step::Run : Step::Connect, address, sent,
+                                             "The deadline passed before the whole answer.")));
+}
+
+void HttpClient::Private::finish(CallId id, HttpCallResult result)
+{
+    auto node = calls.extract(id);
+    if (node.empty())
+        return;
+    // The timer may be the caller of this function, so the call is destroyed in a later turn.
+    std::shared_ptr<Call> call = std::move(node.mapped());
+    call->timer->cancel();
+    loop.post([call] {});
+    const std::weak_ptr<bool> token = alive;
+    call->callback(std::move(result));
+    if (!token.expired())
+        startWaiting();
+}
+
+HttpClient::HttpClient(EventLoop &loop, std::string address, std::size_t maxConnections)
+    : private_(new Private{loop, std::move(address), maxConnections})
+{
+    if (auto parsed = parseSocketAddress(private_->address))
+        private_->parsed = *parsed;
+}
+
+HttpClient::~HttpClient()
+{
+    private_->alive.reset();
+    private_->calls.clear();
+    for (auto &connection : private_->connections)
+        evhttp_connection_free(connection.native);
+}
+
+HttpClient::CallId HttpClient::call(HttpRequest request, Duration timeout, Callback callback)
+{
+    auto *self = private_.get();
+    const CallId id = ++self->lastId;
+    auto call = std::make_unique<Private::Call>();
+    call->client = self;
+    call->id = id;
+    call->request = std::move(request);
+    call->callback = std::move(callback);
+    call->timer = std::make_unique<Timer>(self->loop, [self, id] { self->expire(id); });
+    call->timer->startOnce(timeout);
+    self->calls[id] = std::move(call);
+    self->waiting.push_back(id);
+    self->startWaiting();
+    return id;
+}
+
+void HttpClient::cancel(CallId id)
+{
+    const auto found = private_->calls.find(id);
+    if (found == private_->calls.end())
+        return;
+    Private::Connection *connection = found->second->connection;
+    if (connection != nullptr) {
+        evhttp_connection_free(connection->native);
+        private_->connections.remove_if([&](const auto &item) { return &item == connection; });
+    }
+    private_->calls.erase(found);
+    private_->startWaiting();
+}
+
+} // namespace Oleander
--- /dev/null
+++ b/Source/Runtime/httpserver.cpp
@@ -0,0 +1,345 @@
+#include "Runtime/httpserver.h"
+
+#include "Base/nametable.h"
+#include "Runtime/address.h"
+#include "Runtime/httpmethod.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+#include <fmt/format.h>
+#include <strings.h>
+#include <sys/socket.h>
+
+#include <list>
+#include <unordered_map>
+#include <unordered_set>
+
+namespace Oleander {
+
+namespace {
+
+// Connections that evhttp has dropped are counted out this often.
+constexpr Duration SweepPeriod = std::chrono::milliseconds(20);
+
+bool sameName(std::string_view a, std::string_view b)
+{
+    return a.size() == b.size() && strncasecmp(a.data(), b.data(), a.size()) == 0;
+}
+
+HttpResponse framingProblem(unsigned status, const std::string &detail)
+{
+    return {status,
+            {{"Content-Type", "application/problem+json"}, {"Connection", "close"}},
+            fmt::format(R"({{"title":"{}","status":{},"outcome":"not-run","step":"accept"}})",
+                        detail, status)};
+}
+
+HttpRequest readRequest(evhttp_request *native)
+{
+    HttpRequest request;
+    request.method = httpMethodName(evhttp_request_get_command(native));
+    const std::string_view uri = evhttp_request_get_uri(native);
+    const auto question = uri.find('?');
+    request.path = uri.substr(0, question);
+    if (question != std::string_view::npos)
+        request.query = uri.substr(question + 1);
+    const evkeyvalq *headers = evhttp_request_get_input_headers(native);
+    for (const evkeyval *field = headers->tqh_first; field != nullptr; field = field->next.tqe_next)
+        request.headers.push_back({field->key, field->value});
+    evbuffer *body = evhttp_request_get_input_buffer(native);
+    request.body.resize(evbuffer_get_length(body));
+    evbuffer_copyout(body, request.body.data(), request.body.size());
+    char *host = nullptr;
+    std::uint16_t port = 0;
+    evhttp_connection_get_peer(evhttp_request_get_connection(native), &host, &port);
+    request.peer = fmt::format("{}:{}", host == nullptr ? "?" : host, port);
+    return request;
+}
+
+// evhttp reads a body for these methods only; it would take any other body for a next request.
+bool mayHaveBody(const std::string &method)
+{
+    return method == "POST" || method == "PUT" || method == "PATCH";
+}
+
+// Two readings of where a body ends would let one caller's bytes be taken for another request.
+const char *framingConflict(const HttpRequest &request)
+{
+    std::size_t lengths = 0;
+    std::size_t encodings = 0;
+    for (const auto &field : request.headers) {
+        lengths += sameName(field.name, "Content-Length") ? 1 : 0;
+        encodings += sameName(field.name, "Transfer-Encoding") ? 1 : 0;
+    }
+    if (lengths > 1)
+        return "The header Content-Length is given more than once.";
+    if (lengths > 0 && encodings > 0)
+        return "The headers Content-Length and Transfer-Encoding exclude each other.";
+    const bool declaresBody =
+        encodings > 0 || (lengths > 0 && request.header("Content-Length") != "0");
+    if (declaresBody && !mayHaveBody(request.method))
+        return "The header Content-Length or Transfer-Encoding is given, but this method takes no "
+               "body.";
+    return nullptr;
+}
+
+} // namespace
+
+std::string HttpRequest::header(std::string_view name) const
+{
+    for (const auto &field : headers) {
+        if (sameName(field.name, name))
+            return field.value;
+    }
+    return {};
+}
+
+struct HttpServer::Private
+{
+    class Exchange;
+
+    /** One accepted connection; the reference on its bufferevent tells when evhttp dropped it. */
+    struct Connection
+    {
+        bufferevent *stream = nullptr;
+        TimePoint idleSince;
+        bool busy = false;
+        bool overLimit = false;
+    };
+
+    EventLoop &loop;
+    HttpLimits limits;
+    Handler handler;
+    evhttp *http = nullptr;
+    evhttp_bound_socket *listener = nullptr;
+    bool closing = false;
+    std::unordered_set<Exchange *> exchanges;
+    std::unordered_map<bufferevent *, Connection> connections;
+    std::unique_ptr<Timer> sweepTimer;
+
+    bufferevent *addConnection();
+    void sweep();
+    void accept(evhttp_request *native);
+    void markIdle(evhttp_request *native);
+};
+
+class HttpServer::Private::Exchange final : public HttpExchange
+{
+public:
+    Exchange(Private *server, evhttp_request *native)
+        : server_(server), native_(native), request_(readRequest(native))
+    {
+        server_->exchanges.insert(this);
+        watchForClose();
+    }
+
+    ~Exchange() override
+    {
+        respond({500, {{"Content-Type", "text/plain"}}, "The request was dropped.\n"});
+    }
+
+    Exchange(const Exchange &) = delete;
+    Exchange &operator=(const Exchange &) = delete;
+
+    const HttpRequest &request() const override { return request_; }
+
+    void onClosed(std::function<void()> closed) override { closed_ = std::move(closed); }
+
+    void respond(HttpResponse response) override
+    {
+        if (native_ == nullptr)
+            return;
+        evhttp_request *native = std::exchange(native_, nullptr);
+        stopWatching();
+        closed_ = nullptr;
+        server_->exchanges.erase(this);
+        server_->markIdle(native);
+        evkeyvalq *headers = evhttp_request_get_output_headers(native);
+        for (const auto &field : response.headers)
+            evhttp_add_header(headers, field.name.c_str(), field.value.c_str());
+        if (server_->closing && evhttp_find_header(headers, "Connection") == nullptr)
+            evhttp_add_header(headers, "Connection", "close");
+        evbuffer *body = evbuffer_new();
+        if (request_.method != "HEAD")
+            evbuffer_add(body, response.body.data(), response.body.size());
+        evhttp_send_reply(native, static_cast<int>(response.status), nullptr, body);
+        evbuffer_free(body);
+    }
+
+    /** Lets go of the request when the server ends before the answer. */
+    void abandon()
+    {
+        native_ = nullptr;
+        stopWatching();
+        closed_ = nullptr;
+    }
+
+private:
+    void watchForClose()
+    {
+        bufferevent *stream =
+            evhttp_connection_get_bufferevent(evhttp_request_get_connection(native_));
+        // evhttp aborts the process when bytes of a next request arrive while it waits for the
+        // answer to this one, so reading rests until the answer has been sent; EV_CLOSED sees
+        // the caller leave without reading.
+        bufferevent_disable(stream, EV_READ);
+        closeEvent_ = event_new(
+            server_->loop.base(), bufferevent_getfd(stream), EV_CLOSED,
+            [](evutil_socket_t, short, void *self) { static_cast<Exchange *>(self)->left(); },
+            this);
+        event_add(closeEvent_, nullptr);
+    }
+
+    void stopWatching()
+    {
+        if (closeEvent_ != nullptr)
+            event_free(std::exchange(closeEvent_, nullptr));
+    }
+
+    void left()
+    {
+        auto closed = std::exchange(closed_, nullptr);
+        if (closed)
+            closed();
+    }
+
+    Private *server_;
+    evhttp_request *native_;
+    HttpRequest request_;
+    event *closeEvent_ = nullptr;
+    std::function<void()> closed_;
+};
+
+bufferevent *HttpServer::Private::addConnection()
+{
+    bufferevent *stream = bufferevent_socket_new(loop.base(), -1, BEV_OPT_CLOSE_ON_FREE);
+    if (stream == nullptr)
+        return nullptr;
+    bufferevent_incref(stream);
+    const bool overLimit = connections.size() >= limits.maxConnections;
+    connections[stream] = Connection{stream, loop.clock().now(), false, overLimit};
+    return stream;
+}
+
+void HttpServer::Private::sweep()
+{
+    const TimePoint now = loop.clock().now();
+    for (auto it = connections.begin(); it != connections.end();) {
+        const Connection &connection = it->second;
+        bufferevent_data_cb read = nullptr;
+        bufferevent_data_cb write = nullptr;
+        bufferevent_event_cb event = nullptr;
+        void *argument = nullptr;
+        bufferevent_getcb(connection.stream, &read, &write, &event, &argument);
+        if (event == nullptr) {
+            bufferevent_decref(connection.stream);
+            it = connections.erase(it);
+            continue;
+        }
+        // A request has to be whole within the idle timeout, however slowly its bytes drip.
+        if (!connection.busy && now - connection.idleSince > limits.idleTimeout)
+            shutdown(bufferevent_getfd(connection.stream), SHUT_RDWR);
+        ++it;
+    }
+}
+
+void HttpServer::Private::accept(evhttp_request *native)
+{
+    bufferevent *stream = evhttp_connection_get_bufferevent(evhttp_request_get_connection(native));
+    bool overLimit = false;
+    const auto found = connections.find(stream);
+    if (found != connections.end()) {
+        found->second.busy = true;
+        overLimit = found->second.overLimit;
+    }
+    auto exchange = std::make_shared<Exchange>(this, native);
+    if (overLimit)
+        return exchange->respond(framingProblem(503, "This door has too many connections."));
+    if (const char *conflict = framingConflict(exchange->request()))
+        return exchange->respond(framingProblem(400, conflict));
+    handler(std::move(exchange));
+}
+
+void HttpServer::Private::markIdle(evhttp_request *native)
+{
+    evhttp_connection *connection = evhttp_request_get_connection(native);
+    if (connection == nullptr)
+        return;
+    const auto found = connections.find(evhttp_connection_get_bufferevent(connection));
+    if (found == connections.end())
+        return;
+    found->second.busy = false;
+    found->second.idleSince = loop.clock().now();
+}
+
+HttpServer::HttpServer(EventLoop &loop, HttpLimits limits, Handler handler)
+    : private_(new Private{loop, limits, std::move(handler)})
+{
+    auto *self = private_.get();
+    self->http = evhttp_new(loop.base());
+    evhttp_set_max_headers_size(self->http, static_cast<ev_ssize_t>(limits.maxHeaderBytes));
+    evhttp_set_max_body_size(self->http, static_cast<ev_ssize_t>(limits.maxBodyBytes));
+    evhttp_set_allowed_methods(self->http, allHttpMethods());
+    const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(limits.idleTimeout);
+    evhttp_set_timeout(self->http, static_cast<int>(std::max<long>(seconds.count(), 1)));
+    evhttp_set_bevcb(
+        self->http,
+        [](event_base *, void *server) { return static_cast<Private *>(server)->addConnection(); },
+        self);
+    evhttp_set_gencb(
+        self->http,
+        [](evhttp_request *request, void *server) {
+            static_cast<Private *>(server)->accept(request);
+        },
+        self);
+    self->sweepTimer = std::make_unique<Timer>(loop, [self] { self->sweep(); });
+    self->sweepTimer->startEvery(SweepPeriod);
+}
+
+HttpServer::~HttpServer()
+{
+    const auto exchanges = std::move(private_->exchanges);
+    for (auto *exchange : exchanges)
+        exchange->abandon();
+    evhttp_free(private_->http);
+    for (auto &[stream, connection] : private_->connections)
+        bufferevent_decref(stream);
+}
+
+Result<std::string> HttpServer::listen(const std::string &address)
+{
+    auto parsed = parseSocketAddress(address);
+    if (!parsed)
+        return tl::make_unexpected(parsed.error());
+    private_->listener =
+        evhttp_bind_socket_with_handle(private_->http, parsed->host.c_str(), parsed->port);
+    if (private_->listener == nullptr) {
+        return fail(Failure::Unavailable, Step::Connect, address,
+                    fmt::format("The door cannot listen on {}: {}.", address,
+                                evutil_socket_error_to_string(EVUTIL_SOCKET_ERROR())));
+    }
+    sockaddr_in bound{};
+    socklen_t size = sizeof bound;
+    if (getsockname(evhttp_bound_socket_get_fd(private_->listener),
+                    reinterpret_cast<sockaddr *>(&bound), &size)
+        == 0)
+        parsed->port = ntohs(bound.sin_port);
+    return parsed->text();
+}
+
+void HttpServer::closeListener()
+{
+    private_->closing = true;
+    if (private_->listener != nullptr)
+        evhttp_del_accept_socket(private_->http, std::exchange(private_->listener, nullptr));
+}
+
+std::size_t HttpServer::inFlight() const
+{
+    return private_->exchanges.size();
+}
+
+} // namespace Oleander
--- /dev/null
+++ b/Source/Runtime/link.cpp
@@ -0,0 +1,209 @@
+#include "Runtime/link.h"
+
+#include "Runtime/address.h"
+
+#include <event2/event.h>
+#include <fmt/format.h>
+#include <nng/nng.h>
+#include <nng/protocol/pipeline0/pull.h>
+#include <nng/protocol/pipeline0/push.h>
+
+#include <atomic>
+
+namespace Oleander {
+
+namespace {
+
+constexpr std::size_t MaxFrameBytes = 8U << 20U;
+// Deep enough for a burst of one batch to one peer; a full queue is told to the sender.
+constexpr int SendQueueFrames = 4096;
+constexpr int MinReconnectMs = 20;
+constexpr int MaxReconnectMs = 500;
+// Other events of the loop get their turn after so many frames.
+constexpr int MaxFramesPerTurn = 256;
+
+Error linkError(int code, const std::string &address, const std::string &what)
+{
+    return makeError(Failure::Unavailable, Step::Connect, address,
+                     fmt::format("{}: {}.", what, nng_strerror(code)));
+}
+
+} // namespace
+
+struct Inbox::Private
+{
+    EventLoop &loop;
+    Inbox *owner;
+    nng_socket socket = NNG_SOCKET_INITIALIZER;
+    event *readable = nullptr;
+    std::uint64_t malformed = 0;
+    std::uint64_t bytes = 0;
+
+    void drain()
+    {
+        for (int i = 0; i < MaxFramesPerTurn; ++i) {
+            nng_msg *message = nullptr;
+            if (nng_recvmsg(socket, &message, NNG_FLAG_NONBLOCK) != 0)
+                return;
+            accept(message);
+            nng_msg_free(message);
+        }
+    }
+
+    void accept(nng_msg *message)
+    {
+        const std::string_view body(static_cast<const char *>(nng_msg_body(message)),
+                                    nng_msg_len(message));
+        bytes += body.size();
+        auto frame = decodeFrame(body, {});
+        if (!frame) {
+            ++malformed;
+            return;
+        }
+        owner->received.emit(std::move(*frame));
+    }
+};
+
+Inbox::Inbox(EventLoop &loop) : private_(std::make_unique<Private>(Private{loop, this})) {}
+
+Inbox::~Inbox()
+{
+    if (private_->readable != nullptr)
+        event_free(private_->readable);
+    nng_close(private_->socket);
+}
+
+Result<std::string> Inbox::listen(const std::string &address)
+{
+    auto parsed = parseSocketAddress(address);
+    if (!parsed)
+        return tl::make_unexpected(parsed.error());
+    auto &socket = private_->socket;
+    if (const int rc = nng_pull0_open(&socket); rc != 0)
+        return tl::make_unexpected(linkError(rc, address, "The inbox cannot be opened"));
+    nng_socket_set_size(socket, NNG_OPT_RECVMAXSZ, MaxFrameBytes);
+    nng_listener listener = NNG_LISTENER_INITIALIZER;
+    const std::string url = "tcp://" + address;
+    if (const int rc = nng_listen(socket, url.c_str(), &listener, 0); rc != 0)
+        return tl::make_unexpected(linkError(rc, address, "The inbox cannot listen"));
+    int port = 0;
+    if (nng_listener_get_int(listener, NNG_OPT_TCP_BOUND_PORT, &port) == 0)
+        parsed->port = static_cast<std::uint16_t>(port);
+
+    int descriptor = -1;
+    if (const int rc = nng_socket_get_int(socket, NNG_OPT_RECVFD, &descriptor); rc != 0)
+        return tl::make_unexpected(linkError(rc, address, "The inbox has no descriptor"));
+    private_->readable = event_new(
+        private_->loop.base(), descriptor, EV_READ | EV_PERSIST,
+        [](evutil_socket_t, short, void *self) { static_cast<Private *>(self)->drain(); },
+        private_.get());
+    event_add(private_->readable, nullptr);
+    return parsed->text();
+}
+
+std::uint64_t Inbox::malformedFrames() const
+{
+    return private_->malformed;
+}
+
+std::uint64_t Inbox::bytesReceived() const
+{
+    return private_->bytes;
+}
+
+namespace {
+
+/** What the threads of nng and the loop share; outlives the Outbox. */
+struct OutboxShared
+{
+    EventLoop *loop = nullptr;
+    std::atomic<int> pipes = 0;
+    /** Only touched on the loop's thread; null once the Outbox is gone. */
+    Outbox *owner = nullptr;
+};
+
+using SharedHandle = std::shared_ptr<OutboxShared>;
+
+void notifyPipe(nng_pipe, nng_pipe_ev event, void *argument)
+{
+    const SharedHandle shared = *static_cast<SharedHandle *>(argument);
+    const bool up = event == NNG_PIPE_EV_ADD_POST;
+    shared->pipes += up ? 1 : -1;
+    shared->loop->post([shared, up] {
+        if (shared->owner != nullptr)
+            shared->owner->connectionChanged.emit(up);
+    });
+}
+
+} // namespace
+
+struct Outbox::Private
+{
+    std::string address;
+    nng_socket socket = NNG_SOCKET_INITIALIZER;
+    SharedHandle shared = std::make_shared<OutboxShared>();
+    std::uint64_t bytes = 0;
+};
+
+Outbox::Outbox(EventLoop &loop, std::string address) : private_(std::make_unique<Private>())
+{
+    private_->address = std::move(address);
+    private_->shared->loop = &loop;
+    private_->shared->owner = this;
+    auto &socket = private_->socket;
+    if (nng_push0_open(&socket) != 0)
+        return;
+    nng_socket_set_int(socket, NNG_OPT_SENDBUF, SendQueueFrames);
+    nng_socket_set_ms(socket, NNG_OPT_RECONNMINT, MinReconnectMs);
+    nng_socket_set_ms(socket, NNG_OPT_RECONNMAXT, MaxReconnectMs);
+    nng_pipe_notify(socket, NNG_PIPE_EV_ADD_POST, notifyPipe, &private_->shared);
+    nng_pipe_notify(socket, NNG_PIPE_EV_REM_POST, notifyPipe, &private_->shared);
+    const std::string url = "tcp://" + private_->address;
+    nng_dial(socket, url.c_str(), nullptr, NNG_FLAG_NONBLOCK);
+}
+
+Outbox::~Outbox()
+{
+    private_->shared->owner = nullptr;
+    nng_close(private_->socket);
+}
+
+bool Outbox::connected() const
+{
+    return private_->shared->pipes > 0;
+}
+
+Result<void> Outbox::send(const Frame &frame)
+{
+    if (!connected()) {
+        return fail(Failure::Unavailable, Step::Send, private_->address,
+                    "There is no connection to the peer.");
+    }
+    const std::string bytes = encodeFrame(frame);
+    nng_msg *message = nullptr;
+    if (bytes.size() > MaxFrameBytes || nng_msg_alloc(&message, 0) != 0) {
+        return fail(Failure::TooLarge, Step::Send, private_->address,
+                    fmt::format("A frame of {} bytes is over the limit of {}.", bytes.size(),
+                                MaxFrameBytes));
+    }
+    nng_msg_append(message, bytes.data(), bytes.size());
+    if (nng_sendmsg(private_->socket, message, NNG_FLAG_NONBLOCK) != 0) {
+        nng_msg_free(message);
+        return fail(Failure::Overloaded, Step::Send, private_->address,
+                    "The queue to the peer is full.");
+    }
+    private_->bytes += bytes.size();
+    return {};
+}
+
+const std::string &Outbox::address() const
+{
+    return private_->address;
+}
+
+std::uint64_t Outbox::bytesSent() const
+{
+    return private_->bytes;
+}
+
+} // namespace Oleander
--- /dev/null
+++ b/Tests/Runtime/httptest.cpp
@@ -0,0 +1,309 @@
+#include "Runtime/address.h"
+#include "Runtime/httpclient.h"
+#include "Runtime/httpserver.h"
+
+#include <arpa/inet.h>
+#include <catch2/catch.hpp>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <optional>
+#include <thread>
+
+using namespace Oleander;
+
+namespace {
+
+constexpr Duration Patience = std::chrono::seconds(20);
+
+struct Fixture
+{
+    EventLoop loop;
+    std::vector<std::shared_ptr<HttpExchange>> held;
+    std::size_t seen = 0;
+
+    void runUntil(const std::function<bool()> &done)
+    {
+        const TimePoint start = loop.clock().now();
+        Timer poll(loop, [&] {
+            if (done() || loop.clock().now() - start > Patience)
+                loop.stop();
+        });
+        poll.startEvery(std::chrono::milliseconds(1));
+        loop.run();
+        REQUIRE(done());
+    }
+};
+
+/** A blocking TCP connection, for what no HTTP library would send. */
+class RawSocket
+{
+public:
+    explicit RawSocket(const std::string &address) : socket_(socket(AF_INET, SOCK_STREAM, 0))
+    {
+        const auto parsed = parseSocketAddress(address);
+        sockaddr_in peer{};
+        peer.sin_family = AF_INET;
+        peer.sin_port = htons(parsed->port);
+        inet_pton(AF_INET, parsed->host.c_str(), &peer.sin_addr);
+        REQUIRE(connect(socket_, reinterpret_cast<sockaddr *>(&peer), sizeof peer) == 0);
+    }
+    ~RawSocket() { close(socket_); }
+    RawSocket(const RawSocket &) = delete;
+    RawSocket &operator=(const RawSocket &) = delete;
+
+    void write(std::string_view bytes) const
+    {
+        REQUIRE(send(socket_, bytes.data(), bytes.size(), MSG_NOSIGNAL)
+                == static_cast<ssize_t>(bytes.size()));
+    }
+
+    /** Bytes that are there, or nothing once the connection has ended. */
+    std::optional<std::string> poll() const
+    {
+        char buffer[4096];
+        const ssize_t size = recv(socket_, buffer, sizeof buffer, MSG_DONTWAIT);
+        if (size == 0 || (size < 0 && errno != EAGAIN))
+            return std::nullopt;
+        return size < 0 ? std::string() : std::string(buffer, static_cast<std::size_t>(size));
+    }
+
+private:
+    int socket_;
+};
+
+/** Listens, and sends fixed bytes to whoever connects and sends something. */
+class ScriptedServer
+{
+public:
+    explicit ScriptedServer(std::string answer) : answer_(std::move(answer))
+    {
+        listener_ = socket(AF_INET, SOCK_STREAM, 0);
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        inet_pton(AF_INET, "127.0.0.1", &address.sin_addr);
+        REQUIRE(bind(listener_, reinterpret_cast<sockaddr *>(&address), sizeof address) == 0);
+        REQUIRE(::listen(listener_, 8) == 0);
+        socklen_t size = sizeof address;
+        getsockname(listener_, reinterpret_cast<sockaddr *>(&address), &size);
+        port_ = ntohs(address.sin_port);
+        thread_ = std::thread([this] { serve(); });
+    }
+    ~ScriptedServer()
+    {
+        shutdown(listener_, SHUT_RDWR);
+        thread_.join();
+        close(listener_);
+    }
+    ScriptedServer(const ScriptedServer &) = delete;
+    ScriptedServer &operator=(const ScriptedServer &) = delete;
+
+    std::string address() const { return "127.0.0.1:" + std::to_string(port_); }
+
+private:
+    void serve() const
+    {
+        for (;;) {
+            const int connection = accept(listener_, nullptr, nullptr);
+            if (connection < 0)
+                return;
+            char buffer[4096];
+            if (recv(connection, buffer, sizeof buffer, 0) > 0)
+                send(connection, answer_.data(), answer_.size(), MSG_NOSIGNAL);
+            close(connection);
+        }
+    }
+
+    std::string answer_;
+    int listener_ = -1;
+    std::uint16_t port_ = 0;
+    std::thread thread_;
+};
+
+HttpCallResult callOnce(Fixture &fixture, const std::string &address, HttpRequest request,
+                        Duration timeout = Patience)
+{
+    HttpClient client(fixture.loop, address, 4);
+    std::optional<HttpCallResult> result;
+    client.call(std::move(request), timeout,
+                [&](HttpCallResult answer) { result = std::move(answer); });
+    fixture.runUntil([&] { return result.has_value(); });
+    return *result;
+}
+
+} // namespace
+
+TEST_CASE("A client gets the whole answer of a server, a megabyte and all methods included")
+{
+    Fixture fixture;
+    HttpServer server(fixture.loop, {}, [](std::shared_ptr<HttpExchange> exchange) {
+        const auto &request = exchange->request();
+        exchange->respond({201, {{"X-Method", request.method}}, request.body});
+    });
+    const auto address = server.listen("127.0.0.1:0");
+    REQUIRE(address.has_value());
+    const std::string body(1024 * 1024, 'x');
+    for (const std::string method : {"POST", "PUT", "PATCH"}) {
+        const auto answer = callOnce(fixture, *address, {method, "/a", "b=c", {}, body});
+        INFO(method << ": " << (answer ? "" : answer.error().error.text()));
+        REQUIRE(answer.has_value());
+        CHECK(answer->status == 201);
+        CHECK(answer->body == body);
+    }
+    for (const std::string method : {"GET", "HEAD", "DELETE", "OPTIONS"})
+        CHECK(callOnce(fixture, *address, {method, "/a"})->status == 201);
+}
+
+TEST_CASE("A refused connection is known not to have carried the request")
+{
+    Fixture fixture;
+    const auto answer = callOnce(fixture, "127.0.0.1:1", {"POST", "/"});
+    REQUIRE_FALSE(answer.has_value());
+    CHECK_FALSE(answer.error().mayHaveBeenSent);
+    CHECK(answer.error().error.step == Step::Connect);
+}
+
+TEST_CASE("A cut answer, or one without a declared end, is an error and never a short body")
+{
+    Fixture fixture;
+    const std::string cut = GENERATE(
+        std::string("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nshort"),
+        std::string("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nshort\r\n"),
+        std::string("HTTP/1.1 200 OK\r\n\r\nshort"), std::string("HTTP/1.1 200 OK\r\nConte"));
+    ScriptedServer server(cut);
+    const auto answer = callOnce(fixture, server.address(), {"GET", "/"});
+    REQUIRE_FALSE(answer.has_value());
+    CHECK(answer.error().mayHaveBeenSent);
+}
+
+TEST_CASE("An answer that nobody asked for is not taken for the next request's")
+{
+    Fixture fixture;
+    const std::string first = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\none";
+    const std::string second = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstray";
+    ScriptedServer server(first + second);
+    HttpClient client(fixture.loop, server.address(), 1);
+    std::vector<std::string> bodies;
+    for (int i = 0; i < 2; ++i) {
+        client.call({"GET", "/"}, Patience, [&](HttpCallResult answer) {
+            bodies.push_back(answer ? answer->body : "error");
+        });
+        fixture.runUntil([&] { return bodies.size() == static_cast<std::size_t>(i) + 1; });
+    }
+    CHECK(bodies == std::vector<std::string>{"one", "one"});
+}
+
+TEST_CASE("A call whose deadline passes says whether its bytes may have left")
+{
+    Fixture fixture;
+    HttpServer server(fixture.loop, {}, [&](std::shared_ptr<HttpExchange> exchange) {
+        fixture.held.push_back(std::move(exchange));
+    });
+    const auto address = server.listen("127.0.0.1:0");
+    const auto answer = callOnce(fixture, *address, {"POST", "/"}, std::chrono::milliseconds(300));
+    REQUIRE_FALSE(answer.has_value());
+    CHECK(answer.error().error.code == Failure::DeadlineExceeded);
+    CHECK(answer.error().mayHaveBeenSent);
+    fixture.held.clear();
+}
+
+TEST_CASE("The server learns that a caller left, and outlives its late answer")
+{
+    Fixture fixture;
+    bool left = false;
+    HttpServer server(fixture.loop, {}, [&](std::shared_ptr<HttpExchange> exchange) {
+        exchange->onClosed([&] { left = true; });
+        fixture.held.push_back(std::move(exchange));
+    });
+    const auto address = server.listen("127.0.0.1:0");
+    {
+        RawSocket socket(*address);
+        socket.write("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+        fixture.runUntil([&] { return !fixture.held.empty(); });
+    }
+    fixture.runUntil([&] { return left; });
+    fixture.held.front()->respond({200, {}, "late"});
+    CHECK(server.inFlight() == 0);
+    CHECK(callOnce(fixture, *address, {"GET", "/"}, std::chrono::milliseconds(50)).has_value()
+          == false);
+    fixture.held.clear();
+}
+
+TEST_CASE("A pipelined second request does not end the process")
+{
+    Fixture fixture;
+    HttpServer server(fixture.loop, {}, [&](std::shared_ptr<HttpExchange> exchange) {
+        fixture.held.push_back(std::move(exchange));
+    });
+    const auto address = server.listen("127.0.0.1:0");
+    RawSocket socket(*address);
+    socket.write("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n");
+    fixture.runUntil([&] { return fixture.held.size() == 1; });
+    socket.write("GET /2 HTTP/1.1\r\nHost: a\r\n\r\n");
+    fixture.held[0]->respond({200, {}, "1"});
+    fixture.runUntil([&] { return fixture.held.size() == 2; });
+    CHECK(fixture.held[1]->request().path == "/2");
+    fixture.held.clear();
+}
+
+TEST_CASE("Conflicting lengths are refused and name the header")
+{
+    Fixture fixture;
+    HttpServer server(fixture.loop, {}, [&](std::shared_ptr<HttpExchange>) { ++fixture.seen; });
+    const auto address = server.listen("127.0.0.1:0");
+    const std::string lengths =
+        GENERATE(std::string("Content-Length: 1\r\nContent-Length: 2\r\n"),
+                 std::string("Content-Length: 1\r\nTransfer-Encoding: chunked\r\n"));
+    const std::string method = GENERATE(as<std::string>(), "POST", "GET");
+    RawSocket socket(*address);
+    CAPTURE(method, lengths);
+    socket.write(method + " / HTTP/1.1\r\nHost: a\r\n" + lengths + "\r\n0\r\n\r\n");
+    std::string answer;
+    fixture.runUntil([&] {
+        const auto bytes = socket.poll();
+        answer += bytes.value_or("");
+        return !bytes.has_value();
+    });
+    CHECK(answer.find("Content-Length") != std::string::npos);
+    CHECK(answer.substr(0, 12) == "HTTP/1.1 400");
+    CHECK(fixture.seen == 0);
+}
+
+TEST_CASE("A sender that drips its request is cut off at the idle timeout")
+{
+    Fixture fixture;
+    HttpLimits limits;
+    limits.idleTimeout = std::chrono::milliseconds(100);
+    HttpServer server(fixture.loop, limits, [&](std::shared_ptr<HttpExchange>) { ++fixture.seen; });
+    const auto address = server.listen("127.0.0.1:0");
+    RawSocket socket(*address);
+    socket.write("GET / HTTP/1.1\r\nX: ");
+    fixture.runUntil([&] { return !socket.poll().has_value(); });
+    CHECK(fixture.seen == 0);
+}
+
+TEST_CASE("Callers over the connection limit are told so, and room comes back")
+{
+    Fixture fixture;
+    HttpLimits limits;
+    limits.maxConnections = 1;
+    HttpServer server(fixture.loop, limits, [](std::shared_ptr<HttpExchange> exchange) {
+        exchange->respond({200, {}, "served"});
+    });
+    const auto address = server.listen("127.0.0.1:0");
+    const auto statusNow = [&] { return callOnce(fixture, *address, {"GET", "/"})->status; };
+    {
+        RawSocket first(*address);
+        first.write("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+        std::string answer;
+        fixture.runUntil([&] {
+            answer += first.poll().value_or("");
+            return answer.find("served") != std::string::npos;
+        });
+        CHECK(statusNow() == 503);
+    }
+    unsigned status = 503;
+    for (int i = 0; i < 1000 && status == 503; ++i)
+        status = statusNow();
+    CHECK(status == 200);
+}
