--- a/Source/Runtime/httpclient.cpp
+++ b/Source/Runtime/httpclient.cpp
@@ -20,8 +20,8 @@
 
 namespace {
 
-constexpr std::size_t MaxAnswerHeaderBytes = 64 * 1024;
-constexpr std::size_t MaxAnswerBodyBytes = 4 * 1024 * 1024;
+constexpr std::size_t MaxAnswerHeaderBytes = 64U << 10U;
+constexpr std::size_t MaxAnswerBodyBytes = 4U << 20U;
 constexpr unsigned StatusNoContent = 204;
 constexpr unsigned StatusNotModified = 304;
 
