runtime: Hand exchanges to doors by reference

Cause: the linter sees shared pointers copied for nothing and products of ints widened to sizes. The limits are written as shifts of unsigned numbers; no behaviour changes.

--- a/Source/Runtime/httpserver.cpp
+++ b/Source/Runtime/httpserver.cpp
@@ -260,7 +260,7 @@
         return exchange->respond(framingProblem(503, "This door has too many connections."));
     if (const char *conflict = framingConflict(exchange->request()))
         return exchange->respond(framingProblem(400, conflict));
-    handler(std::move(exchange));
+    handler(exchange);
 }
 
 void HttpServer::Private::markIdle(evhttp_request *native)
--- a/Source/Runtime/httpserver.h
+++ b/Source/Runtime/httpserver.h
@@ -37,8 +37,8 @@
 /** What a door takes at most. */
 struct HttpLimits
 {
-    std::size_t maxHeaderBytes = 16 * 1024;
-    std::size_t maxBodyBytes = 2 * 1024 * 1024;
+    std::size_t maxHeaderBytes = 16U << 10U;
+    std::size_t maxBodyBytes = 2U << 20U;
     /** Time that a sender may pause within a request or an idle connection may stay open. */
     Duration idleTimeout = std::chrono::seconds(10);
     std::size_t maxConnections = 1024;
@@ -67,7 +67,7 @@
 class HttpServer
 {
 public:
-    using Handler = std::function<void(std::shared_ptr<HttpExchange>)>;
+    using Handler = std::function<void(const std::shared_ptr<HttpExchange> &)>;
 
     HttpServer(EventLoop &loop, HttpLimits limits, Handler handler);
     ~HttpServer();
--- a/Tests/Runtime/httptest.cpp
+++ b/Tests/Runtime/httptest.cpp
@@ -136,13 +136,13 @@
 TEST_CASE("A client gets the whole answer of a server, a megabyte and all methods included")
 {
     Fixture fixture;
-    HttpServer server(fixture.loop, {}, [](std::shared_ptr<HttpExchange> exchange) {
+    HttpServer server(fixture.loop, {}, [](const std::shared_ptr<HttpExchange> &exchange) {
         const auto &request = exchange->request();
         exchange->respond({201, {{"X-Method", request.method}}, request.body});
     });
     const auto address = server.listen("127.0.0.1:0");
     REQUIRE(address.has_value());
-    const std::string body(1024 * 1024, 'x');
+    const std::string body(1U << 20U, 'x');
     for (const std::string method : {"POST", "PUT", "PATCH"}) {
         const auto answer = callOnce(fixture, *address, {method, "/a", "b=c", {}, body});
         INFO(method << ": " << (answer ? "" : answer.error().error.text()));
@@ -196,8 +196,8 @@
 TEST_CASE("A call whose deadline passes says whether its bytes may have left")
 {
     Fixture fixture;
-    HttpServer server(fixture.loop, {}, [&](std::shared_ptr<HttpExchange> exchange) {
-        fixture.held.push_back(std::move(exchange));
+    HttpServer server(fixture.loop, {}, [&](const std::shared_ptr<HttpExchange> &exchange) {
+        fixture.held.push_back(exchange);
     });
     const auto address = server.listen("127.0.0.1:0");
     const auto answer = callOnce(fixture, *address, {"POST", "/"}, std::chrono::milliseconds(300));
@@ -211,9 +211,9 @@
 {
     Fixture fixture;
     bool left = false;
-    HttpServer server(fixture.loop, {}, [&](std::shared_ptr<HttpExchange> exchange) {
+    HttpServer server(fixture.loop, {}, [&](const std::shared_ptr<HttpExchange> &exchange) {
         exchange->onClosed([&] { left = true; });
-        fixture.held.push_back(std::move(exchange));
+        fixture.held.push_back(exchange);
     });
     const auto address = server.listen("127.0.0.1:0");
     {
@@ -232,8 +232,8 @@
 TEST_CASE("A pipelined second request does not end the process")
 {
     Fixture fixture;
-    HttpServer server(fixture.loop, {}, [&](std::shared_ptr<HttpExchange> exchange) {
-        fixture.held.push_back(std::move(exchange));
+    HttpServer server(fixture.loop, {}, [&](const std::shared_ptr<HttpExchange> &exchange) {
+        fixture.held.push_back(exchange);
     });
     const auto address = server.listen("127.0.0.1:0");
     RawSocket socket(*address);
@@ -249,7 +249,8 @@
 TEST_CASE("Conflicting lengths are refused and name the header")
 {
     Fixture fixture;
-    HttpServer server(fixture.loop, {}, [&](std::shared_ptr<HttpExchange>) { ++fixture.seen; });
+    HttpServer server(fixture.loop, {},
+                      [&](const std::shared_ptr<HttpExchange> &) { ++fixture.seen; });
     const auto address = server.listen("127.0.0.1:0");
     const std::string lengths =
         GENERATE(std::string("Content-Length: 1\r\nContent-Length: 2\r\n"),
@@ -274,7 +275,8 @@
     Fixture fixture;
     HttpLimits limits;
     limits.idleTimeout = std::chrono::milliseconds(100);
-    HttpServer server(fixture.loop, limits, [&](std::shared_ptr<HttpExchange>) { ++fixture.seen; });
+    HttpServer server(fixture.loop, limits,
+                      [&](const std::shared_ptr<HttpExchange> &) { ++fixture.seen; });
     const auto address = server.listen("127.0.0.1:0");
     RawSocket socket(*address);
     socket.write("GET / HTTP/1.1\r\nX: ");
@@ -287,7 +289,7 @@
     Fixture fixture;
     HttpLimits limits;
     limits.maxConnections = 1;
-    HttpServer server(fixture.loop, limits, [](std::shared_ptr<HttpExchange> exchange) {
+    HttpServer server(fixture.loop, limits, [](const std::shared_ptr<HttpExchange> &exchange) {
         exchange->respond({200, {}, "served"});
     });
     const auto address = server.listen("127.0.0.1:0");
