--- a/Source/Records/record.h
+++ b/Source/Records/record.h
@@ -9,6 +9,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <variant>
 
 namespace Oleander::Records {
@@ -133,7 +134,7 @@
     bool operator==(const RecordKey &) const = default;
     bool operator<(const RecordKey &other) const
     {
-        return kind != other.kind ? kind < other.kind : name < other.name;
+        return std::tie(kind, name) < std::tie(other.kind, other.name);
     }
 };
 
