--- /dev/null
+++ b/Source/Control/replicaelection.cpp
@@ -0,0 +1,190 @@
+#include "Control/replica.h"
+#include "Protocol/codec.h"
+
+#include <algorithm>
+
+namespace Oleander {
+
+namespace {
+
+/** Heartbeat intervals between two greetings of a blank replica. */
+constexpr int GreetingIntervals = 4;
+/** Election timeouts for which a greeting counts towards forming a group. */
+constexpr int GreetingLifetime = 5;
+
+} // namespace
+
+void Replica::startPreVote(TimePoint now)
+{
+    role_ = ReplicaRole::PreCandidate;
+    votes_ = {options_.name};
+    requestVotes(true);
+    countVotes(now);
+}
+
+void Replica::startElection(TimePoint now)
+{
+    role_ = ReplicaRole::Candidate;
+    votes_.clear();
+    matchedIndex_ = 0;
+    reportedMatch_ = 0;
+    setHardState({hardState_.term + 1, options_.name, hardState_.incarnation});
+    resetElectionDeadline(now);
+    // The own vote counts once it is synced; see writesSynced().
+    requestVotes(false);
+}
+
+void Replica::requestVotes(bool pre)
+{
+    const std::uint64_t electionTerm = pre ? hardState_.term + 1 : hardState_.term;
+    for (const Member &member : membership().members) {
+        if (member.voter && member.name != options_.name) {
+            send(member.name, member.incarnation,
+                 VoteRequest{pre, electionTerm, log_.lastIndex(), log_.lastTerm()});
+        }
+    }
+}
+
+void Replica::countVotes(TimePoint now)
+{
+    const auto granted = static_cast<std::size_t>(
+        std::count_if(votes_.begin(), votes_.end(), [&](const std::string &name) {
+            const Member *member = membership().find(name);
+            return member != nullptr && member->voter;
+        }));
+    if (granted < membership().quorum())
+        return;
+    if (role_ == ReplicaRole::PreCandidate)
+        startElection(now);
+    else if (role_ == ReplicaRole::Candidate)
+        becomeLeader(now);
+}
+
+bool Replica::mustNotVote(TimePoint now) const
+{
+    // The leader's lease rests on the silence of those that answered it.
+    return role_ == ReplicaRole::Leader || now < voteAllowedAt_;
+}
+
+void Replica::onBody(TimePoint now, const std::string &from, const ReplicaMessage &message,
+                     const VoteRequest &body)
+{
+    const bool upToDate =
+        body.lastTerm > log_.lastTerm()
+        || (body.lastTerm == log_.lastTerm() && body.lastIndex >= log_.lastIndex());
+    // Candidates ask a voter by its incarnation, so a replica whose disk was lost is never asked
+    // in the place of the one that it was.
+    const bool forThisFolder = message.targetIncarnation == hardState_.incarnation;
+    bool granted = upToDate && forThisFolder && !mustNotVote(now);
+    if (body.pre) {
+        granted = granted && body.electionTerm > hardState_.term;
+    } else {
+        granted = granted && body.electionTerm == hardState_.term
+                  && (hardState_.votedFor.empty() || hardState_.votedFor == from);
+        if (granted) {
+            if (hardState_.votedFor.empty())
+                setHardState({hardState_.term, from, hardState_.incarnation});
+            resetElectionDeadline(now);
+        }
+    }
+    send(from, message.incarnation, VoteReply{body.pre, body.electionTerm, granted});
+}
+
+void Replica::onBody(TimePoint now, const std::string &from, const ReplicaMessage &message,
+                     const VoteReply &body)
+{
+    if (!body.granted || !membership().isVoter(from, message.incarnation))
+        return;
+    const bool expected =
+        body.pre ? role_ == ReplicaRole::PreCandidate && body.electionTerm == hardState_.term + 1
+                 : role_ == ReplicaRole::Candidate && body.electionTerm == hardState_.term;
+    if (!expected)
+        return;
+    votes_.insert(from);
+    countVotes(now);
+}
+
+void Replica::becomeLeader(TimePoint now)
+{
+    failReads();
+    role_ = ReplicaRole::Leader;
+    leader_ = options_.name;
+    leaderSince_ = now;
+    progress_.clear();
+    uncommittedBytes_ = 0;
+    termStartIndex_ = log_.lastIndex() + 1;
+    refreshProgress();
+    appendEntry({hardState_.term, EntryKind::Noop, {}});
+    sendHeartbeats(now);
+    advanceCommit(now);
+}
+
+void Replica::greet(TimePoint now)
+{
+    nextGreeting_ = now + GreetingIntervals * options_.heartbeatInterval;
+    for (const std::string &peer : options_.initialReplicas) {
+        if (peer != options_.name)
+            send(peer, 0, Hello{options_.mayForm, options_.initialReplicas});
+    }
+    formGroup(now);
+}
+
+void Replica::formGroup(TimePoint now)
+{
+    // The first name forms the group, and only when every other replica has said that its folder
+    // is empty too: a group that has lost fewer folders than all never starts anew.
+    const auto &names = options_.initialReplicas;
+    const bool first =
+        !names.empty() && *std::min_element(names.begin(), names.end()) == options_.name;
+    if (!first || !options_.mayForm || hardState_.term > 0)
+        return;
+    Membership formed;
+    for (const std::string &name : names) {
+        if (name == options_.name) {
+            formed.members.push_back({name, hardState_.incarnation, true});
+            continue;
+        }
+        const auto greeting = greetings_.find(name);
+        if (greeting == greetings_.end() || !greeting->second.hello.mayForm
+            || greeting->second.hello.initialReplicas != names
+            || greeting->second.at + GreetingLifetime * options_.electionTimeout < now)
+            return;
+        formed.members.push_back({name, greeting->second.incarnation, true});
+    }
+    setHardState({1, {}, hardState_.incarnation});
+    appendEntry({1, EntryKind::Membership, encode(formed)});
+    electionDeadline_ = now;
+}
+
+void Replica::onBody(TimePoint now, const std::string &from, const ReplicaMessage &message,
+                     const Hello &body)
+{
+    if (isBlank()) {
+        if (message.term == 0)
+            greetings_[from] = {message.incarnation, now, body};
+        else
+            greetings_.erase(from);
+        return;
+    }
+    const Member *member = membership().find(from);
+    if (role_ != ReplicaRole::Leader || member == nullptr)
+        return;
+    if (message.incarnation < member->incarnation) {
+        send(from, message.incarnation, HelloRefusal{member->incarnation});
+    } else if (message.incarnation > member->incarnation) {
+        // The folder that this member had is gone, and its promises with it: it starts again as a
+        // learner. A change that is still on its way makes it wait for its next greeting.
+        static_cast<void>(
+            changeMembership(now, membership().with({from, message.incarnation, false})));
+    }
+}
+
+void Replica::onBody(TimePoint, const std::string &, const ReplicaMessage &,
+                     const HelloRefusal &body)
+{
+    if (!isBlank() || hardState_.term > 0 || body.knownIncarnation < hardState_.incarnation)
+        return;
+    setHardState({0, {}, body.knownIncarnation + 1});
+}
+
+} // namespace Oleander
--- /dev/null
+++ b/Source/Control/replicafollower.cpp
@@ -0,0 +1,165 @@
+#include "Control/replica.h"
+
+#include <algorithm>
+
+namespace Oleander {
+
+namespace {
+
+/** Election timeouts after which a read that the leader did not answer fails. */
+constexpr int ForwardedReadLifetime = 2;
+
+} // namespace
+
+void Replica::onBody(TimePoint now, const std::string &from, const ReplicaMessage &message,
+                     const AppendRequest &body)
+{
+    becomeFollower(now, message.term, from);
+    leaderIncarnation_ = message.incarnation;
+    voteAllowedAt_ = now + options_.electionTimeout;
+    resetElectionDeadline(now);
+    if (installing_ || (storageStalled_ && !body.entries.empty())) {
+        sendAppendReply(body.stamp);
+        return;
+    }
+    const auto previousTerm = log_.termAt(body.previousIndex);
+    const bool compacted = body.previousIndex < log_.baseIndex();
+    if (!compacted && previousTerm != body.previousTerm) {
+        AppendReply refusal;
+        refusal.refusedIndex = body.previousIndex;
+        refusal.matchIndex = syncedMatch();
+        refusal.nextIndex =
+            previousTerm ? log_.firstIndexOfTermAt(body.previousIndex) : log_.lastIndex() + 1;
+        refusal.stamp = body.stamp;
+        send(from, message.incarnation, refusal);
+        return;
+    }
+    const std::uint64_t lastBefore = log_.lastIndex();
+    const std::uint64_t matched = body.previousIndex + body.entries.size();
+    acceptEntries(body.previousIndex, body.entries);
+    matchedIndex_ = std::max(matchedIndex_, matched);
+    commitTo(std::min(body.commitIndex, matched));
+    finishForwardedReads(now);
+    // Entries that are new are answered when they are synced; see writesSynced().
+    if (body.entries.empty() || log_.lastIndex() == lastBefore || syncedMatch() > reportedMatch_)
+        sendAppendReply(body.stamp);
+}
+
+void Replica::acceptEntries(std::uint64_t previousIndex, std::vector<LogEntry> entries)
+{
+    std::uint64_t index = previousIndex;
+    for (LogEntry &entry : entries) {
+        ++index;
+        // What is compacted was committed, and so equals the leader's log.
+        if (index <= log_.baseIndex())
+            continue;
+        const auto term = log_.termAt(index);
+        if (term == entry.term)
+            continue;
+        if (term)
+            truncateFrom(index);
+        appendEntry(std::move(entry));
+    }
+}
+
+void Replica::sendAppendReply(std::int64_t stamp)
+{
+    reportedMatch_ = syncedMatch();
+    AppendReply reply;
+    reply.success = true;
+    reply.matchIndex = reportedMatch_;
+    reply.stamp = stamp;
+    send(leader_, leaderIncarnation_, reply);
+}
+
+void Replica::onBody(TimePoint now, const std::string &from, const ReplicaMessage &message,
+                     const SnapshotChunk &body)
+{
+    becomeFollower(now, message.term, from);
+    leaderIncarnation_ = message.incarnation;
+    voteAllowedAt_ = now + options_.electionTimeout;
+    resetElectionDeadline(now);
+    if (installing_ || storageStalled_)
+        return;
+    if (body.index <= commitIndex_ || log_.termAt(body.index) == body.indexTerm) {
+        // The log reaches as far as the snapshot, so all of it up to there is committed.
+        commitTo(body.index);
+        matchedIndex_ = std::max(matchedIndex_, body.index);
+        sendAppendReply(0);
+        return;
+    }
+    if (incoming_.index != body.index || incoming_.term != body.indexTerm)
+        incoming_ = {body.index, body.indexTerm, {}};
+    if (body.offset == incoming_.bytes.size())
+        incoming_.bytes += body.bytes;
+    const std::uint64_t received = incoming_.bytes.size();
+    if (received >= body.totalBytes)
+        installSnapshot(body);
+    send(from, message.incarnation, SnapshotReply{body.index, received});
+}
+
+void Replica::installSnapshot(const SnapshotChunk &chunk)
+{
+    installing_ = Snapshot{chunk.index, chunk.indexTerm, chunk.membership,
+                           std::make_shared<const std::string>(std::move(incoming_.bytes))};
+    incoming_ = {};
+    WriteBatch &write = pendingWrite();
+    write.entries.clear();
+    write.snapshot = installing_;
+    installSequence_ = nextSequence_;
+}
+
+void Replica::finishSnapshotInstall()
+{
+    snapshot_ = std::move(*installing_);
+    installing_.reset();
+    log_ = ReplicaLog(snapshot_.index, snapshot_.term);
+    memberships_ = {{snapshot_.index, snapshot_.membership}};
+    commitIndex_ = snapshot_.index;
+    emittedIndex_ = snapshot_.index;
+    syncedIndex_ = snapshot_.index;
+    matchedIndex_ = std::max(matchedIndex_, snapshot_.index);
+    output_.restore = snapshot_;
+}
+
+void Replica::read(TimePoint now, std::uint64_t id)
+{
+    checkQuorumContact(now);
+    if (role_ == ReplicaRole::Leader) {
+        pendingReads_.push_back({id, {}, 0, now});
+        finishReads(now);
+        // Without the lease the read waits for a quorum to answer a heartbeat sent from now on.
+        if (!pendingReads_.empty())
+            sendHeartbeats(now);
+    } else if (!leader_.empty()) {
+        forwardedReads_.push_back({id, now, std::nullopt});
+        send(leader_, leaderIncarnation_, ReadRequest{id});
+    } else {
+        output_.reads.push_back({id, false});
+    }
+}
+
+void Replica::onBody(TimePoint now, const std::string &, const ReplicaMessage &,
+                     const ReadReply &body)
+{
+    for (ForwardedRead &read : forwardedReads_) {
+        if (read.id == body.id && !read.index)
+            read.index = body.index;
+    }
+    finishForwardedReads(now);
+}
+
+void Replica::finishForwardedReads(TimePoint now)
+{
+    const auto finished = [&](const ForwardedRead &read) {
+        const bool reached = read.index && commitIndex_ >= *read.index;
+        const bool late = now >= read.askedAt + ForwardedReadLifetime * options_.electionTimeout;
+        if (reached || late)
+            output_.reads.push_back({read.id, reached});
+        return reached || late;
+    };
+    forwardedReads_.erase(std::remove_if(forwardedReads_.begin(), forwardedReads_.end(), finished),
+                          forwardedReads_.end());
+}
+
+} // namespace Oleander
--- /dev/null
+++ b/Source/Control/replicamessage.h
@@ -0,0 +1,204 @@
+#pragma once
+
+#include "Control/logentry.h"
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace Oleander {
+
+/** Blank replica to all: its folder is empty, and it wants to form a group or to join one. */
+struct Hello
+{
+    /** False when the folder was emptied because of damage: such a replica only joins. */
+    bool mayForm = false;
+    std::vector<std::string> initialReplicas;
+};
+
+template<typename F>
+void visitFields(F &&f, Fields<Hello> auto &&v)
+{
+    f(v.mayForm);
+    f(v.initialReplicas);
+}
+
+/** Leader to blank replica: the group knows this name with an incarnation that is not lower. */
+struct HelloRefusal
+{
+    std::uint64_t knownIncarnation = 0;
+};
+
+template<typename F>
+void visitFields(F &&f, Fields<HelloRefusal> auto &&v)
+{
+    f(v.knownIncarnation);
+}
+
+/** Candidate to voter: vote for me in \a electionTerm, or, with \a pre, say whether you would. */
+struct VoteRequest
+{
+    bool pre = false;
+    std::uint64_t electionTerm = 0;
+    std::uint64_t lastIndex = 0;
+    std::uint64_t lastTerm = 0;
+};
+
+template<typename F>
+void visitFields(F &&f, Fields<VoteRequest> auto &&v)
+{
+    f(v.pre);
+    f(v.electionTerm);
+    f(v.lastIndex);
+    f(v.lastTerm);
+}
+
+/** Voter to candidate. */
+struct VoteReply
+{
+    bool pre = false;
+    std::uint64_t electionTerm = 0;
+    bool granted = false;
+};
+
+template<typename F>
+void visitFields(F &&f, Fields<VoteReply> auto &&v)
+{
+    f(v.pre);
+    f(v.electionTerm);
+    f(v.granted);
+}
+
+/** Leader to follower: entries after \a previousIndex; without entries, a heartbeat. */
+struct AppendRequest
+{
+    std::uint64_t previousIndex = 0;
+    std::uint64_t previousTerm = 0;
+    std::uint64_t commitIndex = 0;
+    /** Leader's time of sending in its own microseconds; the reply repeats it. */
+    std::int64_t stamp = 0;
+    std::vector<LogEntry> entries;
+};
+
+template<typename F>
+void visitFields(F &&f, Fields<AppendRequest> auto &&v)
+{
+    f(v.previousIndex);
+    f(v.previousTerm);
+    f(v.commitIndex);
+    f(v.stamp);
+    f(v.entries);
+}
+
+/** Follower to leader. */
+struct AppendReply
+{
+    bool success = false;
+    /** Last index that equals the leader's log and is synced to the follower's disk. */
+    std::uint64_t matchIndex = 0;
+    /** On refusal: the previousIndex that did not fit, and where the leader should go on. */
+    std::uint64_t refusedIndex = 0;
+    std::uint64_t nextIndex = 0;
+    /** Stamp of the request that this answers; 0 for news of a later sync. */
+    std::int64_t stamp = 0;
+};
+
+template<typename F>
+void visitFields(F &&f, Fields<AppendReply> auto &&v)
+{
+    f(v.success);
+    f(v.matchIndex);
+    f(v.refusedIndex);
+    f(v.nextIndex);
+    f(v.stamp);
+}
+
+/** Leader to a follower that is behind the compacted log: one part of the snapshot. */
+struct SnapshotChunk
+{
+    std::uint64_t index = 0;
+    std::uint64_t indexTerm = 0;
+    Membership membership;
+    std::uint64_t totalBytes = 0;
+    std::uint64_t offset = 0;
+    std::string bytes;
+};
+
+template<typename F>
+void visitFields(F &&f, Fields<SnapshotChunk> auto &&v)
+{
+    f(v.index);
+    f(v.indexTerm);
+    f(v.membership);
+    f(v.totalBytes);
+    f(v.offset);
+    f(v.bytes);
+}
+
+/** Follower to leader: bytes of the snapshot that it holds. */
+struct SnapshotReply
+{
+    std::uint64_t index = 0;
+    std::uint64_t receivedBytes = 0;
+};
+
+template<typename F>
+void visitFields(F &&f, Fields<SnapshotReply> auto &&v)
+{
+    f(v.index);
+    f(v.receivedBytes);
+}
+
+/** Follower to leader: what index must be applied for a read that starts now? */
+struct ReadRequest
+{
+    std::uint64_t id = 0;
+};
+
+template<typename F>
+void visitFields(F &&f, Fields<ReadRequest> auto &&v)
+{
+    f(v.id);
+}
+
+/** Leader to follower. */
+struct ReadReply
+{
+    std::uint64_t id = 0;
+    std::uint64_t index = 0;
+};
+
+template<typename F>
+void visitFields(F &&f, Fields<ReadReply> auto &&v)
+{
+    f(v.id);
+    f(v.index);
+}
+
+using ReplicaBody = std::variant<Hello, HelloRefusal, VoteRequest, VoteReply, AppendRequest,
+                                 AppendReply, SnapshotChunk, SnapshotReply, ReadRequest, ReadReply>;
+
+/**
+ * \struct ReplicaMessage
+ * \brief One message of the replicated log, with the incarnations of both data folders.
+ */
+struct ReplicaMessage
+{
+    std::uint64_t incarnation = 0;
+    /** Incarnation for which it is meant; 0 means any. */
+    std::uint64_t targetIncarnation = 0;
+    std::uint64_t term = 0;
+    ReplicaBody body;
+};
+
+template<typename F>
+void visitFields(F &&f, Fields<ReplicaMessage> auto &&v)
+{
+    f(v.incarnation);
+    f(v.targetIncarnation);
+    f(v.term);
+    f(v.body);
+}
+
+} // namespace Oleander
--- /dev/null
+++ b/Source/Storage/datafolder.cpp
@@ -0,0 +1,367 @@
+#include "Storage/datafolder.h"
+
+#include "Storage/snapshotfile.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <charconv>
+#include <filesystem>
+
+namespace Oleander {
+
+namespace {
+
+/** Size at which the log goes on in a new segment. */
+constexpr std::uint64_t SegmentBytes = 8U << 20U;
+constexpr std::string_view SegmentPrefix = "segment-";
+constexpr std::string_view SegmentSuffix = ".log";
+constexpr std::string_view SnapshotPrefix = "snapshot-";
+constexpr std::string_view SnapshotSuffix = ".bin";
+constexpr std::string_view TemporarySuffix = ".tmp";
+constexpr std::string_view LockName = "/lock";
+constexpr std::string_view JoinOnlyName = "/join-only";
+
+/** Number in "<prefix><number><suffix>", or nothing for another name. */
+std::optional<std::uint64_t> numberIn(std::string_view name, std::string_view prefix,
+                                      std::string_view suffix)
+{
+    if (!name.starts_with(prefix) || !name.ends_with(suffix)
+        || name.size() <= prefix.size() + suffix.size())
+        return std::nullopt;
+    const std::string_view digits =
+        name.substr(prefix.size(), name.size() - prefix.size() - suffix.size());
+    std::uint64_t number = 0;
+    const auto end = digits.data() + digits.size();
+    const auto parsed = std::from_chars(digits.data(), end, number);
+    if (parsed.ec != std::errc() || parsed.ptr != end)
+        return std::nullopt;
+    return number;
+}
+
+Result<std::vector<std::string>> namesIn(const std::string &folder)
+{
+    std::error_code error;
+    std::vector<std::string> names;
+    for (std::filesystem::directory_iterator item(folder, error), end; !error && item != end;
+         item.increment(error))
+        names.push_back(item->path().filename().string());
+    if (error) {
+        return fail(Failure::Io, Step::Restart, {},
+                    fmt::format("Cannot list \"{}\": {}.", folder, error.message()));
+    }
+    std::sort(names.begin(), names.end());
+    return names;
+}
+
+Result<void> makeFolder(const std::string &folder)
+{
+    std::error_code error;
+    std::filesystem::create_directories(folder, error);
+    if (error) {
+        return fail(Failure::Io, Step::Restart, {},
+                    fmt::format("Cannot create \"{}\": {}.", folder, error.message()));
+    }
+    const std::string parent = std::filesystem::absolute(folder).parent_path().string();
+    return syncFolder(parent);
+}
+
+tl::unexpected<Error> damaged(const std::string &file, std::size_t offset, const std::string &what)
+{
+    return fail(Failure::Corrupt, Step::Restart, {},
+                fmt::format("Log file \"{}\" is damaged at offset {}: {}.", file, offset, what));
+}
+
+LogRecord recordOf(const WriteBatch &batch)
+{
+    LogRecord record;
+    record.hardState = batch.hardState;
+    if (batch.snapshot)
+        record.reset = LogReset{batch.snapshot->index, batch.snapshot->term};
+    record.firstIndex = batch.firstIndex;
+    record.entries = batch.entries;
+    return record;
+}
+
+} // namespace
+
+Result<DataFolder> DataFolder::open(const std::string &path)
+{
+    DataFolder folder(path);
+    auto opened = makeFolder(path)
+                      .and_then([&] { return folder.lock(); })
+                      .and_then([&] { return makeFolder(folder.logFolder()); })
+                      .and_then([&] { return folder.load(); });
+    if (!opened)
+        return tl::make_unexpected(opened.error());
+    return folder;
+}
+
+Result<DataFolder> DataFolder::openAfterDamage(const std::string &path)
+{
+    DataFolder folder(path);
+    if (auto locked = folder.lock(); !locked)
+        return tl::make_unexpected(locked.error());
+    // The mark comes first: without it a crash between the steps would leave a folder that looks
+    // as if it had never held anything.
+    auto mark = StorageFile::create(path + std::string(JoinOnlyName));
+    if (!mark)
+        return tl::make_unexpected(mark.error());
+    unsigned number = 1;
+    std::string aside = path + "/damaged-1";
+    while (std::filesystem::exists(aside))
+        aside = fmt::format("{}/damaged-{}", path, ++number);
+    const auto moved = mark->sync()
+                           .and_then([&] { return syncFolder(path); })
+                           .and_then([&] { return renameFile(folder.logFolder(), aside); })
+                           .and_then([&] { return syncFolder(path); });
+    if (!moved)
+        return tl::make_unexpected(moved.error());
+    folder.lock_ = StorageFile();
+    return open(path);
+}
+
+Result<void> DataFolder::lock()
+{
+    const std::string name = path_ + std::string(LockName);
+    auto file = StorageFile::create(name);
+    if (!file)
+        return tl::make_unexpected(file.error());
+    lock_ = std::move(*file);
+    mayForm_ = !std::filesystem::exists(path_ + std::string(JoinOnlyName));
+    return lock_.lockExclusively();
+}
+
+Result<void> DataFolder::load()
+{
+    const auto names = namesIn(logFolder());
+    if (!names)
+        return tl::make_unexpected(names.error());
+    std::uint64_t snapshotIndex = 0;
+    std::vector<std::uint64_t> numbers;
+    for (const std::string &name : *names) {
+        if (name.ends_with(TemporarySuffix))
+            static_cast<void>(removeFile(logFolder() + "/" + name));
+        if (const auto index = numberIn(name, SnapshotPrefix, SnapshotSuffix))
+            snapshotIndex = std::max(snapshotIndex, *index);
+        if (const auto number = numberIn(name, SegmentPrefix, SegmentSuffix))
+            numbers.push_back(*number);
+    }
+    if (snapshotIndex > 0) {
+        if (auto loaded = loadSnapshot(snapshotIndex); !loaded)
+            return loaded;
+    }
+    for (const std::uint64_t number : numbers) {
+        if (auto loaded = loadSegment(number, number == numbers.back()); !loaded)
+            return loaded;
+        nextNumber_ = number + 1;
+    }
+    return finishLoad();
+}
+
+Result<void> DataFolder::loadSnapshot(std::uint64_t index)
+{
+    auto snapshot = readSnapshotFile(logFolder() + "/" + snapshotFileName(index));
+    if (!snapshot)
+        return tl::make_unexpected(snapshot.error());
+    stored_.snapshot = std::move(*snapshot);
+    return {};
+}
+
+Result<void> DataFolder::loadSegment(std::uint64_t number, bool last)
+{
+    const std::string path = segmentPath(number);
+    const auto bytes = readWholeFile(path);
+    if (!bytes)
+        return tl::make_unexpected(bytes.error());
+    segments_.push_back({number, 0, bytes->size()});
+    std::size_t offset = 0;
+    while (offset < bytes->size()) {
+        auto found = decodeLogRecord(*bytes, offset);
+        if (!found) {
+            if (!last)
+                return damaged(path, offset, "no whole record starts there");
+            if (const auto later = findLaterLogRecord(*bytes, offset, nextSequence_)) {
+                return damaged(
+                    path, offset,
+                    fmt::format("no whole record starts there, but one at offset {}", *later));
+            }
+            tornBytes_ = bytes->size() - offset;
+            segments_.back().bytes = offset;
+            auto file = StorageFile::openExisting(path);
+            if (!file)
+                return tl::make_unexpected(file.error());
+            return file->truncate(offset).and_then([&] { return file->sync(); });
+        }
+        const std::size_t size = found->size;
+        if (auto replayed = replay(path, offset, std::move(*found)); !replayed)
+            return replayed;
+        offset += size;
+    }
+    return {};
+}
+
+Result<void> DataFolder::replay(const std::string &file, std::size_t offset, FoundRecord found)
+{
+    if (replayedAny_ && found.sequence != nextSequence_) {
+        return damaged(file, offset,
+                       fmt::format("the record has number {}, but {} comes next", found.sequence,
+                                   nextSequence_));
+    }
+    replayedAny_ = true;
+    nextSequence_ = found.sequence + 1;
+    LogRecord &record = found.record;
+    if (record.hardState)
+        hardState_ = *record.hardState;
+    std::vector<LogEntry> &entries = stored_.entries;
+    if (record.reset) {
+        entries.clear();
+        replayedFirst_ = record.reset->index + 1;
+    }
+    if (record.entries.empty())
+        return {};
+    const std::uint64_t first = record.firstIndex;
+    const std::uint64_t next = replayedFirst_ + entries.size();
+    if (first > next && first > stored_.snapshot.index + 1 && !entries.empty()) {
+        return damaged(
+            file, offset,
+            fmt::format("the record starts at index {}, but {} comes next", first, next));
+    }
+    if (first < replayedFirst_ || first > next || entries.empty()) {
+        entries.clear();
+        replayedFirst_ = first;
+    }
+    entries.resize(first - replayedFirst_);
+    entries.insert(entries.end(), std::make_move_iterator(record.entries.begin()),
+                   std::make_move_iterator(record.entries.end()));
+    segments_.back().lastIndex =
+        std::max(segments_.back().lastIndex, replayedFirst_ + entries.size() - 1);
+    return {};
+}
+
+Result<void> DataFolder::finishLoad()
+{
+    std::vector<LogEntry> &entries = stored_.entries;
+    const std::uint64_t snapshotIndex = stored_.snapshot.index;
+    if (!entries.empty() && replayedFirst_ > snapshotIndex + 1) {
+        return damaged(logFolder(), 0,
+                       fmt::format("its entries start at index {}, but the snapshot ends at {}",
+                                   replayedFirst_, snapshotIndex));
+    }
+    const std::uint64_t covered = snapshotIndex + 1 - replayedFirst_;
+    if (!entries.empty() && covered > 0) {
+        // A log that has another entry in the place of the snapshot's last, or none, ends before
+        // it: a received snapshot replaced it.
+        const bool goesOn =
+            covered <= entries.size() && entries[covered - 1].term == stored_.snapshot.term;
+        const std::uint64_t dropped = goesOn ? covered : entries.size();
+        entries.erase(entries.begin(), entries.begin() + static_cast<std::ptrdiff_t>(dropped));
+    }
+    stored_.hardState = hardState_;
+    return {};
+}
+
+std::uint64_t DataFolder::logBytes() const
+{
+    std::uint64_t bytes = 0;
+    for (const Segment &segment : segments_)
+        bytes += segment.bytes;
+    return bytes;
+}
+
+std::string DataFolder::segmentPath(std::uint64_t number) const
+{
+    return fmt::format("{}/{}{:020}{}", logFolder(), SegmentPrefix, number, SegmentSuffix);
+}
+
+Result<void> DataFolder::startSegment()
+{
+    auto file = StorageFile::create(segmentPath(nextNumber_));
+    if (!file)
+        return tl::make_unexpected(file.error());
+    if (auto synced = syncFolder(logFolder()); !synced) {
+        static_cast<void>(removeFile(file->path()));
+        return synced;
+    }
+    current_ = std::move(*file);
+    segments_.push_back({nextNumber_, 0, 0});
+    ++nextNumber_;
+    return {};
+}
+
+Result<void> DataFolder::write(const std::vector<WriteBatch> &batches)
+{
+    if (!current_.isOpen() || segments_.back().bytes >= SegmentBytes) {
+        if (auto started = startSegment(); !started)
+            return started;
+    }
+    std::uint64_t sequence = nextSequence_;
+    const auto written = appendRecords(batches, sequence);
+    if (written) {
+        nextSequence_ = sequence;
+        return {};
+    }
+    // What was written in part goes, so that a retry or a later opening finds a clean end.
+    const auto undone = current_.truncate(segments_.back().bytes);
+    return undone ? written : undone;
+}
+
+Result<void> DataFolder::appendRecords(const std::vector<WriteBatch> &batches,
+                                       std::uint64_t &sequence)
+{
+    Segment &segment = segments_.back();
+    std::string bytes;
+    HardState hardState = hardState_;
+    std::uint64_t lastIndex = segment.lastIndex;
+    // Each segment starts with the hard state, so that the ones before it can be removed.
+    if (segment.bytes == 0) {
+        LogRecord head;
+        head.hardState = hardState;
+        bytes += encodeLogRecord(sequence++, head);
+    }
+    for (const WriteBatch &batch : batches) {
+        if (batch.snapshot) {
+            if (auto saved = saveSnapshot(*batch.snapshot); !saved)
+                return saved;
+        }
+        if (batch.hardState)
+            hardState = *batch.hardState;
+        if (!batch.entries.empty())
+            lastIndex = std::max(lastIndex, batch.firstIndex + batch.entries.size() - 1);
+        bytes += encodeLogRecord(sequence++, recordOf(batch));
+    }
+    const auto written = current_.append(bytes).and_then([&] { return current_.sync(); });
+    if (!written)
+        return written;
+    hardState_ = hardState;
+    segment.lastIndex = lastIndex;
+    segment.bytes += bytes.size();
+    return {};
+}
+
+Result<void> DataFolder::saveSnapshot(const Snapshot &snapshot) const
+{
+    return writeSnapshotFile(logFolder(), snapshot);
+}
+
+Result<void> DataFolder::removeBefore(std::uint64_t index)
+{
+    while (segments_.size() > 1 && segments_.front().lastIndex <= index) {
+        if (auto removed = removeFile(segmentPath(segments_.front().number)); !removed)
+            return removed;
+        segments_.erase(segments_.begin());
+    }
+    const auto names = namesIn(logFolder());
+    if (!names)
+        return tl::make_unexpected(names.error());
+    for (const std::string &name : *names) {
+        const auto snapshot = numberIn(name, SnapshotPrefix, SnapshotSuffix);
+        if (snapshot && *snapshot < index) {
+            if (auto removed = removeFile(logFolder() + "/" + name); !removed)
+                return removed;
+        }
+    }
+    return {};
+}
+
+} // namespace Oleander
--- /dev/null
+++ b/Source/Storage/logrecord.cpp
@@ -0,0 +1,90 @@
+#include "Storage/logrecord.h"
+
+#include "Protocol/codec.h"
+
+#include <xxhash.h>
+
+#include <cstring>
+
+namespace Oleander {
+
+namespace {
+
+constexpr std::uint32_t RecordMagic = 0x31524c4fU;
+
+/** Head of a record on disk, in the byte order of the machine. */
+struct RecordHead
+{
+    std::uint32_t magic = RecordMagic;
+    std::uint32_t payloadSize = 0;
+    std::uint64_t sequence = 0;
+    std::uint64_t checksum = 0;
+};
+
+static_assert(sizeof(RecordHead) == 24);
+
+std::uint64_t checksumOf(std::uint64_t sequence, std::string_view payload)
+{
+    return XXH3_64bits_withSeed(payload.data(), payload.size(), sequence ^ payload.size());
+}
+
+/** Finds the payload of a whole record without decoding it. */
+std::optional<std::pair<RecordHead, std::string_view>> wholeRecord(std::string_view bytes,
+                                                                   std::size_t offset)
+{
+    RecordHead head;
+    if (offset > bytes.size() || bytes.size() - offset < sizeof(head))
+        return std::nullopt;
+    std::memcpy(&head, bytes.data() + offset, sizeof(head));
+    const std::string_view rest = bytes.substr(offset + sizeof(head));
+    if (head.magic != RecordMagic || head.payloadSize > rest.size())
+        return std::nullopt;
+    const std::string_view payload = rest.substr(0, head.payloadSize);
+    if (head.checksum != checksumOf(head.sequence, payload))
+        return std::nullopt;
+    return std::pair(head, payload);
+}
+
+} // namespace
+
+std::string encodeLogRecord(std::uint64_t sequence, const LogRecord &record)
+{
+    const std::string payload = encode(record);
+    RecordHead head;
+    head.payloadSize = static_cast<std::uint32_t>(payload.size());
+    head.sequence = sequence;
+    head.checksum = checksumOf(sequence, payload);
+    std::string bytes(sizeof(head), '\0');
+    std::memcpy(bytes.data(), &head, sizeof(head));
+    bytes += payload;
+    return bytes;
+}
+
+std::optional<FoundRecord> decodeLogRecord(std::string_view bytes, std::size_t offset)
+{
+    const auto whole = wholeRecord(bytes, offset);
+    if (!whole)
+        return std::nullopt;
+    auto record = decode<LogRecord>(whole->second);
+    if (!record)
+        return std::nullopt;
+    return FoundRecord{whole->first.sequence, std::move(*record),
+                       sizeof(RecordHead) + whole->second.size()};
+}
+
+std::optional<std::size_t> findLaterLogRecord(std::string_view bytes, std::size_t offset,
+                                              std::uint64_t minSequence)
+{
+    std::string magic(sizeof(RecordMagic), '\0');
+    std::memcpy(magic.data(), &RecordMagic, sizeof(RecordMagic));
+    std::size_t found = bytes.find(magic, offset + 1);
+    while (found != std::string_view::npos) {
+        const auto whole = wholeRecord(bytes, found);
+        if (whole && whole->first.sequence >= minSequence)
+            return found;
+        found = bytes.find(magic, found + 1);
+    }
+    return std::nullopt;
+}
+
+} // namespace Oleander
--- /dev/null
+++ b/Source/Storage/storagewriter.cpp
@@ -0,0 +1,179 @@
+#include "Storage/storagewriter.h"
+
+#include <condition_variable>
+#include <mutex>
+#include <optional>
+#include <thread>
+#include <vector>
+
+namespace Oleander {
+
+namespace {
+
+/** Pause between two tries while the disk is full. */
+constexpr auto RetryPause = std::chrono::milliseconds(200);
+
+} // namespace
+
+struct StorageWriter::Private : std::enable_shared_from_this<Private>
+{
+    Private(EventLoop &ownerLoop, DataFolder dataFolder, StorageEvents ownerEvents)
+        : loop(ownerLoop), folder(std::move(dataFolder)), events(std::move(ownerEvents))
+    {}
+
+    void runLog();
+    void runSnapshots();
+    bool writeUntilDone(const std::vector<WriteBatch> &batches);
+    bool waitForRetry();
+    void removeBefore(std::uint64_t index);
+    template<typename Call>
+    void tell(Call call);
+
+    EventLoop &loop;
+    DataFolder folder;
+    StorageEvents events;
+    std::mutex mutex;
+    std::condition_variable wake;
+    bool stopping = false;
+    bool failed = false;
+    std::vector<WriteBatch> waiting;
+    std::optional<Snapshot> waitingSnapshot;
+    std::optional<std::uint64_t> removable;
+    std::thread logThread;
+    std::thread snapshotThread;
+};
+
+template<typename Call>
+void StorageWriter::Private::tell(Call call)
+{
+    // The owner may be gone by the time the loop comes to this.
+    loop.post([weak = weak_from_this(), call = std::move(call)] {
+        if (const auto self = weak.lock())
+            call(self->events);
+    });
+}
+
+void StorageWriter::Private::runLog()
+{
+    while (true) {
+        std::vector<WriteBatch> batches;
+        std::optional<std::uint64_t> index;
+        {
+            std::unique_lock lock(mutex);
+            wake.wait(lock, [&] { return stopping || !waiting.empty() || removable; });
+            if (waiting.empty() && !removable)
+                return;
+            batches.swap(waiting);
+            index.swap(removable);
+        }
+        if (!batches.empty() && !writeUntilDone(batches))
+            return;
+        if (index)
+            removeBefore(*index);
+    }
+}
+
+bool StorageWriter::Private::writeUntilDone(const std::vector<WriteBatch> &batches)
+{
+    bool stalled = false;
+    auto written = folder.write(batches);
+    while (!written) {
+        const Error error = written.error();
+        if (error.code != Failure::StorageFull) {
+            {
+                const std::lock_guard lock(mutex);
+                failed = true;
+            }
+            tell([error](const StorageEvents &to) { to.failed(error); });
+            return false;
+        }
+        if (!stalled)
+            tell([error](const StorageEvents &to) { to.stalled(error); });
+        stalled = true;
+        if (!waitForRetry())
+            return false;
+        written = folder.write(batches);
+    }
+    if (stalled)
+        tell([](const StorageEvents &to) { to.resumed(); });
+    const std::uint64_t sequence = batches.back().sequence;
+    tell([sequence](const StorageEvents &to) { to.synced(sequence); });
+    return true;
+}
+
+bool StorageWriter::Private::waitForRetry()
+{
+    std::unique_lock lock(mutex);
+    return !wake.wait_for(lock, RetryPause, [&] { return stopping; });
+}
+
+void StorageWriter::Private::removeBefore(std::uint64_t index)
+{
+    // A file that could not be removed costs space only; the next snapshot tries again.
+    static_cast<void>(folder.removeBefore(index));
+}
+
+void StorageWriter::Private::runSnapshots()
+{
+    while (true) {
+        std::optional<Snapshot> snapshot;
+        {
+            std::unique_lock lock(mutex);
+            wake.wait(lock, [&] { return stopping || waitingSnapshot; });
+            if (stopping)
+                return;
+            snapshot.swap(waitingSnapshot);
+        }
+        // A snapshot that does not fit is given up: the log holds everything, and the next one is
+        // due soon.
+        const std::uint64_t index = snapshot->index;
+        const bool saved = folder.saveSnapshot(*snapshot).has_value();
+        if (saved) {
+            const std::lock_guard lock(mutex);
+            removable = index;
+            wake.notify_all();
+        }
+        tell([index, saved](const StorageEvents &to) { to.snapshotSaved(saved ? index : 0); });
+    }
+}
+
+StorageWriter::StorageWriter(EventLoop &loop, DataFolder folder, StorageEvents events)
+    : private_(std::make_shared<Private>(loop, std::move(folder), std::move(events)))
+{
+    Private *shared = private_.get();
+    shared->logThread = std::thread([shared] { shared->runLog(); });
+    shared->snapshotThread = std::thread([shared] { shared->runSnapshots(); });
+}
+
+StorageWriter::~StorageWriter()
+{
+    {
+        const std::lock_guard lock(private_->mutex);
+        private_->stopping = true;
+    }
+    private_->wake.notify_all();
+    private_->logThread.join();
+    private_->snapshotThread.join();
+}
+
+void StorageWriter::write(WriteBatch batch)
+{
+    {
+        const std::lock_guard lock(private_->mutex);
+        if (private_->failed)
+            return;
+        private_->waiting.push_back(std::move(batch));
+    }
+    private_->wake.notify_all();
+}
+
+void StorageWriter::saveSnapshot(Snapshot snapshot)
+{
+    {
+        const std::lock_guard lock(private_->mutex);
+        private_->waitingSnapshot = std::move(snapshot);
+    }
+    private_->wake.notify_all();
+}
+
+} // namespace Oleander
