--- a/Source/Control/replica.h
+++ b/Source/Control/replica.h
@@ -196,7 +196,7 @@
     void advanceCommit(TimePoint now);
     void finishReads(TimePoint now);
     void promoteLearners(TimePoint now);
-    Result<LogPosition> changeMembership(TimePoint now, Membership next);
+    Result<LogPosition> changeMembership(TimePoint now, const Membership &next);
     ReplicaProgress *progressOf(const std::string &from, std::uint64_t incarnation);
     void onBody(TimePoint now, const std::string &from, const ReplicaMessage &message,
                 const AppendReply &body);
--- a/Source/Control/replicaleader.cpp
+++ b/Source/Control/replicaleader.cpp
@@ -310,7 +310,7 @@
     return changeMembership(now, membership().without(name));
 }
 
-Result<LogPosition> Replica::changeMembership(TimePoint now, Membership next)
+Result<LogPosition> Replica::changeMembership(TimePoint now, const Membership &next)
 {
     checkQuorumContact(now);
     if (role_ != ReplicaRole::Leader) {
--- a/Source/Storage/datafolder.cpp
+++ b/Source/Storage/datafolder.cpp
@@ -296,13 +296,13 @@
             return started;
     }
     std::uint64_t sequence = nextSequence_;
-    const auto written = appendRecords(batches, sequence);
+    auto written = appendRecords(batches, sequence);
     if (written) {
         nextSequence_ = sequence;
         return {};
     }
     // What was written in part goes, so that a retry or a later opening finds a clean end.
-    const auto undone = current_.truncate(segments_.back().bytes);
+    auto undone = current_.truncate(segments_.back().bytes);
     return undone ? written : undone;
 }
 
@@ -330,7 +330,7 @@
             lastIndex = std::max(lastIndex, batch.firstIndex + batch.entries.size() - 1);
         bytes += encodeLogRecord(sequence++, recordOf(batch));
     }
-    const auto written = current_.append(bytes).and_then([&] { return current_.sync(); });
+    auto written = current_.append(bytes).and_then([&] { return current_.sync(); });
     if (!written)
         return written;
     hardState_ = hardState;
--- a/Source/Storage/storagefile.cpp
+++ b/Source/Storage/storagefile.cpp
@@ -139,7 +139,7 @@
     const int descriptor = ::open(folder.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
     if (descriptor < 0)
         return tl::make_unexpected(systemError("open", folder));
-    const auto outcome = check(::fsync(descriptor), "sync", folder);
+    auto outcome = check(::fsync(descriptor), "sync", folder);
     ::close(descriptor);
     return outcome;
 }
--- a/Tests/Control/scheduletest.cpp
+++ b/Tests/Control/scheduletest.cpp
@@ -16,8 +16,8 @@
         Simulation simulation(seed, faults);
         simulation.runWithFaults(ScheduleLength);
         simulation.healAndCheck();
-        INFO(seed);
-        REQUIRE(simulation.violations() == std::vector<std::string>());
+        for (const std::string &violation : simulation.violations())
+            FAIL(violation);
     }
 }
 
--- a/Tests/Control/simulation.cpp
+++ b/Tests/Control/simulation.cpp
@@ -160,7 +160,7 @@
     for (OutgoingReplicaMessage &message : output.messages)
         sendMessage(name, std::move(message));
     if (output.write)
-        startWrite(name, std::move(*output.write));
+        startWrite(name, *output.write);
     if (output.restore)
         restoreState(name, node, *output.restore);
     for (const CommittedEntry &entry : output.committed)
@@ -205,7 +205,7 @@
     });
 }
 
-void Simulation::startWrite(const std::string &name, WriteBatch batch)
+void Simulation::startWrite(const std::string &name, const WriteBatch &batch)
 {
     Node &node = nodes_.at(name);
     node.writing.push_back(batch);
--- a/Tests/Control/simulation.h
+++ b/Tests/Control/simulation.h
@@ -118,7 +118,7 @@
     void collect(const std::string &name);
     void sendMessage(const std::string &from, OutgoingReplicaMessage message);
     void deliver(const std::string &from, const OutgoingReplicaMessage &message);
-    void startWrite(const std::string &name, WriteBatch batch);
+    void startWrite(const std::string &name, const WriteBatch &batch);
     void applyEntry(const std::string &name, Node &node, const CommittedEntry &entry);
     void restoreState(const std::string &name, Node &node, const Snapshot &snapshot);
     void checkNode(const std::string &name, const Node &node);
