--- /dev/null
+++ b/Source/Entry/recordoutcome.cpp
@@ -0,0 +1,134 @@
+#include "Entry/recordoutcome.h"
+
+#include "Base/nametable.h"
+#include "Records/timetext.h"
+
+#include <fmt/format.h>
+#include <fmt/ranges.h>
+
+#include <algorithm>
+
+namespace Oleander {
+
+namespace {
+
+using Placement::Task;
+using Placement::TaskState;
+
+std::string stateName(TaskState state)
+{
+    return std::string(nameIn(Placement::TaskStateNames, state));
+}
+
+std::string taskSentence(const Task &task)
+{
+    auto text = fmt::format("Attempt {} is {}", task.attempt, stateName(task.state));
+    if (task.live)
+        text += fmt::format(" on worker {}", task.live->worker);
+    text += ".";
+    if (!task.reason.empty())
+        text += " " + task.reason;
+    return text;
+}
+
+/** Fills in the outcome of a record that is in force, by its kind. */
+struct Summary
+{
+    const State::ControlState &state;
+    const Records::Record &record;
+    const ConfigurationSpread &spread;
+    RecordOutcome &outcome;
+
+    void operator()(const Records::ServiceSpec &spec) const
+    {
+        const auto running =
+            std::count_if(outcome.tasks.begin(), outcome.tasks.end(),
+                          [](const Task *task) { return task->state == TaskState::Running; });
+        const auto wanted = static_cast<std::ptrdiff_t>(spec.replicas);
+        outcome.state = running >= wanted ? "running" : "incomplete";
+        outcome.detail = fmt::format("{} of {} replicas run.", running, spec.replicas);
+        for (const auto *task : outcome.tasks) {
+            if (task->state != TaskState::Running && !task->reason.empty()) {
+                outcome.detail += fmt::format(" {}: {}", task->id, task->reason);
+                break;
+            }
+        }
+    }
+    void operator()(const Records::BatchSpec &) const
+    {
+        if (outcome.tasks.empty()) {
+            outcome.state = "forgotten";
+            outcome.detail = "The job ended so long ago that its outcome is no longer kept.";
+            return;
+        }
+        const auto &task = *outcome.tasks.back();
+        outcome.state = stateName(task.state);
+        outcome.detail = taskSentence(task);
+    }
+    void operator()(const Records::DrainSpec &spec) const
+    {
+        const auto *worker = state.tasks().worker(spec.worker);
+        if (!worker) {
+            outcome.state = "unknown-worker";
+            outcome.detail = fmt::format("Worker {} has not announced itself yet; when it does, it "
+                                         "gets no work.",
+                                         spec.worker);
+            return;
+        }
+        outcome.state = worker->drained ? "drained" : "draining";
+        outcome.detail = worker->drained
+                             ? fmt::format("Worker {} holds no tasks any more.", spec.worker)
+                             : fmt::format("Worker {} still holds tasks.", spec.worker);
+        if (!worker->drainBlocked.empty())
+            outcome.detail += " " + worker->drainBlocked;
+    }
+    void operator()(const Records::ConfigurationSpec &) const
+    {
+        const bool isEverywhere = spread.version >= record.index && spread.inForceEverywhere();
+        outcome.state = isEverywhere ? "in-force" : "spreading";
+        outcome.detail = spreadSentence(spread, record.index);
+    }
+};
+
+} // namespace
+
+std::string spreadSentence(const ConfigurationSpread &spread, std::uint64_t version)
+{
+    if (spread.version < version || !spread.confirmedHere) {
+        return fmt::format("This entry has configuration {} and waits for {}.", spread.version,
+                           version);
+    }
+    auto text = spread.waitingFor.empty()
+                    ? fmt::format("Configuration {} is in force everywhere.", spread.version)
+                    : fmt::format("Configuration {} waits for {}.", spread.version,
+                                  fmt::join(spread.waitingFor, ", "));
+    if (!spread.cutOff.empty()) {
+        text += fmt::format(" Not heard from, and refusing work until they have it: {}.",
+                            fmt::join(spread.cutOff, ", "));
+    }
+    return text;
+}
+
+RecordOutcome outcomeOfRecord(const State::ControlState &state, const Records::Record &record,
+                              const ConfigurationSpread &spread)
+{
+    RecordOutcome outcome;
+    for (const auto &id : state.tasks().tasksOf({record.kind, record.name})) {
+        if (const auto *task = state.tasks().task(id))
+            outcome.tasks.push_back(task);
+    }
+    if (record.withdrawn) {
+        const bool isGone = std::all_of(outcome.tasks.begin(), outcome.tasks.end(),
+                                        [](const Task *task) { return !task->live; });
+        outcome.state = isGone ? "withdrawn" : "stopping";
+        outcome.detail = fmt::format("Withdrawn by {} at {}.", record.author,
+                                     Records::timeText(record.changedAt));
+        if (!isGone)
+            outcome.detail += " What ran is being stopped.";
+        return outcome;
+    }
+    std::visit(Summary{state, record, spread, outcome}, record.spec);
+    return outcome;
+}
+
+} // namespace Oleander
