--- /dev/null
+++ b/Source/Agent/workertask.cpp
@@ -0,0 +1,162 @@
+#include "Agent/workertask.h"
+
+#include "Agent/workerinterface.h"
+#include "Protocol/codec.h"
+
+namespace Oleander {
+
+namespace {
+
+constexpr std::size_t MaxWorkerConnections = 8;
+constexpr unsigned FirstRefusalStatus = 400;
+constexpr unsigned FirstServerErrorStatus = 500;
+
+bool isGood(const HttpCallResult &result)
+{
+    return result && result->status < FirstRefusalStatus;
+}
+
+} // namespace
+
+WorkerTask::WorkerTask(EventLoop &loop, Messenger &messenger, WorkerTaskOptions options)
+    : loop_(loop)
+    , messenger_(messenger)
+    , options_(std::move(options))
+    , executor_(options_.executor)
+    , tickTimer_(loop, [this] { tick(); })
+    , listTimer_(loop, [this] { list(); })
+    , usageTimer_(loop, [this] { readUsage(); })
+{
+    if (options_.address.empty())
+        return;
+    client_ = std::make_unique<HttpClient>(loop_, options_.address, MaxWorkerConnections);
+    messenger_.on<HeartbeatReply>([this](const Sender &, HeartbeatReply &&reply) {
+        if (executor_.replied(reply))
+            mustSendLease_ = true;
+        tick();
+    });
+    messenger_.on<TaskOrder>([this](const Sender &, TaskOrder &&order) {
+        // A refusal needs no answer: the leader orders again until a report shows the effect.
+        static_cast<void>(executor_.ordered(order, loop_.clock().now()));
+        tick();
+    });
+    tickTimer_.startEvery(options_.tickInterval);
+    listTimer_.startEvery(options_.listInterval);
+    usageTimer_.startEvery(options_.usageInterval);
+    list();
+}
+
+void WorkerTask::heartbeatMade(std::uint64_t stamp)
+{
+    executor_.heartbeatMade(stamp, loop_.clock().now());
+}
+
+std::vector<AttemptReport> WorkerTask::attempts() const
+{
+    return executor_.reports();
+}
+
+std::vector<UsageReport> WorkerTask::usage() const
+{
+    std::vector<UsageReport> aged = usage_;
+    for (UsageReport &report : aged)
+        report.age += loop_.clock().now() - usageReadAt_;
+    return aged;
+}
+
+void WorkerTask::tick()
+{
+    sendLease();
+    for (const Placement::WorkerCall &call : executor_.due(loop_.clock().now()))
+        this->call(call);
+}
+
+void WorkerTask::sendLease()
+{
+    if (!mustSendLease_ || isSendingLease_ || !executor_.leaseEnd())
+        return;
+    mustSendLease_ = false;
+    isSendingLease_ = true;
+    client_->call(leaseRequest(*executor_.leaseEnd(), executor_.session()), options_.callTimeout,
+                  [this](const HttpCallResult &result) {
+                      isSendingLease_ = false;
+                      if (!isGood(result))
+                          mustSendLease_ = true;
+                  });
+}
+
+void WorkerTask::call(const Placement::WorkerCall &call)
+{
+    client_->call(workerRequest(call), options_.callTimeout,
+                  [this, call](const HttpCallResult &result) { called(call, result); });
+}
+
+void WorkerTask::called(const Placement::WorkerCall &call, const HttpCallResult &result)
+{
+    if (call.action == TaskAction::Stop && isGood(result)) {
+        executor_.removed(call.task, call.attempt);
+        report();
+        return;
+    }
+    const bool isRefused = result && result->status >= FirstRefusalStatus
+                           && result->status < FirstServerErrorStatus;
+    if (isRefused)
+        executor_.callFailed(call, refusalIn(*result));
+    list();
+}
+
+void WorkerTask::list()
+{
+    if (isListing_)
+        return;
+    isListing_ = true;
+    HttpRequest request;
+    request.method = "GET";
+    request.path = "/tasks";
+    client_->call(std::move(request), options_.callTimeout,
+                  [this, asked = loop_.clock().now()](const HttpCallResult &result) {
+                      isListing_ = false;
+                      if (!isGood(result))
+                          return;
+                      const auto listing = parseListing(result->body);
+                      if (!listing)
+                          return;
+                      wasListed_ = true;
+                      executor_.listed(*listing, asked);
+                      report();
+                  });
+}
+
+void WorkerTask::readUsage()
+{
+    if (isReadingUsage_)
+        return;
+    isReadingUsage_ = true;
+    HttpRequest request;
+    request.method = "GET";
+    request.path = "/usage";
+    client_->call(std::move(request), options_.callTimeout,
+                  [this, asked = loop_.clock().now()](const HttpCallResult &result) {
+                      isReadingUsage_ = false;
+                      auto usage = isGood(result)
+                                       ? parseUsage(result->body)
+                                       : Result<std::vector<UsageReport>>(tl::make_unexpected(Error()));
+                      if (!usage)
+                          return;
+                      usage_ = std::move(*usage);
+                      usageReadAt_ = asked;
+                  });
+}
+
+void WorkerTask::report()
+{
+    TaskReport news{executor_.reports()};
+    std::string encoded = encode(news);
+    if (encoded == lastReport_ || executor_.leader().empty())
+        return;
+    // The next heartbeat says the same, so a report that is not sent costs only time.
+    if (messenger_.send(executor_.leader(), std::move(news)))
+        lastReport_ = std::move(encoded);
+}
+
+} // namespace Oleander
--- /dev/null
+++ b/Source/Entry/schedulertask.cpp
@@ -0,0 +1,88 @@
+#include "Entry/schedulertask.h"
+
+namespace Oleander {
+
+SchedulerTask::SchedulerTask(EventLoop &loop, Messenger &messenger, SchedulerTaskOptions options)
+    : loop_(loop)
+    , messenger_(messenger)
+    , options_(std::move(options))
+    , scheduler_(options_.book(), *this, options_.scheduler)
+    , timer_(loop,
+             [this] { scheduler_.tick(loop_.clock().now(), loop_.clock().wallNow()); })
+{
+    messenger_.on<Heartbeat>([this](const Sender &sender, Heartbeat &&heartbeat) {
+        if (!options_.isLeader())
+            return;
+        received_.push_back({sender.name, sender.incarnation, std::move(heartbeat)});
+        confirm();
+    });
+    messenger_.on<TaskReport>([this](const Sender &sender, TaskReport &&report) {
+        if (options_.isLeader())
+            scheduler_.reported(sender.name, report.attempts, loop_.clock().now(),
+                                loop_.clock().wallNow());
+    });
+    timer_.startEvery(options_.tickInterval);
+}
+
+void SchedulerTask::roleChanged()
+{
+    if (!options_.isLeader()) {
+        scheduler_.follow();
+        received_.clear();
+        return;
+    }
+    confirm();
+}
+
+void SchedulerTask::confirm()
+{
+    if (isConfirming_)
+        return;
+    isConfirming_ = true;
+    // Heartbeats that come in from now on need a later confirmation: a lease counts from its
+    // heartbeat, and must not reach past what the next leader waits for.
+    options_.confirmLeadership([this, batch = std::move(received_)](Result<void> confirmed) mutable {
+        isConfirming_ = false;
+        const bool leads = confirmed.has_value() && options_.isLeader();
+        if (leads && !scheduler_.isLeading())
+            scheduler_.lead(loop_.clock().now());
+        if (leads) {
+            for (Received &received : batch)
+                answer(std::move(received));
+        }
+        const bool mustAskAgain = options_.isLeader() && !scheduler_.isLeading();
+        if (!received_.empty() || (!confirmed && mustAskAgain))
+            confirm();
+    });
+    received_.clear();
+}
+
+void SchedulerTask::answer(Received received)
+{
+    incarnations_[received.agent] = received.incarnation;
+    messenger_.addPeer(received.agent, received.heartbeat.inbox);
+    HeartbeatReply reply = scheduler_.heartbeat(received.agent, received.heartbeat,
+                                                loop_.clock().now(), loop_.clock().wallNow());
+    reply.leader = messenger_.name();
+    // A reply that is not sent only costs the agent a renewal; the next heartbeat brings another.
+    static_cast<void>(messenger_.send(received.agent, std::move(reply), received.incarnation));
+}
+
+void SchedulerTask::propose(Placement::TaskCommand command, std::function<void(bool)> done)
+{
+    options_.propose(std::move(command),
+                     [done = std::move(done)](const Result<Placement::TaskOutcome> &outcome) {
+                         done(outcome.has_value());
+                     });
+}
+
+void SchedulerTask::send(const std::string &worker, TaskOrder order)
+{
+    const auto incarnation = incarnations_.find(worker);
+    if (incarnation == incarnations_.end())
+        return;
+    // Orders are sent again until a report shows their effect.
+    static_cast<void>(messenger_.send(worker, std::move(order), incarnation->second));
+}
+
+} // namespace Oleander
--- /dev/null
+++ b/Source/Placement/taskexecutor.cpp
@@ -0,0 +1,263 @@
+#include "Placement/taskexecutor.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace Oleander::Placement {
+
+namespace {
+
+bool hasEnded(AttemptState state)
+{
+    return state == AttemptState::Stopped || state == AttemptState::Succeeded
+           || state == AttemptState::Failed;
+}
+
+} // namespace
+
+void TaskExecutor::heartbeatMade(std::uint64_t stamp, TimePoint now)
+{
+    stamps_[stamp] = now;
+    while (stamps_.size() > settings_.rememberedStamps)
+        stamps_.erase(stamps_.begin());
+    forgetOldEnds();
+}
+
+void TaskExecutor::forgetOldEnds()
+{
+    // An order is refused once its stamp is forgotten, so no older order can bring back an attempt
+    // whose end is forgotten with it.
+    std::erase_if(entries_, [&](const auto &item) {
+        return item.second.isGone && item.second.goneStamp < stamps_.begin()->first;
+    });
+}
+
+std::uint64_t TaskExecutor::lastStamp() const
+{
+    return stamps_.empty() ? 0 : stamps_.rbegin()->first;
+}
+
+bool TaskExecutor::replied(const HeartbeatReply &reply)
+{
+    const auto made = stamps_.find(reply.stamp);
+    if (reply.lease <= Duration::zero() || made == stamps_.end() || reply.session < session_)
+        return false;
+    const TimePoint end = made->second + reply.lease - settings_.stopMargin;
+    const bool isNewSession = reply.session > session_;
+    if (isNewSession) {
+        session_ = reply.session;
+        for (auto &[task, entry] : entries_) {
+            if (entry.session < session_ && !entry.mustStop) {
+                entry.mustStop = true;
+                entry.reason = "The worker was declared lost, so the attempt has been given up.";
+            }
+        }
+    }
+    leader_ = reply.leader;
+    const bool grew = !leaseEnd_ || end > *leaseEnd_;
+    if (grew)
+        leaseEnd_ = end;
+    return grew || isNewSession;
+}
+
+bool TaskExecutor::holdsLease(TimePoint now) const
+{
+    return leaseEnd_ && now < *leaseEnd_;
+}
+
+std::string TaskExecutor::ordered(const TaskOrder &order, TimePoint now)
+{
+    if (order.action == TaskAction::Start)
+        return start(order, now);
+    if (order.action == TaskAction::Stop)
+        return stop(order);
+    const auto entry = entries_.find(order.task);
+    if (entry == entries_.end() || entry->second.attempt != order.attempt)
+        return fmt::format("Attempt {} of task {} is not here.", order.attempt, order.task);
+    if (order.action == TaskAction::Checkpoint)
+        entry->second.wantsCheckpoint = true;
+    else
+        entry->second.throttlePercent = order.throttlePercent;
+    return {};
+}
+
+std::string TaskExecutor::start(const TaskOrder &order, TimePoint now)
+{
+    if (!holdsLease(now))
+        return "The worker holds no lease.";
+    if (order.session != session_) {
+        return fmt::format("The order is for session {} of the worker; it is in session {}.",
+                           order.session, session_);
+    }
+    if (!stamps_.contains(order.stamp))
+        return "The order is too old.";
+    const auto known = entries_.find(order.task);
+    if (known != entries_.end()) {
+        const Entry &entry = known->second;
+        if (entry.attempt == order.attempt && !entry.mustStop && !hasEnded(entry.state))
+            return {};
+        if (entry.attempt >= order.attempt)
+            return fmt::format("Attempt {} of the task has ended here.", entry.attempt);
+        if (!entry.isGone)
+            return fmt::format("Attempt {} of the task is still here.", entry.attempt);
+    }
+    Entry entry;
+    entry.attempt = order.attempt;
+    entry.session = order.session;
+    entry.start = order;
+    entry.checkpoint = order.checkpoint;
+    entry.throttlePercent = order.throttlePercent;
+    entries_[order.task] = std::move(entry);
+    return {};
+}
+
+std::string TaskExecutor::stop(const TaskOrder &order)
+{
+    Entry &entry = entries_[order.task];
+    if (entry.attempt > order.attempt)
+        return fmt::format("Attempt {} of the task is here.", entry.attempt);
+    if (entry.attempt < order.attempt) {
+        if (entry.attempt > 0 && !entry.isGone)
+            return fmt::format("Attempt {} of the task is still here.", entry.attempt);
+        // An attempt that never came here is stopped at the worker as well: its start may still be
+        // on the way from an agent process before this one.
+        entry = {};
+        entry.attempt = order.attempt;
+        entry.session = order.session;
+    }
+    entry.mustStop = true;
+    entry.goneStamp = lastStamp();
+    return {};
+}
+
+void TaskExecutor::listed(const std::vector<ListedAttempt> &list, TimePoint asked)
+{
+    std::map<std::string, const ListedAttempt *> byTask;
+    for (const ListedAttempt &item : list) {
+        byTask[item.task] = &item;
+        Entry &entry = entries_[item.task];
+        const bool isNew = entry.attempt < item.attempt && (entry.attempt == 0 || entry.isGone);
+        if (isNew) {
+            entry = {};
+            entry.attempt = item.attempt;
+            entry.session = item.session;
+            entry.mustStop = session_ > 0 && item.session < session_;
+            entry.throttlePercent = entry.throttleDone = 100;
+        }
+        if (entry.attempt != item.attempt || entry.isGone)
+            continue;
+        entry.wasListed = true;
+        entry.checkpoint = std::max(entry.checkpoint, item.checkpoint);
+        if (hasEnded(entry.state))
+            continue;
+        entry.state = item.state;
+        if (!item.reason.empty())
+            entry.reason = item.reason;
+    }
+    for (auto &[task, entry] : entries_) {
+        const auto found = byTask.find(task);
+        const bool isListed = found != byTask.end() && found->second->attempt == entry.attempt;
+        if (isListed || !entry.wasListed || entry.isGone || entry.mustStop
+            || entry.lastCall >= asked)
+            continue;
+        entry.mustStop = true;
+        entry.reason = "The worker no longer knows the attempt.";
+    }
+}
+
+void TaskExecutor::removed(const std::string &task, std::uint32_t attempt)
+{
+    const auto found = entries_.find(task);
+    if (found == entries_.end() || found->second.attempt != attempt || !found->second.mustStop)
+        return;
+    Entry &entry = found->second;
+    entry.isGone = true;
+    entry.goneStamp = lastStamp();
+    if (!hasEnded(entry.state))
+        entry.state = AttemptState::Stopped;
+}
+
+void TaskExecutor::callFailed(const WorkerCall &call, const std::string &reason)
+{
+    const auto found = entries_.find(call.task);
+    if (found == entries_.end() || found->second.attempt != call.attempt)
+        return;
+    Entry &entry = found->second;
+    entry.reason = reason;
+    if (call.action == TaskAction::Start && !hasEnded(entry.state))
+        entry.state = AttemptState::Failed;
+}
+
+std::vector<WorkerCall> TaskExecutor::due(TimePoint now)
+{
+    if (leaseEnd_ && !holdsLease(now)) {
+        for (auto &[task, entry] : entries_) {
+            if (!entry.mustStop && !hasEnded(entry.state)) {
+                entry.mustStop = true;
+                entry.reason = "The worker's lease ended.";
+            }
+        }
+    }
+    std::vector<WorkerCall> calls;
+    for (auto &[task, entry] : entries_) {
+        if (auto call = dueFor(task, entry, now))
+            calls.push_back(std::move(*call));
+    }
+    return calls;
+}
+
+std::optional<WorkerCall> TaskExecutor::dueFor(const std::string &task, Entry &entry, TimePoint now)
+{
+    if (entry.isGone || now < entry.lastCall + settings_.retryInterval)
+        return std::nullopt;
+    std::optional<WorkerCall> call;
+    if (entry.mustStop) {
+        call = callFor(TaskAction::Stop, task, entry);
+    } else if (!entry.wasListed && !hasEnded(entry.state)) {
+        call = callFor(TaskAction::Start, task, entry);
+    } else if (entry.wantsCheckpoint && entry.state == AttemptState::Running) {
+        call = callFor(TaskAction::Checkpoint, task, entry);
+        entry.wantsCheckpoint = false;
+        entry.reason.clear();
+    } else if (entry.throttlePercent != entry.throttleDone
+               && entry.state == AttemptState::Running) {
+        call = callFor(TaskAction::Throttle, task, entry);
+        entry.throttleDone = entry.throttlePercent;
+    }
+    if (call)
+        entry.lastCall = now;
+    return call;
+}
+
+WorkerCall TaskExecutor::callFor(TaskAction action, const std::string &task,
+                                 const Entry &entry) const
+{
+    WorkerCall call;
+    call.action = action;
+    call.task = task;
+    call.attempt = entry.attempt;
+    call.session = entry.session;
+    call.leaseEnd = leaseEnd_.value_or(TimePoint());
+    call.declared = entry.start.declared;
+    call.payload = entry.start.payload;
+    call.checkpoint = entry.start.checkpoint;
+    call.throttlePercent = entry.throttlePercent;
+    return call;
+}
+
+std::vector<AttemptReport> TaskExecutor::reports() const
+{
+    std::vector<AttemptReport> list;
+    for (const auto &[task, entry] : entries_) {
+        if (entry.isGone && entry.goneStamp + settings_.endRepeats < lastStamp())
+            continue;
+        AttemptState state = entry.state;
+        if (entry.mustStop && !hasEnded(state))
+            state = AttemptState::Stopping;
+        list.push_back({task, entry.attempt, state, entry.reason, entry.checkpoint});
+    }
+    return list;
+}
+
+} // namespace Oleander::Placement
--- /dev/null
+++ b/Source/Placement/taskscheduler.cpp
@@ -0,0 +1,424 @@
+#include "Placement/taskscheduler.h"
+
+#include "Placement/fitting.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace Oleander::Placement {
+
+namespace {
+
+bool hasEnded(AttemptState state)
+{
+    return state == AttemptState::Stopped || state == AttemptState::Succeeded
+           || state == AttemptState::Failed;
+}
+
+/** Kind of a task: a service, or all jobs of a team that run the same program. */
+std::string kindText(const Task &task)
+{
+    if (task.isService())
+        return "service/" + task.record.name;
+    return "program/" + task.team + "/" + task.payload.substr(0, task.payload.find(' '));
+}
+
+} // namespace
+
+TaskScheduler::TaskScheduler(const TaskBook &book, SchedulerPort &port,
+                             const SchedulerSettings &settings)
+    : book_(book)
+    , port_(port)
+    , settings_(settings)
+    , policy_(settings.policy, settings.seed)
+    , leases_(settings.lease)
+    , orders_(settings.resendInterval,
+              [this](const std::string &worker, TaskOrder order) {
+                  order.stamp = stamps_[worker];
+                  port_.send(worker, std::move(order));
+              })
+    , retryDelay_(settings.retryBase, settings.retryMost, settings.seed)
+    , probeDelay_(settings.probeBase, settings.retryMost, settings.seed + 1)
+{}
+
+void TaskScheduler::lead(TimePoint now)
+{
+    isLeading_ = true;
+    ++term_;
+    Duration longestLease{};
+    for (const auto &[name, worker] : book_.workers())
+        longestLease = std::max(longestLease, worker.lease);
+    leases_.startTerm(now, longestLease);
+    view_ = {};
+    policy_ = PlacementPolicy(settings_.policy, settings_.seed);
+    orders_.clear();
+    underWay_.clear();
+    waiting_.clear();
+    waitingKeys_.clear();
+    watches_.clear();
+    waitReasons_.clear();
+    draining_.clear();
+    stamps_.clear();
+    journalPosition_ = UINT64_MAX;
+    followBook(now);
+}
+
+void TaskScheduler::follow()
+{
+    isLeading_ = false;
+    ++term_;
+}
+
+void TaskScheduler::followBook(TimePoint now)
+{
+    const auto changes = book_.journal().since(journalPosition_);
+    journalPosition_ = book_.journal().end();
+    if (!changes) {
+        for (const auto &[name, worker] : book_.workers())
+            followWorker(worker);
+        for (const auto &[id, task] : book_.tasks())
+            followTask(id, now);
+        return;
+    }
+    for (const Change &change : *changes) {
+        if (change.kind == Change::Kind::Task)
+            followTask(change.name, now);
+        else if (const Worker *worker = book_.worker(change.name))
+            followWorker(*worker);
+    }
+}
+
+void TaskScheduler::followWorker(const Worker &worker)
+{
+    view_.setWorker(worker.name, worker.location, worker.capacity,
+                    !worker.lost && worker.drain.empty() && worker.health == WorkerHealth::Healthy);
+    if (!worker.drain.empty() && !worker.drained)
+        draining_.insert(worker.name);
+    else
+        draining_.erase(worker.name);
+}
+
+void TaskScheduler::followTask(const std::string &id, TimePoint now)
+{
+    const auto waitingKey = waitingKeys_.find(id);
+    if (waitingKey != waitingKeys_.end()) {
+        waiting_.erase({waitingKey->second, id});
+        waitingKeys_.erase(waitingKey);
+    }
+    const Task *task = book_.task(id);
+    if (!task || !task->live) {
+        view_.remove(id);
+        watches_.erase(id);
+        orders_.forget(id);
+        if (task && task->waits()) {
+            const std::pair<int, std::uint64_t> key
+                = {task->isService() ? 0 : (task->urgent ? 1 : 2), task->order};
+            waiting_.insert({key, id});
+            waitingKeys_[id] = key;
+        } else {
+            waitReasons_.erase(id);
+        }
+        return;
+    }
+    waitReasons_.erase(id);
+    const Number worker = view_.workerNumber(task->live->worker);
+    const Resident *resident = view_.find(id);
+    if (!resident || resident->worker != worker
+        || !(resident->traits.declared == task->live->committed)) {
+        TaskTraits traits = traitsOf(*task);
+        traits.declared = task->live->committed;
+        view_.add(traits, worker, now);
+    }
+    Watch &watch = watches_[id];
+    if (watch.attempt != task->attempt || watch.state != task->state)
+        watch = {task->attempt, task->state, now, {}};
+    orders_.follow(*task);
+}
+
+TaskTraits TaskScheduler::traitsOf(const Task &task)
+{
+    TaskTraits traits;
+    traits.id = task.id;
+    traits.kind = view_.intern(kindText(task));
+    if (task.isService())
+        traits.group = view_.intern("group/" + task.record.name);
+    traits.isService = task.isService();
+    traits.urgent = task.urgent;
+    traits.mayRestart = task.mayRestart();
+    traits.declared = task.declared;
+    traits.spread = task.spread;
+    traits.latencyTarget = task.latencyTarget;
+    return traits;
+}
+
+HeartbeatReply TaskScheduler::heartbeat(const std::string &worker, const Heartbeat &heartbeat,
+                                        TimePoint now, WallTime wall)
+{
+    HeartbeatReply reply;
+    reply.stamp = heartbeat.stamp;
+    if (!isLeading_ || heartbeat.capacity == Resources{})
+        return reply;
+    followBook(now);
+    stamps_[worker] = heartbeat.stamp;
+    const Worker *known = book_.worker(worker);
+    const bool isRegistered = known && !known->lost && known->capacity == heartbeat.capacity
+                              && known->location == heartbeat.location
+                              && known->lease >= settings_.lease.length;
+    if (!isRegistered)
+        registerWorker(worker, heartbeat, wall);
+    // A lost worker gets a lease only once its return is committed, under its new session.
+    if (!known || known->lost || known->lease < settings_.lease.length)
+        return reply;
+    reply.lease = leases_.grant(worker, now);
+    reply.session = known->session;
+    reported(worker, heartbeat.attempts, now, wall);
+    findAbsent(worker, heartbeat.attempts, now, wall);
+    return reply;
+}
+
+void TaskScheduler::registerWorker(const std::string &worker, const Heartbeat &heartbeat,
+                                   WallTime wall)
+{
+    proposeOnce("register/" + worker,
+                RegisterWorker{worker, heartbeat.location, heartbeat.capacity,
+                               settings_.lease.length, wall});
+}
+
+bool TaskScheduler::isNews(const Worker &worker, const AttemptReport &report, TimePoint now)
+{
+    const Task *task = book_.task(report.task);
+    const bool isLive = task && task->live && task->attempt == report.attempt
+                        && task->live->worker == worker.name;
+    if (!isLive) {
+        // Stopping is what such an attempt is to do; a stopped one the agent forgets by itself.
+        if (report.state != AttemptState::Stopping && report.state != AttemptState::Stopped)
+            orders_.dismiss(worker.name, report, now);
+        return false;
+    }
+    if (hasEnded(report.state) || report.checkpoint > task->checkpoint)
+        return true;
+    return report.state == AttemptState::Running && task->state == TaskState::Placed;
+}
+
+void TaskScheduler::reported(const std::string &worker, const std::vector<AttemptReport> &attempts,
+                             TimePoint now, WallTime wall)
+{
+    const Worker *known = book_.worker(worker);
+    if (!isLeading_ || !known || known->lost)
+        return;
+    followBook(now);
+    ReportTasks command{worker, {}, probeDelay_.next(known->suspensions), wall};
+    for (const AttemptReport &report : attempts) {
+        if (isNews(*known, report, now)) {
+            const Task *task = book_.task(report.task);
+            command.attempts.push_back(
+                {report, retryDelay_.next(task->failures + task->interruptions)});
+        }
+        const auto watch = watches_.find(report.task);
+        if (watch != watches_.end() && watch->second.attempt == report.attempt
+            && watch->second.state == TaskState::Checkpointing
+            && report.state == AttemptState::Running && !report.reason.empty()) {
+            proposeOnce("abandon/" + report.task,
+                        AbandonCheckpoint{report.task, report.attempt, report.reason, wall});
+        }
+    }
+    if (!command.attempts.empty())
+        proposeOnce("report/" + worker, std::move(command));
+}
+
+void TaskScheduler::findAbsent(const std::string &worker,
+                               const std::vector<AttemptReport> &attempts, TimePoint now,
+                               WallTime wall)
+{
+    std::set<std::pair<std::string, std::uint32_t>> listed;
+    for (const AttemptReport &report : attempts)
+        listed.insert({report.task, report.attempt});
+    for (const Commitment &commitment : book_.ledger().commitments(worker)) {
+        const auto watch = watches_.find(commitment.task);
+        if (watch == watches_.end())
+            continue;
+        if (listed.contains({commitment.task, commitment.attempt})) {
+            watch->second.absentSince.reset();
+            continue;
+        }
+        const Task &task = *book_.task(commitment.task);
+        if (!watch->second.absentSince)
+            watch->second.absentSince = now;
+        const bool isOverdue = now >= *watch->second.absentSince + settings_.absenceTimeout;
+        if (isOverdue && task.state == TaskState::Running)
+            evict(task, StopCause::Unconfirmed, false, "The worker no longer lists the attempt.",
+                  wall);
+    }
+}
+
+void TaskScheduler::tick(TimePoint now, WallTime wall)
+{
+    if (!isLeading_)
+        return;
+    followBook(now);
+    loseWorkers(now, wall);
+    watchLive(now, wall);
+    drainWorkers(wall);
+    placeWaiting(now, wall);
+    explain(wall);
+    orders_.tick(book_, now);
+}
+
+void TaskScheduler::loseWorkers(TimePoint now, WallTime wall)
+{
+    for (const auto &[name, worker] : book_.workers()) {
+        if (worker.lost || !leases_.surelyOver(name, now))
+            continue;
+        proposeOnce("lose/" + name,
+                    LoseWorker{name, worker.session, "Its agent stopped answering.", wall});
+    }
+}
+
+void TaskScheduler::watchLive(TimePoint now, WallTime wall)
+{
+    SettleTasks settled;
+    settled.at = wall;
+    for (const auto &[id, watch] : watches_) {
+        const Task *task = book_.task(id);
+        if (!task || !task->live)
+            continue;
+        const Duration age = now - watch.since;
+        if (task->state == TaskState::Running && !task->live->settled
+            && age >= settings_.settleAfter && !watch.absentSince)
+            settled.attempts.emplace_back(id, task->attempt);
+        if (task->state == TaskState::Placed && age >= settings_.startTimeout)
+            evict(*task, StopCause::Unconfirmed, false, "No report confirmed the start.", wall);
+        if (task->state == TaskState::Checkpointing && age >= settings_.checkpointTimeout) {
+            proposeOnce("abandon/" + id, AbandonCheckpoint{id, task->attempt,
+                                                           "The checkpoint took too long.", wall});
+        }
+    }
+    if (!settled.attempts.empty())
+        proposeOnce("settle", std::move(settled));
+}
+
+void TaskScheduler::evict(const Task &task, StopCause cause, bool withCheckpoint,
+                          const std::string &reason, WallTime wall)
+{
+    proposeOnce("evict/" + task.id,
+                EvictTask{task.id, task.attempt, cause, withCheckpoint, reason, {}, wall});
+}
+
+void TaskScheduler::drainWorkers(WallTime wall)
+{
+    for (const std::string &name : draining_) {
+        std::string blocked;
+        for (const Commitment &commitment : book_.ledger().commitments(name)) {
+            const Task &task = *book_.task(commitment.task);
+            const bool isMoving = task.state == TaskState::Stopping
+                                  || task.state == TaskState::Checkpointing;
+            if (isMoving)
+                continue;
+            if (task.isService() && !view_.capacities().first(task.declared)) {
+                blocked = fmt::format("No other worker has room for {}, which needs {}.", task.id,
+                                      describe(task.declared));
+                continue;
+            }
+            if (!task.mayRestart() && task.state == TaskState::Placed) {
+                blocked = fmt::format("{} starts and cannot be started twice.", task.id);
+                continue;
+            }
+            if (!task.mayRestart() && !task.reason.empty()) {
+                blocked = fmt::format("{} is not idempotent and its checkpoint failed.", task.id);
+                continue;
+            }
+            evict(task, StopCause::Drain, !task.isService(),
+                  fmt::format("Worker {} is being drained.", name), wall);
+        }
+        const Worker *worker = book_.worker(name);
+        if (worker && worker->drainBlocked != blocked)
+            proposeOnce("drain/" + name, ExplainDrain{name, blocked});
+    }
+}
+
+std::optional<TaskPlacement> TaskScheduler::placementFor(const Task &task, TimePoint now,
+                                                         WallTime wall)
+{
+    Demand demand{traitsOf(task), task.failedOn};
+    auto chosen = policy_.choose(demand, view_, now);
+    if (!chosen && !demand.avoid.empty()) {
+        demand.avoid.clear();
+        chosen = policy_.choose(demand, view_, now);
+    }
+    if (!chosen)
+        return std::nullopt;
+    const std::string &name = view_.worker(*chosen).name;
+    (void)wall;
+    return TaskPlacement{task.id, task.attempt + 1, name, book_.worker(name)->session};
+}
+
+void TaskScheduler::placeWaiting(TimePoint now, WallTime wall)
+{
+    if (underWay_.contains("place"))
+        return;
+    PlaceTasks command;
+    command.at = wall;
+    std::vector<Resources> withoutRoom;
+    for (const auto &[key, id] : waiting_) {
+        const Task &task = *book_.task(id);
+        if (wall < task.notBefore)
+            continue;
+        const bool isHopeless
+            = std::any_of(withoutRoom.begin(), withoutRoom.end(), [&](const Resources &size) {
+                  return fitsInto(size, task.declared);
+              });
+        const auto placement = isHopeless ? std::nullopt : placementFor(task, now, wall);
+        if (!placement) {
+            if (!isHopeless)
+                withoutRoom.push_back(task.declared);
+            waitReasons_.try_emplace(id, fmt::format("No worker has {} free now.",
+                                                     describe(task.declared)));
+            continue;
+        }
+        view_.add(traitsOf(task), view_.workerNumber(placement->worker), now);
+        command.placements.push_back(*placement);
+        if (command.placements.size() >= settings_.batch)
+            break;
+    }
+    if (command.placements.empty())
+        return;
+    std::vector<std::string> ids;
+    for (const TaskPlacement &placement : command.placements)
+        ids.push_back(placement.task);
+    proposeOnce("place", std::move(command), [this, ids, now] {
+        // Whatever was refused must leave the view again.
+        for (const std::string &id : ids)
+            followTask(id, now);
+    });
+}
+
+void TaskScheduler::explain(WallTime)
+{
+    ExplainWaits command;
+    for (const auto &[id, reason] : waitReasons_) {
+        const Task *task = book_.task(id);
+        if (task && task->waits() && task->reason.empty())
+            command.waits.push_back({id, reason});
+        if (command.waits.size() >= settings_.batch)
+            break;
+    }
+    if (!command.waits.empty())
+        proposeOnce("explain", std::move(command));
+}
+
+void TaskScheduler::proposeOnce(const std::string &key, TaskCommand command,
+                                std::function<void()> after)
+{
+    if (!underWay_.insert(key).second)
+        return;
+    port_.propose(std::move(command), [this, key, term = term_, after = std::move(after)](bool) {
+        if (term != term_)
+            return;
+        underWay_.erase(key);
+        if (after)
+            after();
+    });
+}
+
+} // namespace Oleander::Placement
--- /dev/null
+++ b/Source/Placement/taskscheduler.h
@@ -0,0 +1,140 @@
+#pragma once
+
+#include "Base/clock.h"
+#include "Placement/backoff.h"
+#include "Placement/clusterview.h"
+#include "Placement/orderdispatcher.h"
+#include "Placement/placementpolicy.h"
+#include "Placement/taskbook.h"
+#include "Placement/workerleases.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+
+namespace Oleander::Placement {
+
+/** Times and bounds of the leader's scheduling. */
+struct SchedulerSettings
+{
+    WorkerLeaseSettings lease;
+    PolicyKind policy = PolicyKind::LeastLoaded;
+    Duration resendInterval = std::chrono::seconds(1);
+    /** A running attempt counts as healthy after this time. */
+    Duration settleAfter = std::chrono::seconds(10);
+    /** A start that no report confirms is given up after this time. */
+    Duration startTimeout = std::chrono::seconds(30);
+    /** An attempt that its worker no longer lists is stopped after this time. */
+    Duration absenceTimeout = std::chrono::seconds(5);
+    Duration checkpointTimeout = std::chrono::seconds(30);
+    Duration retryBase = std::chrono::seconds(1);
+    Duration retryMost = std::chrono::minutes(5);
+    Duration probeBase = std::chrono::seconds(30);
+    /** Placements in one command. */
+    std::size_t batch = 256;
+    std::uint32_t seed = 1;
+};
+
+/**
+ * \class SchedulerPort
+ * \brief What a TaskScheduler asks of the process around it.
+ */
+class SchedulerPort
+{
+public:
+    virtual ~SchedulerPort() = default;
+    /** Commits \a command; \a done is called once, later, with true when it was applied. */
+    virtual void propose(TaskCommand command, std::function<void(bool)> done) = 0;
+    virtual void send(const std::string &worker, TaskOrder order) = 0;
+};
+
+/**
+ * \class TaskScheduler
+ * \brief The leader's part of running tasks: turns the state of the task book and the reports of
+ * agents into commands and orders.
+ *
+ * Pure: the caller brings heartbeats and the time. Whatever it proposes is checked by the task
+ * book, so a scheduler that acts on an outdated view does no harm.
+ */
+class TaskScheduler
+{
+public:
+    TaskScheduler(const TaskBook &book, SchedulerPort &port, const SchedulerSettings &settings);
+
+    /** Starts over as the leader that was elected at \a now or before. */
+    void lead(TimePoint now);
+    /** Stops to propose and to order. */
+    void follow();
+    bool isLeading() const { return isLeading_; }
+
+    /**
+     * Takes a heartbeat and returns the answer. Comes only after the leadership was confirmed by
+     * a quorum later than the heartbeat came in: the lease counts from the heartbeat.
+     */
+    HeartbeatReply heartbeat(const std::string &worker, const Heartbeat &heartbeat, TimePoint now,
+                             WallTime wall);
+    /** Takes news of attempts between heartbeats. */
+    void reported(const std::string &worker, const std::vector<AttemptReport> &attempts,
+                  TimePoint now, WallTime wall);
+    /** Does what is due. */
+    void tick(TimePoint now, WallTime wall);
+
+    const ClusterView &view() const { return view_; }
+
+private:
+    void followBook(TimePoint now);
+    void followTask(const std::string &id, TimePoint now);
+    void followWorker(const Worker &worker);
+    TaskTraits traitsOf(const Task &task);
+    void registerWorker(const std::string &worker, const Heartbeat &heartbeat, WallTime wall);
+    void findAbsent(const std::string &worker, const std::vector<AttemptReport> &attempts,
+                    TimePoint now, WallTime wall);
+    bool isNews(const Worker &worker, const AttemptReport &report, TimePoint now);
+    void placeWaiting(TimePoint now, WallTime wall);
+    std::optional<TaskPlacement> placementFor(const Task &task, TimePoint now, WallTime wall);
+    void loseWorkers(TimePoint now, WallTime wall);
+    void watchLive(TimePoint now, WallTime wall);
+    void drainWorkers(WallTime wall);
+    void evict(const Task &task, StopCause cause, bool withCheckpoint, const std::string &reason,
+               WallTime wall);
+    void explain(WallTime wall);
+    /** Proposes unless a command under the same key is under way. */
+    void proposeOnce(const std::string &key, TaskCommand command,
+                     std::function<void()> after = {});
+
+    const TaskBook &book_;
+    SchedulerPort &port_;
+    SchedulerSettings settings_;
+    PlacementPolicy policy_;
+    ClusterView view_;
+    WorkerLeases leases_;
+    OrderDispatcher orders_;
+    Backoff retryDelay_;
+    Backoff probeDelay_;
+    bool isLeading_ = false;
+    /** Goes up with each term, so that outcomes of an earlier one are ignored. */
+    std::uint64_t term_ = 0;
+    std::uint64_t journalPosition_ = 0;
+    std::set<std::string> underWay_;
+    /** Stamp of the last heartbeat by worker; orders carry it. */
+    std::map<std::string, std::uint64_t> stamps_;
+    /** Waiting tasks by urgency and order. */
+    std::set<std::pair<std::pair<int, std::uint64_t>, std::string>> waiting_;
+    std::map<std::string, std::pair<int, std::uint64_t>> waitingKeys_;
+    /** Since when this leader sees a live attempt in its state. */
+    struct Watch
+    {
+        std::uint32_t attempt = 0;
+        TaskState state = TaskState::Queued;
+        TimePoint since{};
+        std::optional<TimePoint> absentSince;
+    };
+    std::map<std::string, Watch> watches_;
+    std::map<std::string, std::string> waitReasons_;
+    std::set<std::string> draining_;
+};
+
+} // namespace Oleander::Placement
--- a/Source/Placement/workerleases.cpp
+++ b/Source/Placement/workerleases.cpp
@@ -5,7 +5,7 @@
 
 namespace Oleander::Placement {
 
-Duration holdFor(Duration lease, const LeaseSettings &settings)
+Duration holdFor(Duration lease, const WorkerLeaseSettings &settings)
 {
     // A slow agent needs lease / (1 - drift) of true time, and a fast leader clock shows that
     // time as (1 + drift) times as much.
--- a/Source/Placement/workerleases.h
+++ b/Source/Placement/workerleases.h
@@ -9,7 +9,7 @@
 namespace Oleander::Placement {
 
 /** Bounds that leader and agents agree on. */
-struct LeaseSettings
+struct WorkerLeaseSettings
 {
     Duration length = std::chrono::seconds(5);
     /** Each clock runs fast or slow by at most this share. */
@@ -19,7 +19,7 @@
 };
 
 /** Time that a leader's clock must show for \a lease to have passed on every agent's clock. */
-Duration holdFor(Duration lease, const LeaseSettings &settings);
+Duration holdFor(Duration lease, const WorkerLeaseSettings &settings);
 
 /**
  * \class WorkerLeases
@@ -33,7 +33,7 @@
 class WorkerLeases
 {
 public:
-    explicit WorkerLeases(const LeaseSettings &settings) : settings_(settings) {}
+    explicit WorkerLeases(const WorkerLeaseSettings &settings) : settings_(settings) {}
 
     /**
      * Starts over at \a now, the time of winning the election: every worker counts as leased, for
@@ -47,10 +47,10 @@
     /** Earliest time at which surelyOver() can become true. */
     TimePoint overAt(const std::string &worker) const;
 
-    const LeaseSettings &settings() const { return settings_; }
+    const WorkerLeaseSettings &settings() const { return settings_; }
 
 private:
-    LeaseSettings settings_;
+    WorkerLeaseSettings settings_;
     TimePoint termHold_;
     std::map<std::string, TimePoint> ends_;
 };
--- a/Tests/Placement/workerleasestest.cpp
+++ b/Tests/Placement/workerleasestest.cpp
@@ -7,7 +7,7 @@
 
 TEST_CASE("The agent's end comes first at the worst drift of both clocks")
 {
-    const LeaseSettings settings;
+    const WorkerLeaseSettings settings;
     for (const double drift : {0.0, settings.maxDrift}) {
         // True time that a slow agent keeps working, and true time that a fast leader waits.
         const double agent = static_cast<double>(settings.length.count()) / (1.0 - drift);
@@ -19,7 +19,7 @@
 
 TEST_CASE("A new leader waits a whole lease before any worker counts as over")
 {
-    WorkerLeases leases(LeaseSettings{});
+    WorkerLeases leases(WorkerLeaseSettings{});
     const TimePoint elected(std::chrono::seconds(100));
     leases.startTerm(elected, std::chrono::seconds(9));
     CHECK_FALSE(leases.surelyOver("w1", elected + std::chrono::seconds(9)));
@@ -29,13 +29,13 @@
 
 TEST_CASE("A promise is counted from when it was noted, and a later one prolongs it")
 {
-    WorkerLeases leases(LeaseSettings{});
+    WorkerLeases leases(WorkerLeaseSettings{});
     const TimePoint start(std::chrono::seconds(100));
     leases.startTerm(start, {});
     const TimePoint granted = start + std::chrono::seconds(50);
-    CHECK(leases.grant("w1", granted) == LeaseSettings{}.length);
-    CHECK_FALSE(leases.surelyOver("w1", granted + LeaseSettings{}.length));
-    CHECK(leases.surelyOver("w1", granted + 2 * LeaseSettings{}.length));
+    CHECK(leases.grant("w1", granted) == WorkerLeaseSettings{}.length);
+    CHECK_FALSE(leases.surelyOver("w1", granted + WorkerLeaseSettings{}.length));
+    CHECK(leases.surelyOver("w1", granted + 2 * WorkerLeaseSettings{}.length));
     leases.grant("w1", granted + std::chrono::seconds(4));
     CHECK_FALSE(leases.surelyOver("w1", granted + std::chrono::seconds(9)));
 }
