--- a/Source/Agent/workertask.cpp
+++ b/Source/Agent/workertask.cpp
@@ -98,8 +98,8 @@
         report();
         return;
     }
-    const bool isRefused = result && result->status >= FirstRefusalStatus
-                           && result->status < FirstServerErrorStatus;
+    const bool isRefused =
+        result && result->status >= FirstRefusalStatus && result->status < FirstServerErrorStatus;
     if (isRefused)
         executor_.callFailed(call, refusalIn(*result));
     list();
@@ -138,9 +138,10 @@
     client_->call(std::move(request), options_.callTimeout,
                   [this, asked = loop_.clock().now()](const HttpCallResult &result) {
                       isReadingUsage_ = false;
-                      auto usage = isGood(result)
-                                       ? parseUsage(result->body)
-                                       : Result<std::vector<UsageReport>>(tl::make_unexpected(Error()));
+                      auto usage =
+                          isGood(result)
+                              ? parseUsage(result->body)
+                              : Result<std::vector<UsageReport>>(tl::make_unexpected(Error()));
                       if (!usage)
                           return;
                       usage_ = std::move(*usage);
--- a/Source/Entry/schedulertask.cpp
+++ b/Source/Entry/schedulertask.cpp
@@ -7,8 +7,7 @@
     , messenger_(messenger)
     , options_(std::move(options))
     , scheduler_(options_.book(), *this, options_.scheduler)
-    , timer_(loop,
-             [this] { scheduler_.tick(loop_.clock().now(), loop_.clock().wallNow()); })
+    , timer_(loop, [this] { scheduler_.tick(loop_.clock().now(), loop_.clock().wallNow()); })
 {
     messenger_.on<Heartbeat>([this](const Sender &sender, Heartbeat &&heartbeat) {
         if (!options_.isLeader())
@@ -41,7 +40,7 @@
     isConfirming_ = true;
     // Heartbeats that come in from now on need a later confirmation: a lease counts from its
     // heartbeat, and must not reach past what the next leader waits for.
-    options_.confirmLeadership([this, batch = std::move(received_)](Result<void> confirmed) mutable {
+    options_.confirmLeadership([this, batch = std::move(received_)](const Result<void> &confirmed) {
         isConfirming_ = false;
         const bool leads = confirmed.has_value() && options_.isLeader();
         if (leads && !scheduler_.isLeading())
@@ -57,7 +56,7 @@
     received_.clear();
 }
 
-void SchedulerTask::answer(Received received)
+void SchedulerTask::answer(const Received &received)
 {
     incarnations_[received.agent] = received.incarnation;
     messenger_.addPeer(received.agent, received.heartbeat.inbox);
--- a/Source/Entry/schedulertask.h
+++ b/Source/Entry/schedulertask.h
@@ -19,8 +19,7 @@
     /** The task book of this process. */
     std::function<const Placement::TaskBook &()> book;
     /** Commits a command and calls back with its outcome. */
-    std::function<void(Placement::TaskCommand,
-                       std::function<void(Result<Placement::TaskOutcome>)>)>
+    std::function<void(Placement::TaskCommand, std::function<void(Result<Placement::TaskOutcome>)>)>
         propose;
     /** Calls back once a quorum confirmed, after the call, that this process leads. */
     std::function<void(std::function<void(Result<void>)>)> confirmLeadership;
@@ -54,7 +53,7 @@
     void propose(Placement::TaskCommand command, std::function<void(bool)> done) override;
     void send(const std::string &worker, TaskOrder order) override;
     void confirm();
-    void answer(Received received);
+    void answer(const Received &received);
 
     EventLoop &loop_;
     Messenger &messenger_;
--- a/Source/Placement/backoff.cpp
+++ b/Source/Placement/backoff.cpp
@@ -7,8 +7,8 @@
 Duration Backoff::next(std::uint32_t failures)
 {
     constexpr std::uint32_t MostDoublings = 20;
-    const Duration full
-        = std::min(most_, base_ * (std::int64_t(1) << std::min(failures, MostDoublings)));
+    const Duration full =
+        std::min(most_, base_ * (std::int64_t(1) << std::min(failures, MostDoublings)));
     std::uniform_int_distribution<Duration::rep> draw(full.count() / 2, full.count());
     return Duration(draw(random_));
 }
--- a/Source/Placement/backoff.h
+++ b/Source/Placement/backoff.h
@@ -15,9 +15,7 @@
 {
 public:
     Backoff(Duration base, Duration most, std::uint32_t seed)
-        : base_(base)
-        , most_(most)
-        , random_(seed)
+        : base_(base), most_(most), random_(seed)
     {}
 
     /** Returns a delay between half and all of base times 2 to the power of \a failures. */
--- a/Source/Placement/orderdispatcher.h
+++ b/Source/Placement/orderdispatcher.h
@@ -21,8 +21,7 @@
     using Send = std::function<void(const std::string &worker, TaskOrder order)>;
 
     OrderDispatcher(Duration resendInterval, Send send)
-        : resendInterval_(resendInterval)
-        , send_(std::move(send))
+        : resendInterval_(resendInterval), send_(std::move(send))
     {}
 
     /** Looks again at a task that changed. */
@@ -31,7 +30,8 @@
     void clear();
     /** Sends what is due. */
     void tick(const TaskBook &book, TimePoint now);
-    /** Tells a worker that its report of an ended attempt was taken, or that it runs a wrong one. */
+    /** Tells a worker that its report of an ended attempt was taken, or that it runs a wrong one.
+     */
     void dismiss(const std::string &worker, const AttemptReport &report, TimePoint now);
 
 private:
--- a/Source/Placement/taskscheduler.cpp
+++ b/Source/Placement/taskscheduler.cpp
@@ -112,8 +112,8 @@
         watches_.erase(id);
         orders_.forget(id);
         if (task && task->waits()) {
-            const std::pair<int, std::uint64_t> key
-                = {task->isService() ? 0 : (task->urgent ? 1 : 2), task->order};
+            const std::pair<int, std::uint64_t> key = {
+                task->isService() ? 0 : (task->urgent ? 1 : 2), task->order};
             waiting_.insert({key, id});
             waitingKeys_[id] = key;
         } else {
@@ -180,16 +180,15 @@
 void TaskScheduler::registerWorker(const std::string &worker, const Heartbeat &heartbeat,
                                    WallTime wall)
 {
-    proposeOnce("register/" + worker,
-                RegisterWorker{worker, heartbeat.location, heartbeat.capacity,
-                               settings_.lease.length, wall});
+    proposeOnce("register/" + worker, RegisterWorker{worker, heartbeat.location, heartbeat.capacity,
+                                                     settings_.lease.length, wall});
 }
 
 bool TaskScheduler::isNews(const Worker &worker, const AttemptReport &report, TimePoint now)
 {
     const Task *task = book_.task(report.task);
-    const bool isLive = task && task->live && task->attempt == report.attempt
-                        && task->live->worker == worker.name;
+    const bool isLive =
+        task && task->live && task->attempt == report.attempt && task->live->worker == worker.name;
     if (!isLive) {
         // Stopping is what such an attempt is to do; a stopped one the agent forgets by itself.
         if (report.state != AttemptState::Stopping && report.state != AttemptState::Stopped)
@@ -311,8 +310,8 @@
         std::string blocked;
         for (const Commitment &commitment : book_.ledger().commitments(name)) {
             const Task &task = *book_.task(commitment.task);
-            const bool isMoving = task.state == TaskState::Stopping
-                                  || task.state == TaskState::Checkpointing;
+            const bool isMoving =
+                task.state == TaskState::Stopping || task.state == TaskState::Checkpointing;
             if (isMoving)
                 continue;
             if (task.isService() && !view_.capacities().first(task.declared)) {
@@ -364,16 +363,15 @@
         const Task &task = *book_.task(id);
         if (wall < task.notBefore)
             continue;
-        const bool isHopeless
-            = std::any_of(withoutRoom.begin(), withoutRoom.end(), [&](const Resources &size) {
-                  return fitsInto(size, task.declared);
-              });
+        const bool isHopeless =
+            std::any_of(withoutRoom.begin(), withoutRoom.end(),
+                        [&](const Resources &size) { return fitsInto(size, task.declared); });
         const auto placement = isHopeless ? std::nullopt : placementFor(task, now, wall);
         if (!placement) {
             if (!isHopeless)
                 withoutRoom.push_back(task.declared);
-            waitReasons_.try_emplace(id, fmt::format("No worker has {} free now.",
-                                                     describe(task.declared)));
+            waitReasons_.try_emplace(
+                id, fmt::format("No worker has {} free now.", describe(task.declared)));
             continue;
         }
         view_.add(traitsOf(task), view_.workerNumber(placement->worker), now);
--- a/Source/Placement/taskscheduler.h
+++ b/Source/Placement/taskscheduler.h
@@ -102,8 +102,7 @@
                WallTime wall);
     void explain(WallTime wall);
     /** Proposes unless a command under the same key is under way. */
-    void proposeOnce(const std::string &key, TaskCommand command,
-                     std::function<void()> after = {});
+    void proposeOnce(const std::string &key, TaskCommand command, std::function<void()> after = {});
 
     const TaskBook &book_;
     SchedulerPort &port_;
