--- a/Source/Base/error.cpp
+++ b/Source/Base/error.cpp
@@ -59,6 +59,11 @@
     return nameIn(StepNames, step);
 }
 
+std::optional<Step> stepNamed(std::string_view name)
+{
+    return valueIn(StepNames, name);
+}
+
 const std::error_category &failureCategory()
 {
     static const FailureCategory Category;
--- /dev/null
+++ b/Source/Cli/operatorcommand.cpp
@@ -0,0 +1,406 @@
+#include "Cli/operatorcommand.h"
+
+#include "Cli/answertable.h"
+#include "Cli/commandoptions.h"
+#include "Cli/operatorclient.h"
+#include "Records/parse.h"
+#include "Settings/exitcode.h"
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+#include <unistd.h>
+
+#include <algorithm>
+#include <cstdio>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+
+namespace Oleander {
+
+namespace {
+
+using Words = std::vector<std::string>;
+
+/** One run of a subcommand. */
+struct Invocation
+{
+    const Words &words;
+    CommandOptions options;
+    std::istream &input;
+    std::ostream &output;
+    std::ostream &errors;
+};
+
+/** The request that a subcommand sends, and how its answer is shown. */
+struct Plan
+{
+    HttpRequest request;
+    std::string (*table)(const std::string &body) = nullptr;
+};
+
+struct CommandEntry
+{
+    std::string_view name;
+    Result<Plan> (*plan)(const Invocation &call);
+};
+
+tl::unexpected<Error> misuse(std::string detail)
+{
+    return fail(Failure::InvalidInput, Step::CommandLine, {}, std::move(detail));
+}
+
+Result<Records::RecordKey> parseWord(const std::string &word)
+{
+    const auto slash = word.find('/');
+    if (slash == std::string::npos) {
+        return misuse(fmt::format("The record is '{}'; allowed is KIND/NAME, where KIND is {}.",
+                                  word, Records::allowedKinds()));
+    }
+    auto key = Records::parseKey(word.substr(0, slash), word.substr(slash + 1));
+    if (!key)
+        return misuse(key.error().detail);
+    return key;
+}
+
+std::string pathOf(const Records::RecordKey &key)
+{
+    return fmt::format("/v1/records/{}/{}", Records::kindName(key.kind), key.name);
+}
+
+Result<std::string> readAll(const std::string &path, std::istream &input)
+{
+    std::ostringstream text;
+    if (path == "-") {
+        text << input.rdbuf();
+        return text.str();
+    }
+    std::ifstream file(path, std::ios::binary);
+    if (!file)
+        return misuse(fmt::format("File '{}' cannot be opened for reading.", path));
+    text << file.rdbuf();
+    if (file.bad())
+        return misuse(fmt::format("File '{}' cannot be read to its end.", path));
+    return text.str();
+}
+
+void addHeader(HttpRequest &request, std::string name, std::string value)
+{
+    request.headers.push_back({std::move(name), std::move(value)});
+}
+
+/** Fills in what every change carries. */
+HttpRequest changeRequest(const Invocation &call, std::string method, std::string path)
+{
+    HttpRequest request;
+    request.method = std::move(method);
+    request.path = std::move(path);
+    const auto wait =
+        std::chrono::duration_cast<std::chrono::milliseconds>(call.options.wait).count();
+    request.query = fmt::format("wait-ms={}", wait);
+    addHeader(request, "Oleander-Operator", call.options.author);
+    addHeader(request, "Idempotency-Key", call.options.key);
+    if (call.options.revision)
+        addHeader(request, "If-Match", fmt::format("\"{}\"", *call.options.revision));
+    return request;
+}
+
+Result<Plan> planPut(const Invocation &call)
+{
+    const auto key = parseWord(call.words[1]);
+    if (!key)
+        return tl::make_unexpected(key.error());
+    auto body = readAll(call.words[2], call.input);
+    if (!body)
+        return tl::make_unexpected(body.error());
+    // Checked here too, so that a mistake is told without a round trip and names the file.
+    if (const auto parsed = Records::parseBody(key->kind, *body); !parsed) {
+        auto error = parsed.error();
+        error.detail = fmt::format("File '{}': {}", call.words[2], error.detail);
+        return tl::make_unexpected(std::move(error));
+    }
+    auto request = changeRequest(call, "PUT", pathOf(*key));
+    request.body = std::move(*body);
+    addHeader(request, "Content-Type", "application/json");
+    return Plan{std::move(request), changeTable};
+}
+
+Result<Plan> planSubmit(const Invocation &call)
+{
+    if (call.words.size() != 3)
+        return misuse("The usage is: oleander submit KIND/NAME FILE.");
+    if (call.options.revision)
+        return misuse("Flag --revision belongs to amend; submit makes a new record.");
+    return planPut(call);
+}
+
+Result<Plan> planAmend(const Invocation &call)
+{
+    if (call.words.size() != 3)
+        return misuse("The usage is: oleander amend KIND/NAME FILE --revision=N.");
+    if (!call.options.revision) {
+        return misuse("Flag --revision is missing; it has to name the revision that is amended, "
+                      "which 'oleander show' tells.");
+    }
+    return planPut(call);
+}
+
+Result<Words> wantedNames(const Invocation &call)
+{
+    Words names(call.words.begin() + 1, call.words.end());
+    if (call.options.from.empty())
+        return names;
+    const auto text = readAll(call.options.from, call.input);
+    if (!text)
+        return tl::make_unexpected(text.error());
+    std::istringstream lines(*text);
+    for (std::string line; std::getline(lines, line);) {
+        if (!line.empty())
+            names.push_back(line);
+    }
+    return names;
+}
+
+Result<Plan> planWithdraw(const Invocation &call)
+{
+    const auto names = wantedNames(call);
+    if (!names)
+        return tl::make_unexpected(names.error());
+    if (names->empty())
+        return misuse("No record was named; the usage is: oleander withdraw KIND/NAME...");
+    auto list = nlohmann::json::array();
+    for (const auto &name : *names) {
+        if (const auto key = parseWord(name); !key)
+            return tl::make_unexpected(key.error());
+        list.push_back(name);
+    }
+    if (names->size() == 1) {
+        return Plan{changeRequest(call, "DELETE", pathOf(*parseWord(names->front()))), changeTable};
+    }
+    if (call.options.revision)
+        return misuse("Flag --revision belongs to one record; a wave takes none.");
+    auto request = changeRequest(call, "POST", "/v1/withdrawals");
+    request.body = nlohmann::json{{"records", list}}.dump();
+    addHeader(request, "Content-Type", "application/json");
+    return Plan{std::move(request), waveTable};
+}
+
+HttpRequest readRequest(std::string path, std::string query = {})
+{
+    HttpRequest request;
+    request.method = "GET";
+    request.path = std::move(path);
+    request.query = std::move(query);
+    return request;
+}
+
+Result<Plan> planShow(const Invocation &call)
+{
+    if (call.words.size() != 2)
+        return misuse("The usage is: oleander show KIND/NAME.");
+    const auto key = parseWord(call.words[1]);
+    if (!key)
+        return tl::make_unexpected(key.error());
+    return Plan{readRequest(pathOf(*key)), recordTable};
+}
+
+Result<Plan> planList(const Invocation &call)
+{
+    if (call.words.size() > 2)
+        return misuse("The usage is: oleander list [KIND].");
+    auto query = fmt::format("withdrawn={}&limit={}", call.options.withWithdrawn ? "yes" : "no",
+                             call.options.limit);
+    if (call.words.size() == 2) {
+        if (!Records::kindNamed(call.words[1])) {
+            return misuse(fmt::format("The kind is '{}'; allowed is {}.", call.words[1],
+                                      Records::allowedKinds()));
+        }
+        query += "&kind=" + call.words[1];
+    }
+    return Plan{readRequest("/v1/records", std::move(query)), listTable};
+}
+
+Result<Plan> planEvents(const Invocation &call)
+{
+    if (call.words.size() != 1)
+        return misuse("The usage is: oleander events [--after=N].");
+    return Plan{readRequest("/v1/events", fmt::format("after={}&limit={}", call.options.after,
+                                                      call.options.limit)),
+                eventTable};
+}
+
+Result<Plan> planStatus(const Invocation &call)
+{
+    if (call.words.size() != 1)
+        return misuse("The usage is: oleander status.");
+    return Plan{readRequest("/v1/status"), statusTable};
+}
+
+Result<Plan> planDump(const Invocation &call)
+{
+    if (call.words.size() != 1)
+        return misuse("The usage is: oleander dump --server=ADDRESS:PORT.");
+    const bool isJson = call.options.format == OutputFormat::Json;
+    return Plan{readRequest("/v1/dump", isJson ? "output=json" : ""),
+                [](const std::string &body) { return body; }};
+}
+
+constexpr CommandEntry Plans[] = {
+    {"submit", planSubmit}, {"amend", planAmend},   {"withdraw", planWithdraw}, {"show", planShow},
+    {"list", planList},     {"events", planEvents}, {"status", planStatus},     {"dump", planDump},
+};
+
+void printError(std::ostream &errors, const Error &error)
+{
+    errors << "oleander: " << error.text() << "\n";
+}
+
+ExitCode exitCodeOfStatus(unsigned status)
+{
+    switch (status) {
+    case 404:
+        return ExitCode::NotFound;
+    case 409:
+        return ExitCode::Conflict;
+    case 500:
+        return ExitCode::OutcomeUnknown;
+    case 503:
+    case 507:
+        return ExitCode::Unavailable;
+    case 504:
+        return ExitCode::OutcomeUnknown;
+    default:
+        return ExitCode::Refused;
+    }
+}
+
+/** Error that a problem document (RFC 9457) tells of. */
+Error problemError(const EntryAnswer &answer)
+{
+    Error error =
+        makeError(Failure::Refused, Step::Answer, answer.entry,
+                  fmt::format("The entry answered with HTTP status {}.", answer.response.status));
+    const auto body = nlohmann::json::parse(answer.response.body, nullptr, false);
+    if (!body.is_object())
+        return error;
+    const auto detail = body.find("detail");
+    if (detail != body.end() && detail->is_string())
+        error.detail = detail->get<std::string>();
+    const auto step = body.find("step");
+    if (step != body.end() && step->is_string())
+        error.step = stepNamed(step->get<std::string>()).value_or(Step::Answer);
+    return error;
+}
+
+/** A wave is a success only when every record of it was withdrawn or gone already. */
+ExitCode exitCodeOfAnswer(const EntryAnswer &answer)
+{
+    if (answer.response.status >= 300)
+        return exitCodeOfStatus(answer.response.status);
+    const auto body = nlohmann::json::parse(answer.response.body, nullptr, false);
+    const bool isPartlyRefused =
+        body.is_object() && body.contains("refused") && body["refused"] != 0;
+    return isPartlyRefused ? ExitCode::Refused : ExitCode::Success;
+}
+
+ExitCode showAnswer(const Invocation &call, const Plan &plan, const EntryAnswer &answer)
+{
+    const bool isJson = call.options.format == OutputFormat::Json;
+    const bool isGood = answer.response.status < 300;
+    if (isJson)
+        call.output << answer.response.body;
+    else if (isGood)
+        call.output << plan.table(answer.response.body);
+    if (!isGood)
+        printError(call.errors, problemError(answer));
+    return exitCodeOfAnswer(answer);
+}
+
+/** Progress lines go to a person only: standard error that is a terminal. */
+std::function<void(Duration, const std::string &)> progressTo(std::ostream &errors)
+{
+    if (isatty(STDERR_FILENO) == 0)
+        return {};
+    return [&errors](Duration elapsed, const std::string &what) {
+        const auto whole = std::chrono::duration_cast<std::chrono::seconds>(elapsed).count();
+        errors << fmt::format("oleander: {} s: {}\n", whole, what) << std::flush;
+    };
+}
+
+ExitCode carryOut(const Invocation &call, const Plan &plan)
+{
+    const bool isChange = plan.request.method != "GET";
+    OperatorClient client({call.options.servers, call.options.timeout,
+                           isChange ? call.options.wait : Duration(0), progressTo(call.errors)});
+    const auto answer = client.call(plan.request);
+    if (!answer) {
+        printError(call.errors, answer.error());
+        if (isChange && answer.error().code == Failure::Unknown) {
+            call.errors << fmt::format("oleander: Repeat the same command with --key={} and "
+                                       "--author={}; it takes effect at most once.\n",
+                                       call.options.key, call.options.author);
+        }
+        return exitCodeOf(answer.error().code);
+    }
+    return showAnswer(call, plan, *answer);
+}
+
+} // namespace
+
+std::span<const OperatorCommand> operatorCommands()
+{
+    static const std::vector<OperatorCommand> Commands = {
+        {"submit",
+         "KIND/NAME FILE",
+         "Submits a new record; FILE - is standard input.",
+         {"server", "output", "author", "key", "timeout", "wait"}},
+        {"amend",
+         "KIND/NAME FILE --revision=N",
+         "Amends the record of the named revision.",
+         {"server", "output", "author", "key", "timeout", "wait", "revision"}},
+        {"withdraw",
+         "KIND/NAME...",
+         "Withdraws records; many are withdrawn in one command.",
+         {"server", "output", "author", "key", "timeout", "wait", "revision", "from"}},
+        {"show",
+         "KIND/NAME",
+         "Shows a record and what became of it.",
+         {"server", "output", "timeout"}},
+        {"list",
+         "[KIND]",
+         "Lists the records and their states.",
+         {"server", "output", "timeout", "withdrawn", "limit"}},
+        {"events",
+         "",
+         "Lists what happened, oldest first.",
+         {"server", "output", "timeout", "after", "limit"}},
+        {"status",
+         "",
+         "Shows the entry, its replica, the configuration, tasks and workers.",
+         {"server", "output", "timeout"}},
+        {"dump", "", "Shows the state of one process.", {"server", "output", "timeout"}},
+    };
+    return Commands;
+}
+
+int runOperatorCommand(const std::vector<std::string> &words, std::istream &input,
+                       std::ostream &output, std::ostream &errors)
+{
+    const auto entry = std::find_if(std::begin(Plans), std::end(Plans),
+                                    [&](const auto &row) { return row.name == words.front(); });
+    auto options = readCommandOptions();
+    if (!options) {
+        printError(errors, options.error());
+        return static_cast<int>(ExitCode::Usage);
+    }
+    const Invocation call{words, std::move(*options), input, output, errors};
+    const auto plan = entry->plan(call);
+    if (!plan) {
+        printError(errors, plan.error());
+        const bool isMisuse = plan.error().step == Step::CommandLine;
+        return static_cast<int>(isMisuse ? ExitCode::Usage : ExitCode::Refused);
+    }
+    return static_cast<int>(carryOut(call, *plan));
+}
+
+} // namespace Oleander
