routing: Add the router and the agent's admission as state machines without I/O

The router carries a caller's request through claim, attempts, retries and hedges to exactly one answer; the admission beside the minions runs each attempt at most once. Both are driven by fakes and the manual clock.

--- /dev/null
+++ b/Source/Routing/attemptbook.cpp
@@ -0,0 +1,200 @@
+#include "Routing/attemptbook.h"
+
+#include "Routing/duplicatetable.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace Oleander {
+
+namespace {
+
+/** A hedge goes out after this many times the usual latency. */
+constexpr int HedgeFactor = 2;
+
+/** True for an answer that tells of trouble at the minion rather than with the request. */
+bool tellsOfTrouble(std::uint32_t status)
+{
+    return status == HttpStatus::BadGateway || status == HttpStatus::ServiceUnavailable
+           || status == HttpStatus::GatewayTimeout;
+}
+
+} // namespace
+
+AttemptBook::AttemptBook(const Clock &clock, const RouterSettings &settings, RouterPort &port)
+    : clock_(clock)
+    , settings_(settings)
+    , port_(port)
+    , table_(settings.table)
+    , choice_(settings.location, settings.seed)
+    , retryBudget_(settings.retryBudget, clock.now())
+    , hedgeBudget_(settings.hedgeBudget, clock.now())
+{}
+
+void AttemptBook::countRequest()
+{
+    retryBudget_.deposit();
+    hedgeBudget_.deposit();
+}
+
+bool AttemptBook::hasTime(const RoutedRequest &request) const
+{
+    return request.deadline.remaining(clock_.now()) > settings_.answerMargin;
+}
+
+bool AttemptBook::mayRetry(const RoutedRequest &request)
+{
+    return request.tried.size() < settings_.maxAttempts && hasTime(request)
+           && retryBudget_.withdraw(clock_.now());
+}
+
+bool AttemptBook::mayHedge(const RoutedRequest &request)
+{
+    return request.caller.idempotent && request.tried.size() < settings_.maxAttempts
+           && hasTime(request) && hedgeBudget_.withdraw(clock_.now());
+}
+
+Minion *AttemptBook::choose(const RoutedRequest &request, std::size_t &eligible)
+{
+    std::vector<const Minion *> tried;
+    tried.reserve(request.tried.size());
+    for (const auto &[agent, minion] : request.tried)
+        tried.push_back(table_.find(agent, minion));
+    const auto candidates = table_.eligible(request.caller.service, clock_.now());
+    eligible = candidates.size();
+    return choice_.choose(candidates, tried, clock_.now());
+}
+
+bool AttemptBook::start(RoutedRequest &request)
+{
+    while (hasTime(request)) {
+        std::size_t eligible = 0;
+        Minion *minion = choose(request, eligible);
+        if (!minion) {
+            if (request.tried.empty()) {
+                request.remember(Step::Choose, settings_.entry,
+                                 fmt::format("None of the {} eligible minions of \"{}\" has room.",
+                                             eligible, request.caller.service));
+            }
+            return false;
+        }
+        const std::uint64_t sequence = nextSequence_++;
+        const TimePoint now = clock_.now();
+        table_.started(*minion, now);
+        request.tried.emplace_back(minion->agent, minion->status.name);
+        const auto sent = port_.dispatch(minion->agent, minion->agentIncarnation,
+                                         dispatchOf(request, *minion, sequence));
+        if (sent) {
+            request.outstanding[sequence] = {minion->agent, minion->agentIncarnation,
+                                             minion->status.name, now};
+            owners_[sequence] = request.id;
+            return true;
+        }
+        request.remember(Step::Send, minion->agent, sent.error().detail);
+        table_.failed(*minion, now);
+    }
+    if (request.tried.empty())
+        request.remember(Step::Choose, settings_.entry,
+                         "The time remaining is too short for an attempt.");
+    return false;
+}
+
+RequestDispatch AttemptBook::dispatchOf(const RoutedRequest &request, const Minion &minion,
+                                        std::uint64_t sequence) const
+{
+    RequestDispatch message;
+    message.request = attemptName(sequence);
+    message.minion = minion.status.name;
+    message.method = request.caller.method;
+    message.path = request.caller.path;
+    message.headers = request.caller.headers;
+    message.body = request.caller.body;
+    message.timeRemaining = request.deadline.remaining(clock_.now()) - settings_.answerMargin;
+    message.idempotent = request.caller.idempotent;
+    return message;
+}
+
+RequestId AttemptBook::owner(std::uint64_t sequence) const
+{
+    const auto found = owners_.find(sequence);
+    return found == owners_.end() ? 0 : found->second;
+}
+
+Minion *AttemptBook::minionOf(const Attempt &attempt)
+{
+    Minion *minion = table_.find(attempt.agent, attempt.minion);
+    return minion && minion->agentIncarnation == attempt.incarnation ? minion : nullptr;
+}
+
+void AttemptBook::takeLoad(const Attempt &attempt, const RequestAnswer &answer)
+{
+    if (Minion *minion = minionOf(attempt))
+        table_.report(*minion, answer.running, answer.queued);
+}
+
+void AttemptBook::succeeded(RoutedRequest &request, std::uint64_t sequence,
+                            const RequestAnswer &answer)
+{
+    const Attempt attempt = request.outstanding.at(sequence);
+    const Duration latency = clock_.now() - attempt.startedAt;
+    auto delay = hedgeDelays_.try_emplace(request.caller.service, settings_.hedgeQuantile).first;
+    delay->second.observe(latency);
+    if (Minion *minion = minionOf(attempt)) {
+        if (tellsOfTrouble(answer.status))
+            table_.failed(*minion, clock_.now());
+        else
+            table_.succeeded(*minion, latency, clock_.now());
+    }
+    takeLoad(attempt, answer);
+    owners_.erase(sequence);
+    request.outstanding.erase(sequence);
+}
+
+void AttemptBook::ended(RoutedRequest &request, std::uint64_t sequence, bool minionFailed)
+{
+    const auto found = request.outstanding.find(sequence);
+    if (found == request.outstanding.end())
+        return;
+    if (Minion *minion = minionOf(found->second)) {
+        if (minionFailed)
+            table_.failed(*minion, clock_.now());
+        else
+            table_.abandoned(*minion);
+    }
+    owners_.erase(sequence);
+    request.outstanding.erase(found);
+}
+
+void AttemptBook::cancelAll(RoutedRequest &request, std::uint64_t failedBelow)
+{
+    while (!request.outstanding.empty()) {
+        const auto [sequence, attempt] = *request.outstanding.begin();
+        port_.cancel(attempt.agent, attempt.incarnation, {attemptName(sequence)});
+        ended(request, sequence, sequence < failedBelow);
+    }
+}
+
+bool AttemptBook::isSuspect(const Attempt &attempt)
+{
+    const auto silence = table_.silence(attempt.agent, clock_.now());
+    if (!silence || *silence >= settings_.table.agentTimeout)
+        return true;
+    const Minion *minion = minionOf(attempt);
+    return !minion || minion->status.state == MinionState::Lapsed;
+}
+
+std::optional<TimePoint> AttemptBook::hedgeTime(const RoutedRequest &request) const
+{
+    const auto delay = hedgeDelays_.find(request.caller.service);
+    if (!request.caller.idempotent || delay == hedgeDelays_.end())
+        return std::nullopt;
+    return clock_.now() + std::max(HedgeFactor * delay->second.value(), settings_.minHedgeDelay);
+}
+
+std::string AttemptBook::attemptName(std::uint64_t sequence) const
+{
+    return AttemptId{settings_.entry, settings_.incarnation, sequence}.text();
+}
+
+} // namespace Oleander
--- /dev/null
+++ b/Source/Routing/requestadmission.cpp
@@ -0,0 +1,327 @@
+#include "Routing/requestadmission.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace Oleander {
+
+namespace {
+
+/** How often deadlines in queues and announcements are looked at. */
+constexpr Duration TickPeriod = std::chrono::milliseconds(20);
+
+std::string refusalText(AdmissionQueue::Verdict verdict, const std::string &minion)
+{
+    if (verdict == AdmissionQueue::Verdict::Full)
+        return fmt::format("The slots and connections of the minion \"{}\" are taken.", minion);
+    return fmt::format("The minion \"{}\" could not answer before the deadline.", minion);
+}
+
+} // namespace
+
+RequestAdmission::RequestAdmission(const Clock &clock, RequestAdmissionSettings settings,
+                                   AdmissionPort &port)
+    : clock_(clock)
+    , settings_(std::move(settings))
+    , port_(port)
+    , duplicates_(settings_.maxRemembered)
+{}
+
+Result<void> RequestAdmission::announce(const MinionAnnouncement &announcement)
+{
+    auto found = minions_.find(announcement.name);
+    if (found == minions_.end() && minions_.size() >= settings_.maxMinions) {
+        return fail(Failure::Overloaded, Step::Join, announcement.name,
+                    fmt::format("The agent already has {} minions, its limit.", minions_.size()));
+    }
+    const bool known = found != minions_.end();
+    if (!known) {
+        found = minions_
+                    .emplace(announcement.name,
+                             LocalMinion{.queue = AdmissionQueue(announcement.capacity)})
+                    .first;
+    }
+    LocalMinion &minion = found->second;
+    const bool changed = !known || minion.state != MinionState::Serving
+                         || minion.announcement.service != announcement.service;
+    minion.announcement = announcement;
+    minion.state = MinionState::Serving;
+    minion.expiry = clock_.now() + announcement.timeToLive;
+    minion.queue.setCapacity(announcement.capacity);
+    if (announcement.busy)
+        minion.queue.announceBusy(*announcement.busy);
+    startNext(minion);
+    if (changed)
+        minionsChanged();
+    return {};
+}
+
+Result<void> RequestAdmission::withdraw(const std::string &name)
+{
+    const auto found = minions_.find(name);
+    if (found == minions_.end()) {
+        return fail(Failure::NotFound, Step::Leave, name,
+                    fmt::format("No minion \"{}\" is announced here.", name));
+    }
+    LocalMinion &minion = found->second;
+    minion.state = MinionState::Draining;
+    minion.expiry = clock_.now();
+    refuseQueued(minion, "leaves");
+    minionsChanged();
+    return {};
+}
+
+void RequestAdmission::withdrawAll()
+{
+    for (auto &[name, minion] : minions_) {
+        minion.state = MinionState::Draining;
+        refuseQueued(minion, "leaves");
+    }
+    minionsChanged();
+}
+
+std::vector<MinionStatus> RequestAdmission::minions() const
+{
+    std::vector<MinionStatus> result;
+    result.reserve(minions_.size());
+    for (const auto &[name, minion] : minions_) {
+        MinionStatus status;
+        status.name = name;
+        status.service = minion.announcement.service;
+        status.state = minion.state;
+        status.slots = minion.announcement.capacity.slots;
+        status.connections = minion.announcement.capacity.connections;
+        status.running = minion.queue.running() + minion.queue.strays();
+        status.queued = minion.queue.queued();
+        result.push_back(std::move(status));
+    }
+    return result;
+}
+
+void RequestAdmission::dispatch(const std::string &entry, RequestDispatch message)
+{
+    const auto id = AttemptId::parse(message.request);
+    if (!id || id->entry != entry) {
+        answer(entry, message.minion,
+               answerOf(message.request, Outcome::NotRun, Step::Admit,
+                        fmt::format("\"{}\" does not name an attempt of the entry \"{}\".",
+                                    message.request, entry)));
+        return;
+    }
+    switch (duplicates_.begin(*id)) {
+    case DuplicateTable::Verdict::Fresh:
+        admit(entry, std::move(message));
+        return;
+    case DuplicateTable::Verdict::Duplicate:
+    case DuplicateTable::Verdict::Cancelled:
+        // The first copy answers for itself, and a cancelled attempt needs no answer.
+        ++counters_.duplicates;
+        return;
+    case DuplicateTable::Verdict::TooOld:
+        ++counters_.duplicates;
+        answer(entry, message.minion,
+               answerOf(message.request, Outcome::Unknown, Step::Admit,
+                        "The attempt is so old that an earlier copy of it may have run."));
+        return;
+    }
+}
+
+void RequestAdmission::admit(const std::string &entry, RequestDispatch message)
+{
+    if (settings_.gate) {
+        if (const auto open = settings_.gate(); !open) {
+            refuse(entry, message, open.error().detail);
+            return;
+        }
+    }
+    const auto found = minions_.find(message.minion);
+    if (found == minions_.end() || found->second.state != MinionState::Serving) {
+        refuse(entry, message,
+               fmt::format("The minion \"{}\" is not announced, or leaves.", message.minion));
+        return;
+    }
+    LocalMinion &minion = found->second;
+    const TimePoint now = clock_.now();
+    const Deadline deadline(now, message.timeRemaining);
+    const auto verdict = minion.queue.offer(message.request, deadline, now);
+    if (verdict == AdmissionQueue::Verdict::Full || verdict == AdmissionQueue::Verdict::TooLate) {
+        refuse(entry, message, refusalText(verdict, message.minion));
+        return;
+    }
+    const std::string name = message.request;
+    Admitted &admitted =
+        admitted_.emplace(name, Admitted{entry, std::move(message), deadline}).first->second;
+    ++counters_.admitted;
+    if (verdict == AdmissionQueue::Verdict::Run)
+        run(minion, admitted);
+}
+
+void RequestAdmission::run(LocalMinion &minion, Admitted &admitted)
+{
+    ++running_;
+    admitted.running = true;
+    admitted.address = minion.announcement.address;
+    admitted.startedAt = clock_.now();
+    port_.run(admitted.address, admitted.message, admitted.deadline.remaining(admitted.startedAt));
+}
+
+void RequestAdmission::startNext(LocalMinion &minion)
+{
+    const auto next = minion.queue.next(clock_.now());
+    for (const auto &request : next.tooLate) {
+        const auto found = admitted_.find(request);
+        if (found == admitted_.end())
+            continue;
+        const Admitted late = std::move(found->second);
+        admitted_.erase(found);
+        refuse(late.entry, late.message, "The deadline passed while the request was queued.");
+    }
+    for (const auto &request : next.start)
+        run(minion, admitted_.at(request));
+}
+
+void RequestAdmission::refuseQueued(LocalMinion &minion, const std::string &why)
+{
+    for (const auto &request : minion.queue.clear()) {
+        const auto found = admitted_.find(request);
+        if (found == admitted_.end())
+            continue;
+        const Admitted queued = std::move(found->second);
+        admitted_.erase(found);
+        refuse(queued.entry, queued.message,
+               fmt::format("The minion \"{}\" {}.", queued.message.minion, why));
+    }
+}
+
+void RequestAdmission::refuse(const std::string &entry, const RequestDispatch &message,
+                              std::string detail)
+{
+    ++counters_.refused;
+    answer(entry, message.minion,
+           answerOf(message.request, Outcome::NotRun, Step::Admit, std::move(detail)));
+}
+
+RequestAnswer RequestAdmission::answerOf(const std::string &request, Outcome outcome, Step step,
+                                         std::string detail) const
+{
+    RequestAnswer result;
+    result.request = request;
+    result.outcome = outcome;
+    result.step = step;
+    result.peer = settings_.agent;
+    result.detail = std::move(detail);
+    return result;
+}
+
+void RequestAdmission::answer(const std::string &entry, const std::string &minion,
+                              RequestAnswer answer)
+{
+    const auto found = minions_.find(minion);
+    if (found != minions_.end()) {
+        answer.running = found->second.queue.running() + found->second.queue.strays();
+        answer.queued = found->second.queue.queued();
+    }
+    port_.answer(entry, std::move(answer));
+}
+
+void RequestAdmission::cancel(const RequestCancel &message)
+{
+    const auto id = AttemptId::parse(message.request);
+    if (!id || !duplicates_.cancel(*id))
+        return;
+    const auto found = admitted_.find(message.request);
+    if (found == admitted_.end())
+        return;
+    ++counters_.cancelled;
+    const Admitted admitted = std::move(found->second);
+    admitted_.erase(found);
+    if (admitted.running) {
+        port_.abort(admitted.address, message.request);
+        release(admitted, Outcome::Unknown);
+        return;
+    }
+    const auto minion = minions_.find(admitted.message.minion);
+    if (minion != minions_.end())
+        minion->second.queue.remove(message.request);
+}
+
+void RequestAdmission::release(const Admitted &admitted, Outcome outcome)
+{
+    --running_;
+    const auto found = minions_.find(admitted.message.minion);
+    if (found == minions_.end())
+        return;
+    LocalMinion &minion = found->second;
+    const TimePoint now = clock_.now();
+    if (outcome == Outcome::Ran) {
+        minion.queue.finished(now - admitted.startedAt, now);
+    } else {
+        minion.queue.abandoned();
+        // The minion may still work on it; only its own announcement tells when the slot is free.
+        if (outcome == Outcome::Unknown && minion.announcement.busy)
+            minion.queue.addStray();
+    }
+    startNext(minion);
+}
+
+void RequestAdmission::finished(const std::string &request, RequestAnswer whole)
+{
+    const auto found = admitted_.find(request);
+    if (found == admitted_.end())
+        return;
+    const Admitted admitted = std::move(found->second);
+    admitted_.erase(found);
+    release(admitted, Outcome::Ran);
+    whole.request = request;
+    whole.outcome = Outcome::Ran;
+    answer(admitted.entry, admitted.message.minion, std::move(whole));
+}
+
+void RequestAdmission::failed(const std::string &request, Outcome outcome, Step step,
+                              std::string detail)
+{
+    const auto found = admitted_.find(request);
+    if (found == admitted_.end())
+        return;
+    const Admitted admitted = std::move(found->second);
+    admitted_.erase(found);
+    release(admitted, outcome);
+    auto result = answerOf(request, outcome, step, std::move(detail));
+    result.peer = admitted.message.minion;
+    answer(admitted.entry, admitted.message.minion, std::move(result));
+}
+
+void RequestAdmission::tick()
+{
+    const TimePoint now = clock_.now();
+    bool changed = false;
+    for (auto &[name, minion] : minions_) {
+        if (minion.state == MinionState::Serving && now >= minion.expiry) {
+            minion.state = MinionState::Lapsed;
+            refuseQueued(minion, "did not renew its announcement");
+            changed = true;
+        }
+        startNext(minion);
+    }
+    const auto forgotten = std::erase_if(minions_, [&](const auto &entry) {
+        const LocalMinion &minion = entry.second;
+        return minion.state != MinionState::Serving && minion.queue.running() == 0
+               && now >= minion.expiry + settings_.forgetAfter;
+    });
+    if (changed || forgotten > 0)
+        minionsChanged();
+}
+
+TimePoint RequestAdmission::nextWakeup() const
+{
+    return clock_.now() + TickPeriod;
+}
+
+void RequestAdmission::minionsChanged() const
+{
+    if (minionsChanged_)
+        minionsChanged_();
+}
+
+} // namespace Oleander
--- /dev/null
+++ b/Source/Routing/router.cpp
@@ -0,0 +1,400 @@
+#include "Routing/router.h"
+
+#include "Routing/duplicatetable.h"
+#include "Routing/requestclaim.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <limits>
+
+namespace Oleander {
+
+Router::Router(const Clock &clock, RouterSettings settings, RouterPort &port)
+    : clock_(clock)
+    , settings_(std::move(settings))
+    , attempts_(clock, settings_, port)
+    , claims_(clock, settings_.claims)
+    , nextReview_(clock.now() + settings_.reviewPeriod)
+{}
+
+RequestId Router::submit(CallerRequest caller, Callback callback)
+{
+    ++counters_.submitted;
+    const RequestId id = nextRequest_++;
+    if (auto refused = refusal(caller)) {
+        count(*refused);
+        callback(std::move(*refused));
+        return id;
+    }
+    const Deadline deadline(clock_.now(), caller.timeout);
+    auto owned = std::make_unique<RoutedRequest>(RoutedRequest{
+        .id = id,
+        .caller = std::move(caller),
+        .callback = std::move(callback),
+        .deadline = deadline,
+    });
+    RoutedRequest &request = *requests_.emplace(id, std::move(owned)).first->second;
+    schedule(request);
+    if (request.caller.idempotent || request.caller.idempotencyKey.empty()) {
+        start(request);
+        return id;
+    }
+    request.token = AttemptId{settings_.entry, settings_.incarnation, id}.text();
+    claimKey(request);
+    return id;
+}
+
+std::optional<RequestProblem> Router::refusal(const CallerRequest &caller) const
+{
+    if (settings_.gate) {
+        if (const auto open = settings_.gate(); !open) {
+            return notRun(HttpStatus::ServiceUnavailable, open.error().step, settings_.entry,
+                          open.error().detail);
+        }
+    }
+    if (requests_.size() >= settings_.maxInFlight) {
+        return notRun(HttpStatus::ServiceUnavailable, Step::Accept, settings_.entry,
+                      fmt::format("The entry has {} requests in flight, which is its limit.",
+                                  requests_.size()));
+    }
+    const bool recorded = settings_.serviceRecorded && settings_.serviceRecorded(caller.service);
+    if (recorded || table().knowsService(caller.service))
+        return std::nullopt;
+    auto unknown =
+        notRun(HttpStatus::NotFound, Step::Accept, settings_.entry,
+               fmt::format("The path names the service \"{}\", of which no record and no minion "
+                           "is known.",
+                           caller.service));
+    unknown.retryAfter.reset();
+    return unknown;
+}
+
+void Router::start(RoutedRequest &request)
+{
+    attempts_.countRequest();
+    if (!attempts_.start(request)) {
+        endWithoutAnswer(request, HttpStatus::BadGateway);
+        return;
+    }
+    request.hedgeAt = attempts_.hedgeTime(request);
+    schedule(request);
+}
+
+void Router::callerLeft(RequestId id)
+{
+    const auto found = requests_.find(id);
+    if (found == requests_.end())
+        return;
+    ++counters_.callersLeft;
+    RoutedRequest &request = *found->second;
+    request.callback = nullptr;
+    // A claimed request runs on: its caller may come back for the answer with the same key.
+    if (!request.token.empty())
+        return;
+    attempts_.cancelAll(request, 0);
+    wakeups_.erase({request.wakeup, id});
+    requests_.erase(found);
+}
+
+void Router::claimKey(RoutedRequest &request)
+{
+    request.claimAgainAt.reset();
+    claims_.claim(request.claimKey(), fingerprint(request.caller), request.token,
+                  [this, id = request.id](Result<ClaimOutcome> result) {
+                      claimAnswered(id, std::move(result));
+                  });
+}
+
+void Router::claimAnswered(RequestId id, Result<ClaimOutcome> result)
+{
+    const auto found = requests_.find(id);
+    if (found == requests_.end())
+        return;
+    RoutedRequest &request = *found->second;
+    if (result) {
+        claimSettled(request, *result);
+        return;
+    }
+    // Nothing was dispatched, and a claim that was committed after all names this token.
+    request.remember(Step::Claim, result.error().peer, result.error().detail);
+    claimAgainLater(request);
+}
+
+void Router::claimAgainLater(RoutedRequest &request)
+{
+    request.claimAgainAt = clock_.now() + settings_.claimRetryDelay;
+    schedule(request);
+}
+
+void Router::claimSettled(RoutedRequest &request, const ClaimOutcome &outcome)
+{
+    switch (outcome.verdict) {
+    case ClaimVerdict::Granted:
+        request.claimGranted = true;
+        start(request);
+        return;
+    case ClaimVerdict::Held:
+        request.heldBy = outcome.holder;
+        claimAgainLater(request);
+        return;
+    case ClaimVerdict::Finished:
+        request.heldBy = outcome.holder;
+        end(request, keptAnswer(outcome));
+        return;
+    case ClaimVerdict::Mismatch:
+        request.heldBy = outcome.holder;
+        end(request, RequestProblem{HttpStatus::UnprocessableContent, Outcome::NotRun, Step::Claim,
+                                    outcome.holder,
+                                    "The header Idempotency-Key holds a key that was used before "
+                                    "with another method, path or body.",
+                                    std::nullopt});
+        return;
+    case ClaimVerdict::Full:
+    case ClaimVerdict::Recorded:
+        end(request, notRun(HttpStatus::ServiceUnavailable, Step::Claim, settings_.entry,
+                            "The table of Idempotency-Keys is full."));
+        return;
+    }
+}
+
+bool Router::heartbeat(const std::string &agent, std::uint64_t incarnation,
+                       const Heartbeat &heartbeat)
+{
+    const bool restarted = incarnation > attempts_.table().incarnation(agent);
+    if (!attempts_.table().update(agent, incarnation, heartbeat, clock_.now()))
+        return false;
+    if (restarted)
+        failLostAttempts(agent, incarnation);
+    return true;
+}
+
+void Router::failLostAttempts(const std::string &agent, std::uint64_t incarnation)
+{
+    std::vector<std::pair<RequestId, std::uint64_t>> lost;
+    for (const auto &[id, request] : requests_) {
+        for (const auto &[sequence, attempt] : request->outstanding) {
+            if (attempt.agent == agent && attempt.incarnation < incarnation)
+                lost.emplace_back(id, sequence);
+        }
+    }
+    RequestAnswer answer;
+    answer.outcome = Outcome::Unknown;
+    answer.step = Step::Run;
+    answer.peer = agent;
+    answer.detail = "The agent restarted before it told what became of the request.";
+    for (const auto &[id, sequence] : lost) {
+        const auto found = requests_.find(id);
+        if (found != requests_.end())
+            attemptFailed(*found->second, sequence, answer);
+    }
+}
+
+void Router::answered(const std::string &agent, std::uint64_t incarnation, RequestAnswer answer)
+{
+    const auto name = AttemptId::parse(answer.request);
+    const bool own =
+        name && name->entry == settings_.entry && name->incarnation == settings_.incarnation;
+    const RequestId id = own ? attempts_.owner(name->sequence) : 0;
+    if (id == 0) {
+        ++counters_.lateAnswers;
+        return;
+    }
+    RoutedRequest &request = *requests_.at(id);
+    const Attempt attempt = request.outstanding.at(name->sequence);
+    if (attempt.agent != agent || attempt.incarnation != incarnation) {
+        ++counters_.lateAnswers;
+        return;
+    }
+    if (answer.status == 0) {
+        attempts_.takeLoad(attempt, answer);
+        attemptFailed(request, name->sequence, answer);
+        return;
+    }
+    attempts_.succeeded(request, name->sequence, answer);
+    request.winner = name->sequence;
+    end(request, MinionAnswer{answer.status, std::move(answer.headers), std::move(answer.body)});
+}
+
+void Router::attemptFailed(RoutedRequest &request, std::uint64_t sequence,
+                           const RequestAnswer &answer)
+{
+    // A refusal by admission speaks of load, not of the minion's health.
+    const bool refused = answer.outcome == Outcome::NotRun && answer.step == Step::Admit;
+    attempts_.ended(request, sequence, !refused);
+    request.mayHaveRun = request.mayHaveRun || answer.outcome != Outcome::NotRun;
+    request.remember(answer.step, answer.peer, answer.detail);
+    if (answer.outcome == Outcome::Ran && !request.caller.idempotent) {
+        end(request, RequestProblem{HttpStatus::BadGateway, Outcome::Ran, answer.step, answer.peer,
+                                    answer.detail, std::nullopt});
+        return;
+    }
+    continueOrEnd(request);
+}
+
+void Router::continueOrEnd(RoutedRequest &request)
+{
+    if (!request.outstanding.empty())
+        return;
+    const bool mayRunAgain = request.caller.idempotent || !request.mayHaveRun;
+    if (mayRunAgain && attempts_.mayRetry(request) && attempts_.start(request)) {
+        ++counters_.retries;
+        return;
+    }
+    endWithoutAnswer(request, HttpStatus::BadGateway);
+}
+
+void Router::hedge(RoutedRequest &request)
+{
+    request.hedgeAt.reset();
+    schedule(request);
+    if (request.outstanding.size() == 1 && attempts_.mayHedge(request) && attempts_.start(request))
+        ++counters_.hedges;
+}
+
+void Router::reviewSuspects()
+{
+    for (const auto &[id, request] : requests_) {
+        auto &outstanding = request->outstanding;
+        const bool lost =
+            !outstanding.empty()
+            && std::all_of(outstanding.begin(), outstanding.end(), [this](const auto &attempt) {
+                   return attempts_.isSuspect(attempt.second);
+               });
+        // The attempt stays outstanding beside the new one: its answer may still come first.
+        if (lost && request->caller.idempotent && attempts_.mayRetry(*request)
+            && attempts_.start(*request))
+            ++counters_.retries;
+    }
+}
+
+void Router::tick()
+{
+    const TimePoint now = clock_.now();
+    while (!wakeups_.empty() && wakeups_.begin()->first <= now) {
+        RoutedRequest &request = *requests_.at(wakeups_.begin()->second);
+        if (request.deadline.expired(now)) {
+            expire(request);
+        } else if (request.claimAgainAt && *request.claimAgainAt <= now) {
+            claimKey(request);
+            schedule(request);
+        } else {
+            hedge(request);
+        }
+    }
+    if (now >= nextReview_) {
+        nextReview_ = now + settings_.reviewPeriod;
+        reviewSuspects();
+        attempts_.table().expire(now);
+    }
+}
+
+void Router::expire(RoutedRequest &request)
+{
+    if (request.waitsForClaim()) {
+        expireUnclaimed(request);
+        return;
+    }
+    if (!request.outstanding.empty()) {
+        const Attempt &last = request.outstanding.rbegin()->second;
+        request.mayHaveRun = true;
+        request.remember(
+            Step::Answer, last.agent,
+            fmt::format("The minion \"{}\" gave no answer before the deadline.", last.minion));
+        attempts_.cancelAll(request, std::numeric_limits<std::uint64_t>::max());
+    }
+    endWithoutAnswer(request, HttpStatus::GatewayTimeout);
+}
+
+void Router::expireUnclaimed(RoutedRequest &request)
+{
+    if (request.heldBy.empty()) {
+        end(request, notRun(HttpStatus::ServiceUnavailable, Step::Claim, request.lastPeer,
+                            "The Idempotency-Key could not be claimed before the deadline. "
+                                + request.lastDetail));
+        return;
+    }
+    end(request,
+        RequestProblem{HttpStatus::Conflict, Outcome::Unknown, Step::Claim, request.heldBy,
+                       "An earlier request with this Idempotency-Key has not told its outcome "
+                       "before the deadline.",
+                       std::nullopt});
+}
+
+void Router::endWithoutAnswer(RoutedRequest &request, unsigned unknownStatus)
+{
+    if (!request.mayHaveRun) {
+        end(request, notRun(HttpStatus::ServiceUnavailable, request.lastStep, request.lastPeer,
+                            request.lastDetail));
+        return;
+    }
+    end(request, RequestProblem{unknownStatus, Outcome::Unknown, request.lastStep, request.lastPeer,
+                                request.lastDetail, std::nullopt});
+}
+
+void Router::end(RoutedRequest &request, CallerAnswer answer)
+{
+    count(answer);
+    recordOutcome(request, answer);
+    attempts_.cancelAll(request, request.winner);
+    wakeups_.erase({request.wakeup, request.id});
+    const Callback callback = std::move(request.callback);
+    requests_.erase(request.id);
+    if (callback)
+        callback(std::move(answer));
+}
+
+void Router::recordOutcome(const RoutedRequest &request, const CallerAnswer &answer)
+{
+    // Without another holder the claim may still be on its way to being granted: it is given back.
+    const bool mayHold = request.claimGranted || request.heldBy.empty();
+    if (!request.token.empty() && mayHold)
+        claims_.finish(request.claimKey(), request.token, answerToKeep(answer));
+}
+
+void Router::count(const CallerAnswer &answer)
+{
+    ++counters_.answered;
+    const auto *problem = std::get_if<RequestProblem>(&answer);
+    switch (problem ? problem->outcome : Outcome::Ran) {
+    case Outcome::NotRun:
+        ++counters_.notRun;
+        return;
+    case Outcome::Unknown:
+        ++counters_.unknown;
+        return;
+    case Outcome::Ran:
+        ++counters_.ran;
+        return;
+    }
+}
+
+void Router::schedule(RoutedRequest &request)
+{
+    wakeups_.erase({request.wakeup, request.id});
+    request.wakeup = request.deadline.end();
+    if (request.claimAgainAt)
+        request.wakeup = std::min(request.wakeup, *request.claimAgainAt);
+    if (request.hedgeAt)
+        request.wakeup = std::min(request.wakeup, *request.hedgeAt);
+    wakeups_.emplace(request.wakeup, request.id);
+}
+
+TimePoint Router::nextWakeup() const
+{
+    TimePoint next = nextReview_;
+    if (!wakeups_.empty())
+        next = std::min(next, wakeups_.begin()->first);
+    if (const auto ready = claims_.nextReady())
+        next = std::min(next, *ready);
+    return next;
+}
+
+RequestProblem Router::notRun(unsigned status, Step step, std::string peer,
+                              std::string detail) const
+{
+    return {status,          Outcome::NotRun,   step,
+            std::move(peer), std::move(detail), settings_.retryAfter};
+}
+
+} // namespace Oleander
