--- a/Tests/Bench/agentbench.cpp
+++ b/Tests/Bench/agentbench.cpp
@@ -107,7 +107,8 @@
         fmt::print("figure agent.processor {:.2f} % target <=1.6\n",
                    (after.processorSeconds - before.processorSeconds) * 100 / seconds);
     } else {
-        fmt::print(stderr, "requests or tasks ended before the measurement did\n");
+        fmt::print(stderr, "requests ended before the measurement did: {}; records:\n{}",
+                   ended.load(), cluster.operate(0, {"list"}).output);
     }
     // The callers' connections end with their entry.
     cluster.entry(0).kill();
--- /dev/null
+++ b/Tests/Oleander/processtest.cpp
@@ -0,0 +1,59 @@
+#include "Support/cluster.h"
+#include "Support/httpcall.h"
+
+#include <catch2/catch.hpp>
+
+#include <csignal>
+
+using namespace Oleander::Testing;
+
+namespace {
+
+bool contains(const std::string &text, const std::string &part)
+{
+    return text.find(part) != std::string::npos;
+}
+
+} // namespace
+
+TEST_CASE("Every process shows its state and metrics at its operators' door and on SIGUSR1")
+{
+    ClusterOptions options;
+    options.entries = 1;
+    options.agents = 1;
+    Cluster cluster(options);
+    REQUIRE(cluster.start());
+    for (const auto &door : {cluster.operatorDoor(0), cluster.agentOperatorDoor(0)}) {
+        const auto dump = httpCall(door, {"GET", "/v1/dump", {}, {}});
+        REQUIRE(dump);
+        CHECK(dump->status == 200);
+        CHECK(contains(dump->body, "process self id="));
+        const auto metrics = httpCall(door, {"GET", "/metrics", {}, {}});
+        REQUIRE(metrics);
+        CHECK(metrics->status == 200);
+    }
+    for (auto *process : {&cluster.entry(0), &cluster.agent(0)}) {
+        process->signal(SIGUSR1);
+        CHECK(waitFor([&] { return contains(process->standardError(), "\nprocess self id="); }));
+        process->signal(SIGTERM);
+        const auto end = process->wait();
+        REQUIRE(end);
+        CHECK(end->exitCode == 0);
+        CHECK(contains(process->standardError(), "name=process.stopping"));
+        CHECK(contains(process->standardError(), "name=process.stopped"));
+    }
+}
+
+TEST_CASE("An address in use ends the start with an exit code and a line that names it")
+{
+    ClusterOptions options;
+    options.entries = 1;
+    options.agents = 0;
+    Cluster cluster(options);
+    REQUIRE(cluster.start());
+    const auto second = cluster.startAnotherEntry(0);
+    CHECK(second.exitCode != 0);
+    CHECK(second.exitCode != -1);
+    CHECK(contains(second.errors, "name=process.start-failed"));
+    CHECK(contains(second.errors, cluster.link(0)));
+}
--- a/Tests/Support/cluster.cpp
+++ b/Tests/Support/cluster.cpp
@@ -2,6 +2,8 @@
 
 #include "Support/loopback.h"
 
+#include <cstdlib>
+
 namespace Oleander::Testing {
 
 namespace {
@@ -19,6 +21,8 @@
 
 Cluster::Cluster(ClusterOptions options) : options_(std::move(options))
 {
+    // The command line asks for the operator's name, and CI has no user's name to fall back on.
+    setenv("OLEANDER_OPERATOR", "tester", 0);
     for (std::size_t i = 0; i < options_.entries; ++i) {
         const std::string host = Loopback::nextHost();
         auto &entry = entries_.emplace_back();
@@ -103,6 +107,12 @@
     host.minion = std::make_unique<ChildProcess>(std::move(command));
 }
 
+CommandResult Cluster::startAnotherEntry(std::size_t entry) const
+{
+    const auto settings = folder_.path() / (entries_.at(entry).name + ".ini");
+    return runCommand({OLEANDER_PROGRAM, "serve", settings.string()});
+}
+
 bool Cluster::waitStarted(const ChildProcess &process) const
 {
     return waitFor(
--- a/Tests/Support/cluster.h
+++ b/Tests/Support/cluster.h
@@ -55,6 +55,8 @@
     void startAgent(std::size_t agent);
     void startWorker(std::size_t agent);
     void startMinion(std::size_t agent);
+    /** Starts a second process with the settings of an entry that runs, and waits for its end. */
+    CommandResult startAnotherEntry(std::size_t entry) const;
     /** Waits until the process has logged that it serves. */
     bool waitStarted(const ChildProcess &process) const;
 
