entry, agent: Assemble the tasks of both programs

Cause: the parts were there and no process ran them. The processes own the order of start (inbox, replica, operators' door, callers' door) and of the graceful end (health, drain delay, listener, requests in flight).

--- /dev/null
+++ b/Source/Agent/agentprocess.cpp
@@ -0,0 +1,135 @@
+#include "Agent/agentprocess.h"
+
+#include "Agent/heartbeattask.h"
+#include "Agent/miniondoor.h"
+#include "Agent/requesttask.h"
+#include "Agent/workertask.h"
+#include "Runtime/incarnation.h"
+#include "Runtime/log.h"
+#include "Runtime/messenger.h"
+#include "Settings/exitcode.h"
+
+#include <csignal>
+
+namespace Oleander {
+
+namespace {
+
+// Entries hear of leaving minions and stop sending work within this time.
+constexpr Duration DrainDelay = std::chrono::seconds(2);
+constexpr Duration DrainPoll = std::chrono::milliseconds(50);
+
+RequestAdmissionSettings admissionSettings(const AgentSettings &settings)
+{
+    RequestAdmissionSettings admission;
+    admission.agent = settings.name;
+    admission.maxRemembered = settings.admission.rememberedRequests;
+    return admission;
+}
+
+WorkerTaskOptions workerOptions(const AgentSettings &settings)
+{
+    WorkerTaskOptions options;
+    options.address = settings.worker.address;
+    options.callTimeout = settings.worker.callTimeout;
+    options.usageInterval = settings.worker.usageInterval;
+    return options;
+}
+
+HeartbeatTaskOptions heartbeatOptions(const AgentSettings &settings)
+{
+    HeartbeatTaskOptions options;
+    options.location = settings.location;
+    options.capacity = settings.worker.capacity;
+    options.inbox = settings.linkAdvertised;
+    options.interval = settings.heartbeatInterval;
+    for (const auto &entry : settings.entries)
+        options.entries.push_back(entry.name);
+    return options;
+}
+
+/**
+ * \class AgentProcess
+ * \brief The tasks of one agent and the order in which they start and end.
+ */
+class AgentProcess
+{
+public:
+    explicit AgentProcess(const AgentSettings &settings)
+        : settings_(settings)
+        , messenger_(loop_, settings.name, newIncarnation(loop_.clock()))
+        , requests_(loop_, messenger_, admissionSettings(settings))
+        , worker_(loop_, messenger_, workerOptions(settings))
+        , heartbeats_(loop_, messenger_, requests_, worker_, heartbeatOptions(settings))
+        , minionDoor_(loop_, requests_,
+                      {settings.minionLimits, settings.admission.maxMinionLifetime})
+        , drainTimer_(loop_, [this] { stopWhenIdle(); })
+    {}
+
+    ExitCode run()
+    {
+        if (const auto started = start(); !started) {
+            logEvent(LogEvent::StartFailed, started.error());
+            return exitCodeOf(started.error().code);
+        }
+        logEvent(LogEvent::ProcessStarted, Step::None, settings_.name,
+                 {{"incarnation", messenger_.incarnation()}});
+        loop_.run();
+        logEvent(LogEvent::ProcessStopped, Step::None, settings_.name, {});
+        return ExitCode::Success;
+    }
+
+private:
+    Result<void> start()
+    {
+        for (const int signal : {SIGTERM, SIGINT})
+            loop_.onSignal(signal, [this] { drain(); });
+        if (auto listening = messenger_.listen(settings_.link); !listening)
+            return tl::make_unexpected(listening.error());
+        for (const auto &entry : settings_.entries)
+            messenger_.addPeer(entry.name, entry.address);
+        if (auto listening = minionDoor_.listen(settings_.minionDoor); !listening)
+            return tl::make_unexpected(listening.error());
+        heartbeats_.start();
+        return {};
+    }
+
+    void drain()
+    {
+        if (draining_)
+            return;
+        draining_ = true;
+        logEvent(LogEvent::ProcessStopping, Step::Leave, settings_.name,
+                 {{"running", requests_.running()}});
+        requests_.startDraining();
+        drainStart_ = loop_.clock().now();
+        drainTimer_.startEvery(DrainPoll);
+    }
+
+    void stopWhenIdle()
+    {
+        if (loop_.clock().now() - drainStart_ >= DrainDelay && requests_.running() == 0)
+            loop_.stop();
+    }
+
+    AgentSettings settings_;
+    EventLoop loop_;
+    Messenger messenger_;
+    RequestTask requests_;
+    WorkerTask worker_;
+    HeartbeatTask heartbeats_;
+    MinionDoor minionDoor_;
+    Timer drainTimer_;
+    TimePoint drainStart_{};
+    bool draining_ = false;
+};
+
+} // namespace
+
+int runAgent(const AgentSettings &settings)
+{
+    AgentProcess process(settings);
+    return static_cast<int>(process.run());
+}
+
+} // namespace Oleander
--- /dev/null
+++ b/Source/Entry/entry.cpp
@@ -0,0 +1,208 @@
+#include "Entry/entry.h"
+
+#include "Entry/callerdoor.h"
+#include "Entry/operatordoor.h"
+#include "Entry/replicatask.h"
+#include "Entry/routertask.h"
+#include "Entry/schedulertask.h"
+#include "Runtime/incarnation.h"
+#include "Runtime/log.h"
+#include "Runtime/messenger.h"
+#include "Settings/exitcode.h"
+#include "State/controlstate.h"
+
+#include <algorithm>
+#include <csignal>
+
+namespace Oleander {
+
+namespace {
+
+constexpr Duration DrainPoll = std::chrono::milliseconds(20);
+
+ReplicaTaskOptions replicaOptions(const EntrySettings &settings)
+{
+    ReplicaTaskOptions options;
+    options.name = settings.name;
+    options.folder = settings.dataFolder;
+    for (const auto &member : settings.controlGroup)
+        options.replicas.push_back(member.name);
+    options.heartbeatInterval = settings.control.heartbeatInterval;
+    options.electionTimeout = settings.control.electionTimeout;
+    options.proposeTimeout = settings.control.proposalTimeout;
+    options.snapshotEntries = settings.control.snapshotEntries;
+    return options;
+}
+
+double percent(std::uint64_t value)
+{
+    return static_cast<double>(value) / 100.0;
+}
+
+RouterSettings routerSettings(const EntrySettings &settings, std::uint64_t incarnation)
+{
+    RouterSettings router;
+    router.entry = settings.name;
+    router.incarnation = incarnation;
+    router.location = settings.location;
+    router.seed = incarnation;
+    router.maxInFlight = settings.request.maxInFlight;
+    router.retryBudget.share = percent(settings.request.retryBudgetPercent);
+    router.hedgeBudget.share = percent(settings.request.hedgeBudgetPercent);
+    return router;
+}
+
+CallerDoorSettings callerDoorSettings(const EntrySettings &settings)
+{
+    CallerDoorSettings door;
+    door.limits = settings.callerLimits;
+    door.defaultTimeout = settings.request.defaultTimeout;
+    door.maxTimeout = settings.request.maxTimeout;
+    return door;
+}
+
+/**
+ * \class EntryProcess
+ * \brief The tasks of one entry and the order in which they start and end.
+ */
+class EntryProcess
+{
+public:
+    explicit EntryProcess(const EntrySettings &settings)
+        : settings_(settings)
+        , messenger_(loop_, settings.name, newIncarnation(loop_.clock()))
+        , replica_(loop_, messenger_, state_, replicaOptions(settings))
+        , router_(loop_, messenger_, routerSettings(settings, messenger_.incarnation()),
+                  [this](ClaimBatch batch, RouterTask::ClaimsCallback callback) {
+                      commit<ClaimBatchOutcome>(std::move(batch), std::move(callback));
+                  })
+        , scheduler_(loop_, messenger_, schedulerOptions())
+        , callerDoor_(loop_, router_, callerDoorSettings(settings))
+        , operatorDoor_(loop_, state_, settings.operatorLimits, operatorDoorParts())
+        , drainTimer_(loop_, [this] { continueDrain(); })
+    {}
+
+    ExitCode run()
+    {
+        if (const auto started = start(); !started) {
+            logEvent(LogEvent::StartFailed, started.error());
+            return exitCodeOf(started.error().code);
+        }
+        logEvent(LogEvent::ProcessStarted, Step::None, settings_.name,
+                 {{"incarnation", messenger_.incarnation()}});
+        loop_.run();
+        logEvent(LogEvent::ProcessStopped, Step::None, settings_.name, {});
+        return ExitCode::Success;
+    }
+
+private:
+    /** Commits a command whose outcome is of type \a Wanted. */
+    template<typename Wanted>
+    void commit(State::Command command, std::function<void(Result<Wanted>)> callback)
+    {
+        replica_.propose(State::encodeCommand(command),
+                         [callback = std::move(callback)](Result<std::string> bytes) {
+                             if (!bytes)
+                                 return callback(tl::make_unexpected(bytes.error()));
+                             callback(State::outcomeOf<Wanted>(*bytes));
+                         });
+    }
+
+    SchedulerTaskOptions schedulerOptions()
+    {
+        SchedulerTaskOptions options;
+        options.scheduler.lease.length = settings_.lease.worker;
+        options.book = [this]() -> const Placement::TaskBook & { return state_.tasks(); };
+        options.propose = [this](Placement::TaskCommand command,
+                                 std::function<void(Result<Placement::TaskOutcome>)> callback) {
+            commit<Placement::TaskOutcome>(std::move(command), std::move(callback));
+        };
+        options.confirmLeadership = [this](ReplicaTask::ReadCallback callback) {
+            replica_.readBarrier(std::move(callback));
+        };
+        options.isLeader = [this] { return replica_.isLeader(); };
+        return options;
+    }
+
+    OperatorDoorParts operatorDoorParts()
+    {
+        OperatorDoorParts parts;
+        parts.entry = settings_.name;
+        parts.propose = [this](std::string command, ReplicaTask::ProposeCallback callback) {
+            replica_.propose(std::move(command), std::move(callback));
+        };
+        parts.readBarrier = [this](ReplicaTask::ReadCallback callback) {
+            replica_.readBarrier(std::move(callback));
+        };
+        parts.replicaStatus = [this] { return replica_.status(); };
+        parts.spread = [] { return ConfigurationSpread{}; };
+        return parts;
+    }
+
+    Result<void> start()
+    {
+        for (const int signal : {SIGTERM, SIGINT})
+            loop_.onSignal(signal, [this] { drain(); });
+        if (auto listening = messenger_.listen(settings_.link); !listening)
+            return tl::make_unexpected(listening.error());
+        for (const auto &member : settings_.controlGroup) {
+            if (member.name != settings_.name)
+                messenger_.addPeer(member.name, member.address);
+        }
+        replica_.roleChanged.connect([this] { scheduler_.roleChanged(); });
+        if (auto started = replica_.start(); !started)
+            return started;
+        scheduler_.roleChanged();
+        if (auto listening = operatorDoor_.listen(settings_.operatorDoor); !listening)
+            return tl::make_unexpected(listening.error());
+        if (auto listening = callerDoor_.listen(settings_.callerDoor); !listening)
+            return tl::make_unexpected(listening.error());
+        return {};
+    }
+
+    void drain()
+    {
+        if (draining_)
+            return;
+        draining_ = true;
+        logEvent(LogEvent::ProcessStopping, Step::Leave, settings_.name,
+                 {{"in_flight", callerDoor_.inFlight()}});
+        callerDoor_.startDraining();
+        drainStart_ = loop_.clock().now();
+        drainTimer_.startEvery(DrainPoll);
+    }
+
+    // The balancer needs the drain delay to see the health change; what is in flight then ends
+    // by itself, since every request has a deadline.
+    void continueDrain()
+    {
+        if (loop_.clock().now() - drainStart_ < settings_.request.drainDelay)
+            return;
+        callerDoor_.closeListener();
+        if (callerDoor_.inFlight() == 0)
+            loop_.stop();
+    }
+
+    EntrySettings settings_;
+    EventLoop loop_;
+    Messenger messenger_;
+    State::ControlState state_;
+    ReplicaTask replica_;
+    RouterTask router_;
+    SchedulerTask scheduler_;
+    CallerDoor callerDoor_;
+    OperatorDoor operatorDoor_;
+    Timer drainTimer_;
+    TimePoint drainStart_{};
+    bool draining_ = false;
+};
+
+} // namespace
+
+int runEntry(const EntrySettings &settings)
+{
+    EntryProcess process(settings);
+    return static_cast<int>(process.run());
+}
+
+} // namespace Oleander
--- a/Source/Runtime/logevent.h
+++ b/Source/Runtime/logevent.h
@@ -53,6 +53,8 @@
     StorageFailed = 4006,
     ReplicaJoined = 4007,
     ReplicaLeft = 4008,
+    StorageStalled = 4009,
+    StorageResumed = 4010,
 
     RecordAccepted = 5000,
     RecordRefused = 5001,
