control: Form a group only on greetings that answer this very folder

A greeting now names the incarnations that its sender has heard, and counts only when it names the forming folder's own.

--- a/Source/Control/replica.h
+++ b/Source/Control/replica.h
@@ -163,6 +163,7 @@
     bool mustNotVote(TimePoint now) const;
     void greet(TimePoint now);
     void formGroup(TimePoint now);
+    bool answersThisFolder(const Greeting &greeting, TimePoint now) const;
     void onBody(TimePoint now, const std::string &from, const ReplicaMessage &message,
                 const Hello &body);
     void onBody(TimePoint now, const std::string &from, const ReplicaMessage &message,
--- a/Source/Control/replicaelection.cpp
+++ b/Source/Control/replicaelection.cpp
@@ -122,17 +122,21 @@
 void Replica::greet(TimePoint now)
 {
     nextGreeting_ = now + GreetingIntervals * options_.heartbeatInterval;
+    Hello hello{options_.mayForm, options_.initialReplicas, {}};
+    for (const auto &[name, greeting] : greetings_)
+        hello.heard[name] = greeting.incarnation;
     for (const std::string &peer : options_.initialReplicas) {
         if (peer != options_.name)
-            send(peer, 0, Hello{options_.mayForm, options_.initialReplicas});
+            send(peer, 0, hello);
     }
     formGroup(now);
 }
 
 void Replica::formGroup(TimePoint now)
 {
-    // The first name forms the group, and only when every other replica has said that its folder
-    // is empty too: a group that has lost fewer folders than all never starts anew.
+    // The first name forms the group, and only when every other replica has said, after hearing of
+    // this very folder, that its own is empty too. A greeting from before a disk was lost may come
+    // late, and a group that has lost fewer folders than all must never start anew.
     const auto &names = options_.initialReplicas;
     const bool first =
         !names.empty() && *std::min_element(names.begin(), names.end()) == options_.name;
@@ -145,9 +149,7 @@
             continue;
         }
         const auto greeting = greetings_.find(name);
-        if (greeting == greetings_.end() || !greeting->second.hello.mayForm
-            || greeting->second.hello.initialReplicas != names
-            || greeting->second.at + GreetingLifetime * options_.electionTimeout < now)
+        if (greeting == greetings_.end() || !answersThisFolder(greeting->second, now))
             return;
         formed.members.push_back({name, greeting->second.incarnation, true});
     }
@@ -156,14 +158,28 @@
     electionDeadline_ = now;
 }
 
+bool Replica::answersThisFolder(const Greeting &greeting, TimePoint now) const
+{
+    const Hello &hello = greeting.hello;
+    const auto heard = hello.heard.find(options_.name);
+    return hello.mayForm && hello.initialReplicas == options_.initialReplicas
+           && heard != hello.heard.end() && heard->second == hardState_.incarnation
+           && now < greeting.at + GreetingLifetime * options_.electionTimeout;
+}
+
 void Replica::onBody(TimePoint now, const std::string &from, const ReplicaMessage &message,
                      const Hello &body)
 {
     if (isBlank()) {
-        if (message.term == 0)
-            greetings_[from] = {message.incarnation, now, body};
-        else
+        if (message.term > 0) {
             greetings_.erase(from);
+            return;
+        }
+        Greeting &greeting = greetings_[from];
+        // News of a folder goes round at once, so that forming takes two rounds and not two waits.
+        if (greeting.incarnation != message.incarnation)
+            nextGreeting_ = now;
+        greeting = {message.incarnation, now, body};
         return;
     }
     const Member *member = membership().find(from);
--- a/Source/Control/replicamessage.h
+++ b/Source/Control/replicamessage.h
@@ -3,6 +3,7 @@
 #include "Control/logentry.h"
 
 #include <cstdint>
+#include <map>
 #include <string>
 #include <variant>
 #include <vector>
@@ -15,6 +16,8 @@
     /** False when the folder was emptied because of damage: such a replica only joins. */
     bool mayForm = false;
     std::vector<std::string> initialReplicas;
+    /** Incarnations of the blank replicas that the sender has heard. */
+    std::map<std::string, std::uint64_t> heard;
 };
 
 template<typename F>
@@ -22,6 +25,7 @@
 {
     f(v.mayForm);
     f(v.initialReplicas);
+    f(v.heard);
 }
 
 /** Leader to blank replica: the group knows this name with an incarnation that is not lower. */
--- a/Tests/Control/simulation.cpp
+++ b/Tests/Control/simulation.cpp
@@ -11,8 +11,8 @@
 
 constexpr std::int64_t Millisecond = 1000;
 constexpr std::int64_t TickPeriod = 20 * Millisecond;
-constexpr std::int64_t ClientPeriod = 15 * Millisecond;
-constexpr std::int64_t FaultPeriod = 300 * Millisecond;
+constexpr std::int64_t ClientPeriod = 7 * Millisecond;
+constexpr std::int64_t FaultPeriod = 200 * Millisecond;
 constexpr std::int64_t LongFreeze = 3000 * Millisecond;
 constexpr std::int64_t HealTime = 12000 * Millisecond;
 constexpr std::uint64_t FirstIncarnation = 100;
@@ -443,11 +443,17 @@
 
 void Simulation::clientStep()
 {
-    const std::string target = percent() < 70 && !leader().empty() ? leader() : anyNode();
-    if (percent() < 60)
+    if (percent() < 40) {
+        const std::string target = percent() < 80 && !leader().empty() ? leader() : anyNode();
         propose(target, "command-" + std::to_string(++commands_));
-    else
-        read(anyNode());
+        return;
+    }
+    // A leader that was replaced and does not know is the one that may answer from an old state.
+    const std::string reader = anyNode();
+    if (percent() < 60 && nodes_.at(reader).replica
+        && nodes_.at(reader).replica->role() != ReplicaRole::Leader)
+        return;
+    read(reader);
 }
 
 void Simulation::faultStep()
@@ -468,6 +474,15 @@
         freeze(one, Duration(between(50 * Millisecond, LongFreeze)));
     if (percent() < faults_.oneWayCut)
         cut(one, other);
+    if (percent() < faults_.pairCut) {
+        cut(one, other);
+        cut(other, one);
+    }
+    if (percent() < faults_.bounce) {
+        const std::string bounced = anyNode();
+        crash(bounced);
+        restart(bounced);
+    }
     if (percent() < faults_.cut) {
         for (const std::string &name : names_) {
             cut(one, name);
--- a/Tests/Control/simulation.h
+++ b/Tests/Control/simulation.h
@@ -21,6 +21,10 @@
     unsigned freeze = 15;
     unsigned cut = 20;
     unsigned oneWayCut = 15;
+    /** Cut of the link between two replicas, both ways. */
+    unsigned pairCut = 20;
+    /** Crash with a restart at once. */
+    unsigned bounce = 15;
     unsigned lostDisk = 10;
     unsigned fullDisk = 5;
     unsigned snapshot = 30;
