configuration: Add the gate, the follower and the entry's configuration task

The version is the log index of the change. A process admits work for one lease after an instant at which a quorum held no higher version; a new process holds nothing and admits nothing, so neither a restart nor a stale replica can bring an older version back. An answer's age is counted back from the question, so delays on the link shorten the lease and never lengthen it. ConfigurationPull and ConfigurationPush gained a stamp and an age (last fields). Weighed: serving the last known version while cut off; ruled out, since 'in force everywhere' would then never be true with one process cut off.

--- /dev/null
+++ b/Source/Configuration/configurationgate.cpp
@@ -0,0 +1,28 @@
+#include "Configuration/configurationgate.h"
+
+#include <algorithm>
+
+namespace Oleander {
+
+bool ConfigurationGate::offer(std::uint64_t version, const ConfigurationValues &values,
+                              std::optional<TimePoint> confirmedAt)
+{
+    if (version < version_)
+        return false;
+    const bool isNew = version > version_;
+    if (isNew) {
+        version_ = version;
+        values_ = values;
+    }
+    // Confirmations may overtake each other on their way; only the latest instant counts.
+    if (confirmedAt)
+        confirmedAt_ = std::max(confirmedAt_.value_or(*confirmedAt), *confirmedAt);
+    return isNew;
+}
+
+bool ConfigurationGate::admits(TimePoint now) const
+{
+    return confirmedAt_ && now < *confirmedAt_ + lease_;
+}
+
+} // namespace Oleander
--- /dev/null
+++ b/Source/Entry/configurationtask.cpp
@@ -0,0 +1,182 @@
+#include "Entry/configurationtask.h"
+
+#include <algorithm>
+
+namespace Oleander {
+
+namespace {
+
+/** Confirmations that are tried within one lease. */
+constexpr int TriesPerLease = 6;
+/** Share of the lease by which two clocks may drift apart within one lease. */
+constexpr int DriftShare = 20;
+/** Silence after which a process is taken for gone for good. */
+constexpr Duration Forgotten = std::chrono::minutes(10);
+
+std::vector<std::string> without(std::vector<std::string> names, const std::string &name)
+{
+    names.erase(std::remove(names.begin(), names.end(), name), names.end());
+    return names;
+}
+
+} // namespace
+
+ConfigurationTask::ConfigurationTask(EventLoop &loop, Messenger &messenger,
+                                     const State::ControlState &state, ConfigurationTaskParts parts,
+                                     ConfigurationTaskOptions options)
+    : loop_(loop)
+    , messenger_(messenger)
+    , state_(state)
+    , parts_(std::move(parts))
+    , options_(std::move(options))
+    , gate_(options_.lease)
+    , follower_(loop, messenger, gate_,
+                {without(options_.peers, options_.name), options_.lease / TriesPerLease})
+    , timer_(loop, [this] { tick(); })
+    , inForceSince_(loop.clock().now())
+    , alive_(std::make_shared<ConfigurationTask *>(this))
+{
+    for (const auto &peer : without(options_.peers, options_.name))
+        peers_[peer] = {0, loop_.clock().now()};
+    follower_.changed.connect([this] { cameIntoForce(); });
+    messenger_.heard.connect([weak = std::weak_ptr(alive_)](const Sender &sender) {
+        if (const auto self = weak.lock())
+            (*self)->heard(sender);
+    });
+    messenger_.on<ConfigurationPull>(
+        [weak = std::weak_ptr(alive_)](const Sender &from, ConfigurationPull &&pull) {
+            if (const auto self = weak.lock())
+                (*self)->answer(from, pull);
+        });
+}
+
+ConfigurationTask::~ConfigurationTask() = default;
+
+void ConfigurationTask::start()
+{
+    stateApplied();
+    follower_.start();
+    confirm();
+    timer_.startEvery(options_.lease / TriesPerLease);
+}
+
+void ConfigurationTask::stateApplied()
+{
+    const auto &configuration = state_.configuration();
+    if (gate_.offer(configuration.version, configuration.values, std::nullopt))
+        cameIntoForce();
+}
+
+bool ConfigurationTask::admits() const
+{
+    return gate_.admits(loop_.clock().now());
+}
+
+void ConfigurationTask::tick()
+{
+    confirm();
+    // The question tells the other entries which version is in force here.
+    for (const auto &peer : without(options_.peers, options_.name))
+        static_cast<void>(messenger_.send(peer, ConfigurationPull{gate_.version(), 0}));
+    forgetSilent();
+    announceConfirmed();
+}
+
+void ConfigurationTask::confirm()
+{
+    if (isConfirming_)
+        return;
+    isConfirming_ = true;
+    // What the state holds after the barrier is at least what a quorum held at its start.
+    const auto startedAt = loop_.clock().now();
+    parts_.readBarrier([weak = std::weak_ptr(alive_), startedAt](const Result<void> &read) {
+        const auto held = weak.lock();
+        if (!held)
+            return;
+        auto &self = **held;
+        self.isConfirming_ = false;
+        const auto &configuration = self.state_.configuration();
+        if (read && self.gate_.offer(configuration.version, configuration.values, startedAt))
+            self.cameIntoForce();
+    });
+}
+
+void ConfigurationTask::cameIntoForce()
+{
+    inForceSince_ = loop_.clock().now();
+    messenger_.setConfigurationVersion(gate_.version());
+    // Whoever hears of the new version asks for it; that spreads it at once.
+    for (const auto &[name, peer] : peers_) {
+        if (peer.version < gate_.version())
+            static_cast<void>(messenger_.send(name, ConfigurationPull{gate_.version(), 0}));
+    }
+    changed.emit();
+}
+
+void ConfigurationTask::heard(const Sender &sender)
+{
+    auto &peer = peers_[sender.name];
+    // A restarted process begins at 0 and admits nothing until it has caught up, so its lower
+    // version is the truth.
+    peer = {sender.configurationVersion, loop_.clock().now()};
+}
+
+void ConfigurationTask::answer(const Sender &from, const ConfigurationPull &pull)
+{
+    if (pull.stamp == 0)
+        return;
+    // A lost answer is made up for by the next question. An answer must not reach a later
+    // incarnation, which does not know what the one before it knew.
+    static_cast<void>(
+        messenger_.send(from.name, answerTo(pull, gate_, loop_.clock().now()), from.incarnation));
+}
+
+ConfigurationSpread ConfigurationTask::spread() const
+{
+    const auto now = loop_.clock().now();
+    ConfigurationSpread spread;
+    spread.version = gate_.version();
+    spread.confirmedHere = gate_.admits(now);
+    spread.inForce.push_back(options_.name);
+    // A process with an older version cannot have confirmed it after this one was accepted, so its
+    // lease ends at the latest one lease, and the drift of its clock, after that.
+    const auto lastLeaseEnd = inForceSince_ + options_.lease + options_.lease / DriftShare;
+    for (const auto &[name, peer] : peers_) {
+        if (peer.version >= spread.version)
+            spread.inForce.push_back(name);
+        else if (now < lastLeaseEnd)
+            spread.waitingFor.push_back(name);
+        else
+            spread.cutOff.push_back(name);
+    }
+    return spread;
+}
+
+void ConfigurationTask::announceConfirmed()
+{
+    const auto current = spread();
+    const bool isNews = current.version > 0 && current.version == state_.configuration().version
+                        && current.version > state_.confirmedConfiguration();
+    if (!isNews || isAnnouncing_ || !current.inForceEverywhere() || !parts_.isLeader())
+        return;
+    isAnnouncing_ = true;
+    const State::ConfirmConfiguration command{current.version, current.inForce.size(),
+                                              loop_.clock().wallNow()};
+    parts_.propose(State::encodeCommand(command),
+                   [weak = std::weak_ptr(alive_)](const Result<std::string> &) {
+                       if (const auto self = weak.lock())
+                           (*self)->isAnnouncing_ = false;
+                   });
+}
+
+void ConfigurationTask::forgetSilent()
+{
+    const auto now = loop_.clock().now();
+    std::erase_if(peers_, [&](const auto &item) {
+        const bool isEntry = std::find(options_.peers.begin(), options_.peers.end(), item.first)
+                             != options_.peers.end();
+        return !isEntry && now - item.second.lastHeard > Forgotten;
+    });
+}
+
+} // namespace Oleander
--- a/Source/Protocol/messages.h
+++ b/Source/Protocol/messages.h
@@ -299,16 +299,19 @@
     f(v.attempts);
 }
 
-/** Either way: the sender lacks the configuration that the receiver's frames named. */
+/** Either way: the sender asks for a higher configuration than the one it knows. */
 struct ConfigurationPull
 {
     std::uint64_t known = 0;
+    /** Number of the question, which the answer repeats; 0 wants no answer. */
+    std::uint64_t stamp = 0;
 };
 
 template<typename F>
 void visitFields(F &&f, Fields<ConfigurationPull> auto &&v)
 {
     f(v.known);
+    f(v.stamp);
 }
 
 /** Either way: a whole configuration; applied only when its version is higher than the own. */
@@ -317,7 +320,12 @@
     std::uint64_t version = 0;
     /** True when a quorum confirmed the version less than the configuration lease ago. */
     bool fresh = false;
+    /** Empty when the receiver named this version as known. */
     std::map<std::string, std::string> values;
+    /** Number of the question. */
+    std::uint64_t stamp = 0;
+    /** How long before the answer the version was confirmed; only with \a fresh. */
+    Duration age{};
 };
 
 template<typename F>
@@ -326,6 +334,8 @@
     f(v.version);
     f(v.fresh);
     f(v.values);
+    f(v.stamp);
+    f(v.age);
 }
 
 /** Replica to replica: one message of the replicated log, encoded by the Control package. */
--- /dev/null
+++ b/Tests/Configuration/configurationgatetest.cpp
@@ -0,0 +1,95 @@
+#include "Configuration/configurationgate.h"
+
+#include "Configuration/configurationexchange.h"
+
+#include <catch2/catch.hpp>
+
+using namespace Oleander;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr Duration Lease = seconds(3);
+const TimePoint Start{seconds(100)};
+
+} // namespace
+
+TEST_CASE("A new gate admits nothing until a confirmed version is in hand")
+{
+    ConfigurationGate gate(Lease);
+    CHECK_FALSE(gate.admits(Start));
+    CHECK(gate.offer(7, {{"a", "1"}}, std::nullopt));
+    CHECK(gate.version() == 7);
+    CHECK_FALSE(gate.admits(Start));
+    CHECK_FALSE(gate.offer(7, {}, Start));
+    CHECK(gate.admits(Start));
+    CHECK(gate.values().at("a") == "1");
+}
+
+TEST_CASE("A gate never takes a lower version, nor a confirmation of one")
+{
+    ConfigurationGate gate(Lease);
+    gate.offer(7, {{"a", "7"}}, Start);
+    CHECK_FALSE(gate.offer(6, {{"a", "6"}}, Start + seconds(2)));
+    CHECK(gate.version() == 7);
+    CHECK(gate.values().at("a") == "7");
+    CHECK_FALSE(gate.admits(Start + Lease));
+}
+
+TEST_CASE("Work is admitted for one lease after the latest confirmation")
+{
+    ConfigurationGate gate(Lease);
+    gate.offer(7, {}, Start);
+    gate.offer(7, {}, Start + seconds(1));
+    gate.offer(7, {}, Start);
+    CHECK(gate.admits(Start + seconds(1) + Lease - Duration(1)));
+    CHECK_FALSE(gate.admits(Start + seconds(1) + Lease));
+}
+
+TEST_CASE("An answer counts from its question, and only once")
+{
+    ConfigurationGate source(Lease);
+    source.offer(7, {{"a", "1"}}, Start);
+    ConfigurationGate gate(Lease);
+    ConfigurationQuestions questions(gate);
+    const auto pull = questions.ask(Start + seconds(1));
+    const auto push = answerTo(pull, source, Start + seconds(2));
+    CHECK(push.age == seconds(2));
+    const auto taken = questions.take(push);
+    CHECK(taken.changed);
+    CHECK(taken.confirmed);
+    CHECK(*gate.confirmedAt() == Start - seconds(1));
+    CHECK_FALSE(questions.take(push).confirmed);
+}
+
+TEST_CASE("An answer without values never brings its version into force")
+{
+    ConfigurationGate source(Lease);
+    source.offer(7, {{"a", "1"}}, Start);
+    // What a process before its restart asked is answered to the one after it.
+    const auto push = answerTo({7, 1}, source, Start);
+    CHECK(push.values.empty());
+    ConfigurationGate gate(Lease);
+    ConfigurationQuestions questions(gate);
+    CHECK_FALSE(questions.take(push).changed);
+    questions.ask(Start);
+    // A question of the same number that named no version cannot have this answer: the sender
+    // addresses answers to one incarnation, see the test of the follower.
+    gate.offer(9, {{"a", "2"}}, std::nullopt);
+    questions.ask(Start);
+    CHECK_FALSE(questions.take({7, true, {}, 2, {}}).changed);
+    CHECK(gate.values().at("a") == "2");
+    CHECK_FALSE(gate.admits(Start));
+}
+
+TEST_CASE("An entry whose own confirmation ran out answers unconfirmed")
+{
+    ConfigurationGate source(Lease);
+    source.offer(7, {{"a", "1"}}, Start);
+    ConfigurationGate gate(Lease);
+    ConfigurationQuestions questions(gate);
+    const auto push = answerTo(questions.ask(Start + Lease), source, Start + Lease);
+    CHECK_FALSE(push.fresh);
+    CHECK(questions.take(push).changed);
+    CHECK_FALSE(gate.admits(Start + Lease));
+}
