--- a/Source/Configuration/configurationgate.cpp
+++ b/Source/Configuration/configurationgate.cpp
@@ -22,7 +22,7 @@
 
 bool ConfigurationGate::admits(TimePoint now) const
 {
-    return confirmedAt_ && now < *confirmedAt_ + lease_;
+    return confirmedAt_ && *confirmedAt_ >= startedAt_ && now < *confirmedAt_ + lease_;
 }
 
 } // namespace Oleander
--- a/Source/Configuration/configurationgate.h
+++ b/Source/Configuration/configurationgate.h
@@ -18,12 +18,14 @@
  *
  * The version is the log index of the change and never goes down. A confirmation says that at some
  * instant a quorum of the control log held no higher version; work is admitted for one lease after
- * it. A new gate holds nothing and admits nothing, so a restarted process cannot fall back either.
+ * it. A new gate admits nothing until a confirmation of an instant after its own start: whatever
+ * the process had in force before a restart was accepted before that instant, so it cannot fall
+ * back.
  */
 class ConfigurationGate
 {
 public:
-    explicit ConfigurationGate(Duration lease) : lease_(lease) {}
+    ConfigurationGate(Duration lease, TimePoint startedAt) : lease_(lease), startedAt_(startedAt) {}
 
     /**
      * Takes a configuration that some process holds; \a confirmedAt is the latest instant at which
@@ -43,6 +45,7 @@
 
 private:
     Duration lease_;
+    TimePoint startedAt_;
     std::uint64_t version_ = 0;
     ConfigurationValues values_;
     std::optional<TimePoint> confirmedAt_;
--- a/Source/Entry/configurationtask.cpp
+++ b/Source/Entry/configurationtask.cpp
@@ -29,7 +29,7 @@
     , state_(state)
     , parts_(std::move(parts))
     , options_(std::move(options))
-    , gate_(options_.lease)
+    , gate_(options_.lease, loop.clock().now())
     , follower_(loop, messenger, gate_,
                 {without(options_.peers, options_.name), options_.lease / TriesPerLease})
     , timer_(loop, [this] { tick(); })
--- a/Tests/Configuration/configurationgatetest.cpp
+++ b/Tests/Configuration/configurationgatetest.cpp
@@ -16,7 +16,7 @@
 
 TEST_CASE("A new gate admits nothing until a confirmed version is in hand")
 {
-    ConfigurationGate gate(Lease);
+    ConfigurationGate gate(Lease, Start);
     CHECK_FALSE(gate.admits(Start));
     CHECK(gate.offer(7, {{"a", "1"}}, std::nullopt));
     CHECK(gate.version() == 7);
@@ -28,7 +28,7 @@
 
 TEST_CASE("A gate never takes a lower version, nor a confirmation of one")
 {
-    ConfigurationGate gate(Lease);
+    ConfigurationGate gate(Lease, Start);
     gate.offer(7, {{"a", "7"}}, Start);
     CHECK_FALSE(gate.offer(6, {{"a", "6"}}, Start + seconds(2)));
     CHECK(gate.version() == 7);
@@ -38,7 +38,7 @@
 
 TEST_CASE("Work is admitted for one lease after the latest confirmation")
 {
-    ConfigurationGate gate(Lease);
+    ConfigurationGate gate(Lease, Start);
     gate.offer(7, {}, Start);
     gate.offer(7, {}, Start + seconds(1));
     gate.offer(7, {}, Start);
@@ -46,30 +46,42 @@
     CHECK_FALSE(gate.admits(Start + seconds(1) + Lease));
 }
 
+TEST_CASE("A restarted process does not trust a confirmation from before its start")
+{
+    // A stale entry may still hold a confirmed version that is lower than the one that this
+    // process had in force before its restart.
+    ConfigurationGate gate(Lease, Start);
+    gate.offer(6, {}, Start - Duration(1));
+    CHECK_FALSE(gate.admits(Start));
+    gate.offer(7, {}, Start);
+    CHECK(gate.admits(Start));
+}
+
 TEST_CASE("An answer counts from its question, and only once")
 {
-    ConfigurationGate source(Lease);
+    ConfigurationGate source(Lease, Start);
     source.offer(7, {{"a", "1"}}, Start);
-    ConfigurationGate gate(Lease);
+    ConfigurationGate gate(Lease, Start);
     ConfigurationQuestions questions(gate);
     const auto pull = questions.ask(Start + seconds(1));
+    source.offer(7, {}, Start + seconds(1));
     const auto push = answerTo(pull, source, Start + seconds(2));
-    CHECK(push.age == seconds(2));
+    CHECK(push.age == seconds(1));
     const auto taken = questions.take(push);
     CHECK(taken.changed);
     CHECK(taken.confirmed);
-    CHECK(*gate.confirmedAt() == Start - seconds(1));
+    CHECK(*gate.confirmedAt() == Start);
     CHECK_FALSE(questions.take(push).confirmed);
 }
 
 TEST_CASE("An answer without values never brings its version into force")
 {
-    ConfigurationGate source(Lease);
+    ConfigurationGate source(Lease, Start);
     source.offer(7, {{"a", "1"}}, Start);
     // What a process before its restart asked is answered to the one after it.
     const auto push = answerTo({7, 1}, source, Start);
     CHECK(push.values.empty());
-    ConfigurationGate gate(Lease);
+    ConfigurationGate gate(Lease, Start);
     ConfigurationQuestions questions(gate);
     CHECK_FALSE(questions.take(push).changed);
     questions.ask(Start);
@@ -84,9 +96,9 @@
 
 TEST_CASE("An entry whose own confirmation ran out answers unconfirmed")
 {
-    ConfigurationGate source(Lease);
+    ConfigurationGate source(Lease, Start);
     source.offer(7, {{"a", "1"}}, Start);
-    ConfigurationGate gate(Lease);
+    ConfigurationGate gate(Lease, Start);
     ConfigurationQuestions questions(gate);
     const auto push = answerTo(questions.ask(Start + Lease), source, Start + Lease);
     CHECK_FALSE(push.fresh);
