request: Add the doors and tasks of the request path, and the stand-in minion

The stand-in answers, when asked, in ways in which a minion never should, and counts runs by request.

--- /dev/null
+++ b/Source/Agent/announcementparse.cpp
@@ -0,0 +1,103 @@
+#include "Agent/announcementparse.h"
+
+#include "Runtime/address.h"
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+#include <array>
+
+namespace Oleander {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr std::uint64_t MaxSlots = 1024;
+constexpr std::uint64_t MaxConnections = 16 * 1024;
+constexpr std::uint64_t MinTimeToLiveMs = 100;
+constexpr std::array<std::string_view, 6> Fields = {"service",     "address", "slots",
+                                                    "connections", "ttl_ms",  "busy"};
+
+tl::unexpected<Error> refuse(const std::string &minion, std::string detail)
+{
+    return fail(Failure::InvalidInput, Step::Join, minion, std::move(detail));
+}
+
+Result<std::string> text(const std::string &minion, const Json &body, const char *field)
+{
+    const auto found = body.find(field);
+    if (found == body.end() || !found->is_string() || found->get_ref<const std::string &>().empty())
+        return refuse(minion, fmt::format("The field {} is missing or no text.", field));
+    return found->get<std::string>();
+}
+
+Result<std::uint64_t> number(const std::string &minion, const Json &body, const char *field,
+                             std::uint64_t least, std::uint64_t most)
+{
+    const auto found = body.find(field);
+    if (found != body.end() && found->is_number_unsigned()) {
+        const auto value = found->get<std::uint64_t>();
+        if (value >= least && value <= most)
+            return value;
+    }
+    const std::string given = found == body.end() ? "missing" : found->dump();
+    return refuse(minion, fmt::format("The field {} is {}; allowed is a whole number from {} to "
+                                      "{}.",
+                                      field, given, least, most));
+}
+
+bool isKnown(const std::string &key)
+{
+    return std::find(Fields.begin(), Fields.end(), key) != Fields.end();
+}
+
+} // namespace
+
+Result<MinionAnnouncement> parseAnnouncement(const std::string &name, const std::string &body,
+                                             Duration maxTimeToLive)
+{
+    const Json json = Json::parse(body, nullptr, false);
+    if (!json.is_object())
+        return refuse(name, "The body is no JSON object.");
+    for (const auto &[key, value] : json.items()) {
+        if (!isKnown(key))
+            return refuse(name, fmt::format("The field {} is not known.", key));
+    }
+    const auto longest = std::chrono::duration_cast<std::chrono::milliseconds>(maxTimeToLive);
+    const auto service = text(name, json, "service");
+    const auto address = text(name, json, "address");
+    const auto slots = number(name, json, "slots", 1, MaxSlots);
+    const auto connections = number(name, json, "connections", 1, MaxConnections);
+    const auto timeToLive =
+        number(name, json, "ttl_ms", MinTimeToLiveMs, static_cast<std::uint64_t>(longest.count()));
+    for (const auto *field : {&service, &address}) {
+        if (!*field)
+            return tl::make_unexpected(field->error());
+    }
+    for (const auto *field : {&slots, &connections, &timeToLive}) {
+        if (!*field)
+            return tl::make_unexpected(field->error());
+    }
+    if (!parseSocketAddress(*address)) {
+        return refuse(name, fmt::format("The field address is \"{}\"; allowed is ADDRESS:PORT "
+                                        "with an IP number.",
+                                        *address));
+    }
+    MinionAnnouncement result;
+    result.name = name;
+    result.service = *service;
+    result.address = *address;
+    result.capacity = {static_cast<std::uint32_t>(*slots),
+                       static_cast<std::uint32_t>(*connections)};
+    result.timeToLive = std::chrono::milliseconds(*timeToLive);
+    if (json.contains("busy")) {
+        const auto busy = number(name, json, "busy", 0, MaxConnections);
+        if (!busy)
+            return tl::make_unexpected(busy.error());
+        result.busy = static_cast<std::uint32_t>(*busy);
+    }
+    return result;
+}
+
+} // namespace Oleander
--- /dev/null
+++ b/Source/Agent/miniondoor.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "Agent/requesttask.h"
+#include "Runtime/eventloop.h"
+#include "Runtime/httpserver.h"
+
+#include <string>
+
+namespace Oleander {
+
+/** What a door for minions takes. */
+struct MinionDoorSettings
+{
+    HttpLimits limits;
+    /** Longest time to live that a minion may announce. */
+    Duration maxTimeToLive = std::chrono::seconds(30);
+};
+
+/**
+ * \class MinionDoor
+ * \brief HTTP door of one agent at which the minions of its host announce themselves.
+ *
+ * `PUT /v1/minions/<name>` announces or renews, `DELETE` lets the minion leave, `GET /v1/minions`
+ * lists them.
+ */
+class MinionDoor
+{
+public:
+    MinionDoor(EventLoop &loop, RequestTask &requests, MinionDoorSettings settings);
+
+    /** Listens on "ADDRESS:PORT"; returns the address in use. */
+    Result<std::string> listen(const std::string &address) { return server_.listen(address); }
+    void closeListener() { server_.closeListener(); }
+
+private:
+    HttpResponse handle(const HttpRequest &request);
+    HttpResponse announce(const std::string &name, const std::string &body);
+    HttpResponse withdraw(const std::string &name);
+    HttpResponse list() const;
+
+    RequestTask &requests_;
+    MinionDoorSettings settings_;
+    HttpServer server_;
+};
+
+} // namespace Oleander
--- /dev/null
+++ b/Source/Agent/requesttask.cpp
@@ -0,0 +1,102 @@
+#include "Agent/requesttask.h"
+
+#include "Routing/endtoendheaders.h"
+
+#include <set>
+
+namespace Oleander {
+
+namespace {
+
+/** Connections to one minion; admission keeps the requests below what the minion allows. */
+constexpr std::size_t MaxConnectionsToMinion = 256;
+/** How often queued deadlines and announcements are looked at. */
+constexpr Duration TickPeriod = std::chrono::milliseconds(20);
+constexpr std::string_view TimeoutHeader = "Oleander-Timeout-Ms";
+
+HttpRequest requestOf(RequestDispatch &&message, Duration timeout)
+{
+    HttpRequest request;
+    request.method = std::move(message.method);
+    request.path = std::move(message.path);
+    request.headers = std::move(message.headers);
+    request.body = std::move(message.body);
+    const auto left = std::chrono::ceil<std::chrono::milliseconds>(timeout);
+    request.headers.push_back({std::string(TimeoutHeader), std::to_string(left.count())});
+    return request;
+}
+
+} // namespace
+
+RequestTask::RequestTask(EventLoop &loop, Messenger &messenger, RequestAdmissionSettings settings)
+    : loop_(loop)
+    , messenger_(messenger)
+    , admission_(loop.clock(), std::move(settings), *this)
+    , timer_(loop, [this] { admission_.tick(); })
+{
+    admission_.onMinionsChanged([this] { minionsChanged.emit(); });
+    messenger_.on<RequestDispatch>([this](const Sender &from, RequestDispatch &&message) {
+        admission_.dispatch(from.name, std::move(message));
+    });
+    messenger_.on<RequestCancel>(
+        [this](const Sender &, RequestCancel &&message) { admission_.cancel(message); });
+    timer_.startEvery(TickPeriod);
+}
+
+RequestTask::~RequestTask() = default;
+
+Result<void> RequestTask::announce(const MinionAnnouncement &announcement)
+{
+    return admission_.announce(announcement);
+}
+
+HttpClient &RequestTask::clientOf(const std::string &address)
+{
+    auto &client = clients_[address];
+    if (!client)
+        client = std::make_unique<HttpClient>(loop_, address, MaxConnectionsToMinion);
+    return *client;
+}
+
+void RequestTask::run(const std::string &address, RequestDispatch message, Duration timeout)
+{
+    const std::string name = message.request;
+    const auto id = clientOf(address).call(
+        requestOf(std::move(message), timeout), timeout,
+        [this, name](HttpCallResult result) { callEnded(name, std::move(result)); });
+    calls_[name] = {address, id};
+}
+
+void RequestTask::abort(const std::string &address, const std::string &request)
+{
+    const auto found = calls_.find(request);
+    if (found == calls_.end())
+        return;
+    clientOf(address).cancel(found->second.id);
+    calls_.erase(found);
+}
+
+void RequestTask::answer(const std::string &entry, RequestAnswer answer)
+{
+    // An entry that cannot be reached waits no longer than its own deadline.
+    (void)messenger_.send(entry, std::move(answer));
+}
+
+void RequestTask::callEnded(const std::string &request, HttpCallResult result)
+{
+    calls_.erase(request);
+    if (!result) {
+        const auto &error = result.error();
+        const Outcome outcome = error.mayHaveBeenSent ? Outcome::Unknown : Outcome::NotRun;
+        const Step step = error.mayHaveBeenSent ? error.error.step : Step::Send;
+        admission_.failed(request, outcome, step, error.error.detail);
+        return;
+    }
+    RequestAnswer answer;
+    answer.status = result->status;
+    answer.headers = endToEndHeaders(result->headers);
+    answer.body = std::move(result->body);
+    admission_.finished(request, std::move(answer));
+}
+
+} // namespace Oleander
--- /dev/null
+++ b/Source/Agent/requesttask.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "Routing/requestadmission.h"
+#include "Runtime/eventloop.h"
+#include "Runtime/httpclient.h"
+#include "Runtime/messenger.h"
+
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace Oleander {
+
+/**
+ * \class RequestTask
+ * \brief Runs the admission of one agent: its messages from and to entries, its calls of minions.
+ */
+class RequestTask final : private AdmissionPort
+{
+public:
+    RequestTask(EventLoop &loop, Messenger &messenger, RequestAdmissionSettings settings);
+    ~RequestTask() override;
+    RequestTask(const RequestTask &) = delete;
+    RequestTask &operator=(const RequestTask &) = delete;
+
+    Result<void> announce(const MinionAnnouncement &announcement);
+    Result<void> withdraw(const std::string &name) { return admission_.withdraw(name); }
+    /** Lets every minion leave, as the agent itself is about to. */
+    void startDraining() { admission_.withdrawAll(); }
+    std::vector<MinionStatus> minions() const { return admission_.minions(); }
+    /** Requests that are at minions. */
+    std::size_t running() const { return admission_.running(); }
+    const AdmissionCounters &counters() const { return admission_.counters(); }
+
+    /** Emitted when a minion came, left or lapsed: entries should hear of it at once. */
+    sigc::signal<void()> minionsChanged;
+
+private:
+    struct Call
+    {
+        std::string address;
+        HttpClient::CallId id = 0;
+    };
+
+    void run(const std::string &address, RequestDispatch message, Duration timeout) override;
+    void abort(const std::string &address, const std::string &request) override;
+    void answer(const std::string &entry, RequestAnswer answer) override;
+    void callEnded(const std::string &request, HttpCallResult result);
+    HttpClient &clientOf(const std::string &address);
+
+    EventLoop &loop_;
+    Messenger &messenger_;
+    RequestAdmission admission_;
+    Timer timer_;
+    std::map<std::string, std::unique_ptr<HttpClient>> clients_;
+    std::unordered_map<std::string, Call> calls_;
+};
+
+} // namespace Oleander
--- /dev/null
+++ b/Source/Entry/routertask.cpp
@@ -0,0 +1,103 @@
+#include "Entry/routertask.h"
+
+namespace Oleander {
+
+RouterTask::RouterTask(EventLoop &loop, Messenger &messenger, RouterSettings settings,
+                       ProposeClaims propose)
+    : loop_(loop)
+    , messenger_(messenger)
+    , router_(loop.clock(), std::move(settings), *this)
+    , propose_(std::move(propose))
+    , timer_(loop, [this] {
+        timerAt_ = {};
+        router_.tick();
+        afterStep();
+    })
+{
+    messenger_.on<Heartbeat>(
+        [this](const Sender &from, Heartbeat &&message) { heartbeat(from, std::move(message)); });
+    messenger_.on<RequestAnswer>([this](const Sender &from, RequestAnswer &&answer) {
+        router_.answered(from.name, from.incarnation, std::move(answer));
+        afterStep();
+    });
+    afterStep();
+}
+
+RouterTask::~RouterTask() = default;
+
+RequestId RouterTask::submit(CallerRequest request, Router::Callback callback)
+{
+    const RequestId id = router_.submit(std::move(request), std::move(callback));
+    afterStep();
+    return id;
+}
+
+void RouterTask::callerLeft(RequestId id)
+{
+    router_.callerLeft(id);
+    afterStep();
+}
+
+Result<void> RouterTask::dispatch(const std::string &agent, std::uint64_t incarnation,
+                                  RequestDispatch message)
+{
+    return messenger_.send(agent, std::move(message), incarnation);
+}
+
+void RouterTask::cancel(const std::string &agent, std::uint64_t incarnation, RequestCancel message)
+{
+    // An attempt whose cancel is lost ends at its deadline.
+    (void)messenger_.send(agent, std::move(message), incarnation);
+}
+
+void RouterTask::heartbeat(const Sender &from, Heartbeat &&heartbeat)
+{
+    if (!router_.heartbeat(from.name, from.incarnation, heartbeat))
+        return;
+    auto &inbox = inboxes_[from.name];
+    if (!heartbeat.inbox.empty() && inbox != heartbeat.inbox) {
+        inbox = heartbeat.inbox;
+        messenger_.addPeer(from.name, inbox);
+    }
+    afterStep();
+}
+
+void RouterTask::afterStep()
+{
+    if (router_.claims().isReady() && !proposing_) {
+        proposing_ = true;
+        // What comes in during this turn of the loop shares one batch.
+        loop_.post([this, token = std::weak_ptr<bool>(alive_)] {
+            if (!token.expired())
+                proposeWaiting();
+        });
+    }
+    const TimePoint next = router_.nextWakeup();
+    if (timerAt_ != TimePoint{} && timerAt_ <= next)
+        return;
+    timerAt_ = next;
+    timer_.startOnce(next - loop_.clock().now());
+}
+
+void RouterTask::proposeWaiting()
+{
+    proposing_ = false;
+    while (auto proposal = router_.claims().takeProposal()) {
+        const auto done = [this, id = proposal->id, token = std::weak_ptr<bool>(alive_)](
+                              const Result<ClaimBatchOutcome> &result) {
+            if (token.expired())
+                return;
+            router_.claims().proposalDone(id, result);
+            afterStep();
+        };
+        if (propose_) {
+            propose_(std::move(proposal->batch), done);
+            continue;
+        }
+        done(fail(Failure::Unavailable, Step::Claim, messenger_.name(),
+                  "This entry has no way to the control log."));
+        return;
+    }
+}
+
+} // namespace Oleander
--- /dev/null
+++ b/Source/Entry/routertask.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "Routing/router.h"
+#include "Runtime/eventloop.h"
+#include "Runtime/messenger.h"
+
+#include <functional>
+#include <map>
+#include <string>
+
+namespace Oleander {
+
+/**
+ * \class RouterTask
+ * \brief Runs the router of one entry: its timers, its messages to and from agents, its claims.
+ */
+class RouterTask final : private RouterPort
+{
+public:
+    using ClaimsCallback = std::function<void(Result<ClaimBatchOutcome>)>;
+    /** Proposes a batch to the control log and calls back once its outcome is known. */
+    using ProposeClaims = std::function<void(ClaimBatch, ClaimsCallback)>;
+
+    /** Without \a propose every request that needs a claim ends as not run. */
+    RouterTask(EventLoop &loop, Messenger &messenger, RouterSettings settings,
+               ProposeClaims propose);
+    ~RouterTask() override;
+    RouterTask(const RouterTask &) = delete;
+    RouterTask &operator=(const RouterTask &) = delete;
+
+    RequestId submit(CallerRequest request, Router::Callback callback);
+    void callerLeft(RequestId id);
+    const Router &router() const { return router_; }
+
+private:
+    Result<void> dispatch(const std::string &agent, std::uint64_t incarnation,
+                          RequestDispatch message) override;
+    void cancel(const std::string &agent, std::uint64_t incarnation,
+                RequestCancel message) override;
+    void heartbeat(const Sender &from, Heartbeat &&heartbeat);
+    /** Proposes what waits and sets the timer; follows every call into the router. */
+    void afterStep();
+    void proposeWaiting();
+
+    EventLoop &loop_;
+    Messenger &messenger_;
+    Router router_;
+    ProposeClaims propose_;
+    Timer timer_;
+    TimePoint timerAt_{};
+    std::map<std::string, std::string> inboxes_;
+    bool proposing_ = false;
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+} // namespace Oleander
--- /dev/null
+++ b/Tests/Standins/minion.cpp
@@ -0,0 +1,315 @@
+// Stand-in minion: an evhttp server that announces itself to its agent and answers as the headers
+// of a request tell it, also in ways in which a minion never should.
+//
+//   Standin-Delay-Ms: N      waits before it answers
+//   Standin-Mode: MODE       chunked, large, echo, cut, cut-chunk, wrong-length, no-length, reset,
+//                            silent
+//   Standin-Request: ID      counts runs of ID; GET /standin/runs/ID gives the count
+//
+// GET /standin/runs gives the count of all runs.
+
+#include "Runtime/eventloop.h"
+#include "Runtime/httpclient.h"
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <arpa/inet.h>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+#include <fmt/format.h>
+#include <netinet/in.h>
+
+#include <csignal>
+#include <map>
+#include <string>
+
+ABSL_FLAG(std::string, listen, "127.0.0.1:0", "ADDRESS:PORT of the HTTP door");
+ABSL_FLAG(std::string, agent, "",
+          "ADDRESS:PORT of the agent's minion door; empty announces nothing");
+ABSL_FLAG(std::string, name, "minion-1", "name of this minion");
+ABSL_FLAG(std::string, service, "notices", "service that it answers for");
+ABSL_FLAG(int, slots, 8, "requests that it works on at once");
+ABSL_FLAG(int, connections, 64, "requests that its agent may hold for it");
+ABSL_FLAG(int, ttl_ms, 2000, "time to live of an announcement");
+ABSL_FLAG(int, delay_ms, 0, "time to answer a request");
+
+using namespace Oleander;
+
+namespace {
+
+constexpr std::size_t LargeBody = std::size_t(1024) * 1024;
+constexpr int RenewalsPerTimeToLive = 4;
+constexpr Duration AnnounceTimeout = std::chrono::seconds(1);
+constexpr Duration CloseDelay = std::chrono::milliseconds(20);
+
+std::string headerOf(evhttp_request *request, const char *name)
+{
+    const char *value = evhttp_find_header(evhttp_request_get_input_headers(request), name);
+    return value == nullptr ? std::string() : std::string(value);
+}
+
+/** The stand-in and its state. */
+class Minion
+{
+public:
+    Minion(EventLoop &loop, std::string address)
+        : loop_(loop)
+        , address_(std::move(address))
+        , http_(evhttp_new(loop.base()))
+        , renewal_(loop, [this] { announce(); })
+    {
+        evhttp_set_allowed_methods(http_, EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_HEAD
+                                              | EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE
+                                              | EVHTTP_REQ_OPTIONS | EVHTTP_REQ_PATCH);
+        evhttp_set_gencb(
+            http_,
+            [](evhttp_request *request, void *self) {
+                static_cast<Minion *>(self)->handle(request);
+            },
+            this);
+    }
+    ~Minion() { evhttp_free(http_); }
+    Minion(const Minion &) = delete;
+    Minion &operator=(const Minion &) = delete;
+
+    bool listen()
+    {
+        const auto colon = address_.rfind(':');
+        const std::string host = address_.substr(0, colon);
+        const auto port = static_cast<std::uint16_t>(std::stoul(address_.substr(colon + 1)));
+        auto *socket = evhttp_bind_socket_with_handle(http_, host.c_str(), port);
+        if (socket == nullptr)
+            return false;
+        sockaddr_in bound{};
+        socklen_t size = sizeof bound;
+        getsockname(evhttp_bound_socket_get_fd(socket), reinterpret_cast<sockaddr *>(&bound),
+                    &size);
+        address_ = fmt::format("{}:{}", host, ntohs(bound.sin_port));
+        fmt::print(stderr, "ready {}\n", address_);
+        return true;
+    }
+
+    void startAnnouncing()
+    {
+        const std::string agent = absl::GetFlag(FLAGS_agent);
+        if (agent.empty())
+            return;
+        agent_ = std::make_unique<HttpClient>(loop_, agent, 2);
+        announce();
+        renewal_.startEvery(std::chrono::milliseconds(absl::GetFlag(FLAGS_ttl_ms))
+                            / RenewalsPerTimeToLive);
+    }
+
+    /** Leaves: takes the announcement back, ends what runs, and then the process. */
+    void leave()
+    {
+        renewal_.cancel();
+        leaving_ = true;
+        if (!agent_) {
+            stopWhenIdle();
+            return;
+        }
+        HttpRequest request;
+        request.method = "DELETE";
+        request.path = minionPath();
+        agent_->call(std::move(request), AnnounceTimeout,
+                     [this](const HttpCallResult &) { stopWhenIdle(); });
+    }
+
+private:
+    struct Work
+    {
+        Minion *minion = nullptr;
+        evhttp_request *request = nullptr;
+        std::string id;
+        int run = 0;
+        std::unique_ptr<Timer> timer;
+    };
+
+    static std::string minionPath() { return "/v1/minions/" + absl::GetFlag(FLAGS_name); }
+
+    void announce()
+    {
+        HttpRequest request;
+        request.method = "PUT";
+        request.path = minionPath();
+        request.body = fmt::format(R"({{"service":"{}","address":"{}","slots":{},"connections":{},)"
+                                   R"("ttl_ms":{},"busy":{}}})",
+                                   absl::GetFlag(FLAGS_service), address_,
+                                   absl::GetFlag(FLAGS_slots), absl::GetFlag(FLAGS_connections),
+                                   absl::GetFlag(FLAGS_ttl_ms), works_.size());
+        agent_->call(std::move(request), AnnounceTimeout, [](const HttpCallResult &result) {
+            if (result && result->status >= 300)
+                fmt::print(stderr, "announcement refused: {}\n", result->body);
+        });
+    }
+
+    void handle(evhttp_request *request)
+    {
+        const std::string path = evhttp_request_get_uri(request);
+        if (path.starts_with("/standin/runs")) {
+            const std::string id = path.size() > 14 ? path.substr(14) : std::string();
+            reply(request, fmt::format("{}", id.empty() ? total_ : runs_[id]));
+            return;
+        }
+        auto work = std::make_unique<Work>();
+        work->minion = this;
+        work->request = request;
+        work->id = headerOf(request, "Standin-Request");
+        work->run = ++runs_[work->id];
+        ++total_;
+        auto *connection = evhttp_request_get_connection(request);
+        evhttp_connection_set_closecb(
+            connection,
+            [](evhttp_connection *closed, void *self) {
+                static_cast<Minion *>(self)->callerLeft(closed);
+            },
+            this);
+        const std::string delay = headerOf(request, "Standin-Delay-Ms");
+        const int delayMs = delay.empty() ? absl::GetFlag(FLAGS_delay_ms) : std::stoi(delay);
+        Work *raw = work.get();
+        works_[raw] = std::move(work);
+        if (delayMs == 0) {
+            answer(raw);
+            return;
+        }
+        raw->timer = std::make_unique<Timer>(loop_, [this, raw] { answer(raw); });
+        raw->timer->startOnce(std::chrono::milliseconds(delayMs));
+    }
+
+    /** A caller that left does not end its work: its slot stays busy until the work is done. */
+    void callerLeft(evhttp_connection *connection)
+    {
+        for (auto &[raw, work] : works_) {
+            if (raw->request != nullptr
+                && evhttp_request_get_connection(raw->request) == connection)
+                raw->request = nullptr;
+        }
+    }
+
+    void answer(Work *raw)
+    {
+        auto node = works_.extract(raw);
+        // The timer may be the caller of this function.
+        std::shared_ptr<Work> work = std::move(node.mapped());
+        loop_.post([work] {});
+        if (work->request != nullptr)
+            answerInMode(*work, headerOf(work->request, "Standin-Mode"));
+        if (leaving_)
+            stopWhenIdle();
+    }
+
+    void answerInMode(const Work &work, const std::string &mode)
+    {
+        evhttp_request *request = work.request;
+        const std::string text =
+            fmt::format("minion={} id={} run={} path={}\n", absl::GetFlag(FLAGS_name), work.id,
+                        work.run, evhttp_request_get_uri(request));
+        if (mode == "silent")
+            return;
+        if (mode == "reset")
+            raw(request, "");
+        else if (mode == "cut")
+            raw(request, "HTTP/1.1 200 OK\r\nContent-Length: 1000\r\n\r\nonly a part");
+        else if (mode == "cut-chunk")
+            raw(request, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nonly \r\n");
+        else if (mode == "no-length")
+            raw(request, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nmaybe a part");
+        else if (mode == "wrong-length")
+            raw(request, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfourHTTP/1.1 200 OK\r\n"
+                         "Content-Length: 5\r\n\r\nother");
+        else if (mode == "chunked")
+            chunked(request, text);
+        else if (mode == "large")
+            reply(request, std::string(LargeBody, 'x'));
+        else if (mode == "echo")
+            reply(request, bodyOf(request));
+        else
+            reply(request, text);
+    }
+
+    static std::string bodyOf(evhttp_request *request)
+    {
+        evbuffer *input = evhttp_request_get_input_buffer(request);
+        std::string body(evbuffer_get_length(input), '\0');
+        evbuffer_copyout(input, body.data(), body.size());
+        return body;
+    }
+
+    static void reply(evhttp_request *request, const std::string &body)
+    {
+        evbuffer *buffer = evbuffer_new();
+        evbuffer_add(buffer, body.data(), body.size());
+        evhttp_send_reply(request, 200, "OK", buffer);
+        evbuffer_free(buffer);
+    }
+
+    static void chunked(evhttp_request *request, const std::string &text)
+    {
+        evhttp_send_reply_start(request, 200, "OK");
+        evbuffer *buffer = evbuffer_new();
+        for (const char c : text) {
+            evbuffer_add(buffer, &c, 1);
+            evhttp_send_reply_chunk(request, buffer);
+        }
+        evbuffer_free(buffer);
+        evhttp_send_reply_end(request);
+    }
+
+    /** Writes \a bytes as they are and closes the connection. */
+    void raw(evhttp_request *request, const std::string &bytes)
+    {
+        auto *connection = evhttp_request_get_connection(request);
+        evhttp_connection_set_closecb(connection, nullptr, nullptr);
+        bufferevent_write(evhttp_connection_get_bufferevent(connection), bytes.data(),
+                          bytes.size());
+        auto timer = std::make_shared<std::unique_ptr<Timer>>();
+        *timer = std::make_unique<Timer>(loop_, [this, connection, timer] {
+            evhttp_connection_free(connection);
+            loop_.post([timer] { timer->reset(); });
+        });
+        (*timer)->startOnce(CloseDelay);
+    }
+
+    void stopWhenIdle()
+    {
+        // One more turn of the loop lets the last answer leave.
+        if (!works_.empty() || stopping_)
+            return;
+        stopping_ = true;
+        stop_ = std::make_unique<Timer>(loop_, [this] { loop_.stop(); });
+        stop_->startOnce(CloseDelay);
+    }
+
+    EventLoop &loop_;
+    std::string address_;
+    evhttp *http_;
+    Timer renewal_;
+    std::unique_ptr<Timer> stop_;
+    std::unique_ptr<HttpClient> agent_;
+    std::map<Work *, std::unique_ptr<Work>> works_;
+    std::map<std::string, int> runs_;
+    int total_ = 0;
+    bool leaving_ = false;
+    bool stopping_ = false;
+};
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    absl::ParseCommandLine(argc, argv);
+    EventLoop loop;
+    Minion minion(loop, absl::GetFlag(FLAGS_listen));
+    if (!minion.listen()) {
+        fmt::print(stderr, "cannot listen on {}\n", absl::GetFlag(FLAGS_listen));
+        return 1;
+    }
+    minion.startAnnouncing();
+    loop.onSignal(SIGTERM, [&] { minion.leave(); });
+    loop.run();
+    return 0;
+}
