--- /dev/null
+++ b/Tests/RequestPath/badinputtest.cpp
@@ -0,0 +1,91 @@
+#include "requestpath.h"
+
+#include "Agent/announcementparse.h"
+
+#include <catch2/catch.hpp>
+
+using namespace Oleander;
+using namespace Oleander::Testing;
+
+TEST_CASE("Bad input gets a 4xx that names the field, and the door goes on")
+{
+    RequestPath path(RequestPath::Options{.agents = 1});
+    struct Case
+    {
+        std::string path;
+        std::vector<CallHeader> headers;
+        int status;
+        std::string named;
+    };
+    const std::vector<Case> cases{
+        {"/", {}, 400, "path"},
+        {"/notices", {}, 400, "path"},
+        {"//x", {}, 400, "service"},
+        {"/no%20tices/x", {}, 400, "service"},
+        {"/unknown/x", {}, 404, "unknown"},
+        {"/notices/x", {{"Oleander-Timeout-Ms", "0"}}, 400, "Oleander-Timeout-Ms"},
+        {"/notices/x", {{"Oleander-Timeout-Ms", "-1"}}, 400, "Oleander-Timeout-Ms"},
+        {"/notices/x", {{"Oleander-Timeout-Ms", "1s"}}, 400, "Oleander-Timeout-Ms"},
+        {"/notices/x", {{"Oleander-Timeout-Ms", "99999999999999999999"}}, 400,
+         "Oleander-Timeout-Ms"},
+        {"/notices/x", {{"Oleander-Idempotent", "maybe"}}, 400, "Oleander-Idempotent"},
+        {"/notices/x", {{"Idempotency-Key", ""}}, 400, "Idempotency-Key"},
+        {"/notices/x", {{"Idempotency-Key", "a b"}}, 400, "Idempotency-Key"},
+        {"/notices/x", {{"Idempotency-Key", std::string(300, 'k')}}, 400, "Idempotency-Key"},
+        {"/notices/x", {{"Idempotency-Key", "a"}, {"Idempotency-Key", "b"}}, 400,
+         "Idempotency-Key"},
+    };
+    for (const auto &given : cases) {
+        INFO(given.path << " " << given.named);
+        const auto reply = path.call("POST", given.path, given.headers);
+        REQUIRE(reply.has_value());
+        CHECK(reply->status == given.status);
+        CHECK(reply->body.find(given.named) != std::string::npos);
+        CHECK(reply->body.find("\"outcome\":\"not-run\"") != std::string::npos);
+    }
+    CHECK(path.call("POST", "/notices/x")->status == 200);
+}
+
+TEST_CASE("Malformed HTTP ends in a 4xx or a closed connection, never in a run")
+{
+    RequestPath path(RequestPath::Options{.agents = 1});
+    const std::string head = "POST /notices/x HTTP/1.1\r\nHost: h\r\nStandin-Request: bad\r\n";
+    const std::vector<std::string> inputs{
+        "nonsense\r\n\r\n",
+        std::string("\0\1\2\3\r\n\r\n", 8),
+        head + "Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd",
+        head + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        head + "Content-Length: -3\r\n\r\nabc",
+        head + "Content-Length: abc\r\n\r\nabc",
+        head + "Transfer-Encoding: chunked\r\n\r\nzz\r\nabc\r\n",
+        head + "X-Long: " + std::string(64 * 1024, 'x') + "\r\n\r\n",
+        head + "Content-Length: 99999999\r\n\r\nabc",
+    };
+    for (const auto &input : inputs) {
+        INFO(input.substr(0, 150));
+        const auto answer = rawCall(path.address(), input);
+        REQUIRE(answer.has_value());
+        CHECK((answer->empty() || answer->starts_with("HTTP/1.1 4")));
+    }
+    CHECK(path.runs("bad") == 0);
+    CHECK(path.call("POST", "/notices/x")->status == 200);
+}
+
+TEST_CASE("A bad announcement is refused and names its field")
+{
+    RequestPath path(RequestPath::Options{.agents = 1});
+    const auto parse = [](const std::string &body) {
+        return parseAnnouncement("m", body, std::chrono::seconds(30));
+    };
+    const std::string rest = R"("address":"127.0.0.1:1","connections":64,"ttl_ms":2000)";
+    CHECK(parse("{" + rest + R"(,"service":"s","slots":8})").has_value());
+    CHECK(parse("[]").error().detail.find("object") != std::string::npos);
+    CHECK(parse("{" + rest + R"(,"slots":8})").error().detail.find("service")
+          != std::string::npos);
+    CHECK(parse("{" + rest + R"(,"service":"s","slots":0})").error().detail.find("slots")
+          != std::string::npos);
+    CHECK(parse("{" + rest + R"(,"service":"s","slots":-1})").error().detail.find("slots")
+          != std::string::npos);
+    CHECK(parse("{" + rest + R"(,"service":"s","slots":8,"x":1})").error().detail.find("x")
+          != std::string::npos);
+}
--- /dev/null
+++ b/Tests/RequestPath/requestpath.h
@@ -0,0 +1,97 @@
+#pragma once
+
+#include "Agent/miniondoor.h"
+#include "Agent/requesttask.h"
+#include "Entry/callerdoor.h"
+#include "Entry/routertask.h"
+#include "Routing/claimtable.h"
+#include "Support/childprocess.h"
+#include "Support/httpcall.h"
+#include "Support/waitfor.h"
+
+#include <future>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace Oleander::Testing {
+
+/**
+ * \class RequestPath
+ * \brief One entry and some agents on a loop of their own thread, each agent with one stand-in
+ * minion as a process.
+ */
+class RequestPath
+{
+public:
+    struct Options
+    {
+        std::size_t agents = 2;
+        RouterSettings router;
+        CallerDoorSettings door;
+        std::vector<std::string> minionFlags;
+    };
+
+    RequestPath() : RequestPath(Options{}) {}
+    explicit RequestPath(Options options);
+    ~RequestPath();
+    RequestPath(const RequestPath &) = delete;
+    RequestPath &operator=(const RequestPath &) = delete;
+
+    /** Runs \a work on the loop's thread and gives what it returns. */
+    template<typename Work>
+    auto onLoop(Work work) -> decltype(work())
+    {
+        std::packaged_task<decltype(work())()> task(std::move(work));
+        auto done = task.get_future();
+        loop_.post([&task] { task(); });
+        return done.get();
+    }
+
+    const std::string &address() const { return address_; }
+    std::optional<HttpReply> call(const std::string &method, const std::string &path,
+                                  std::vector<CallHeader> headers = {}, std::string body = {});
+    /** A call that goes on beside the test. */
+    std::future<std::optional<HttpReply>> start(const std::string &method, const std::string &path,
+                                                std::vector<CallHeader> headers = {});
+    ChildProcess &minion(std::size_t agent) { return *agents_.at(agent)->minion; }
+    void startMinion(std::size_t agent);
+    /** Runs of the request that the header Standin-Request named, over all live minions. */
+    int runs(const std::string &request);
+    /** Requests that the agents count at their minions. */
+    std::size_t running();
+    std::size_t eligible();
+    CallerDoor &door() { return *door_; }
+    RouterTask &router() { return *router_; }
+    MinionStatus status(std::size_t agent);
+
+private:
+    struct Agent
+    {
+        std::unique_ptr<Messenger> messenger;
+        std::unique_ptr<RequestTask> requests;
+        std::unique_ptr<MinionDoor> door;
+        std::string inbox;
+        std::string doorAddress;
+        std::unique_ptr<ChildProcess> minion;
+        std::string minionAddress;
+        std::uint64_t stamp = 0;
+    };
+
+    void addAgent(std::size_t index, const std::string &entryInbox);
+    void beat(Agent &agent);
+
+    Options options_;
+    EventLoop loop_;
+    ClaimTable claims_;
+    std::unique_ptr<Messenger> messenger_;
+    std::unique_ptr<RouterTask> router_;
+    std::unique_ptr<CallerDoor> door_;
+    std::string address_;
+    std::vector<std::unique_ptr<Agent>> agents_;
+    Timer heartbeats_;
+    std::thread thread_;
+};
+
+} // namespace Oleander::Testing
