placement: Prove that no task runs in two places, and mend what the proof found

FaultRun runs two schedulers, the task book and agents with fake workers in steps of true time, with drifting clocks, and compares the intervals in which each attempt really ran. It found, each mended: a deposed leader's LoseWorker that commits after the new leader granted leases (now refused by the term in the task book; the hold starts once the term is committed); a lease granted while the loss of the same session was under way (no grant until its outcome is known); a returning worker lost again before its first heartbeat was answered; a stopped attempt that stayed at the worker and blocked the next one.

A success that is reported after its worker was lost counts when no attempt came after it.

--- a/Source/Entry/schedulertask.cpp
+++ b/Source/Entry/schedulertask.cpp
@@ -2,11 +2,21 @@
 
 namespace Oleander {
 
+namespace {
+
+Placement::SchedulerSettings named(Placement::SchedulerSettings settings, const std::string &name)
+{
+    settings.leader = name;
+    return settings;
+}
+
+} // namespace
+
 SchedulerTask::SchedulerTask(EventLoop &loop, Messenger &messenger, SchedulerTaskOptions options)
     : loop_(loop)
     , messenger_(messenger)
     , options_(std::move(options))
-    , scheduler_(options_.book(), *this, options_.scheduler)
+    , scheduler_(options_.book(), *this, named(options_.scheduler, messenger_.name()))
     , timer_(loop, [this] { scheduler_.tick(loop_.clock().now(), loop_.clock().wallNow()); })
 {
     messenger_.on<Heartbeat>([this](const Sender &sender, Heartbeat &&heartbeat) {
@@ -67,11 +77,17 @@
     static_cast<void>(messenger_.send(received.agent, std::move(reply), received.incarnation));
 }
 
-void SchedulerTask::propose(Placement::TaskCommand command, std::function<void(bool)> done)
+void SchedulerTask::propose(Placement::TaskCommand command,
+                            std::function<void(const Placement::TaskOutcome *)> done)
 {
+    if (!options_.isLeader()) {
+        // A former leader has nothing to propose; whether an earlier try commits is not known.
+        loop_.post([done = std::move(done)] { done(nullptr); });
+        return;
+    }
     options_.propose(std::move(command),
                      [done = std::move(done)](const Result<Placement::TaskOutcome> &outcome) {
-                         done(outcome.has_value());
+                         done(outcome ? &*outcome : nullptr);
                      });
 }
 
--- a/Source/Entry/schedulertask.h
+++ b/Source/Entry/schedulertask.h
@@ -50,7 +50,8 @@
         Heartbeat heartbeat;
     };
 
-    void propose(Placement::TaskCommand command, std::function<void(bool)> done) override;
+    void propose(Placement::TaskCommand command,
+                 std::function<void(const Placement::TaskOutcome *)> done) override;
     void send(const std::string &worker, TaskOrder order) override;
     void confirm();
     void answer(const Received &received);
--- a/Source/Placement/taskbook.cpp
+++ b/Source/Placement/taskbook.cpp
@@ -274,6 +274,8 @@
     const auto found = data_.workers.find(command.worker);
     if (found == data_.workers.end() || found->second.session != command.session)
         return {{fmt::format("Worker {} is not in session {}.", command.worker, command.session)}};
+    if (command.term != data_.term)
+        return {{fmt::format("Term {} of the scheduler is over.", command.term)}};
     Worker &worker = found->second;
     worker.lost = true;
     ++worker.session;
@@ -320,6 +322,13 @@
     return {};
 }
 
+TaskOutcome TaskBook::apply(const StartTerm &command, Drafts &drafts)
+{
+    drafts.push_back({SubjectKind::Replica, command.leader, "The entry schedules the tasks now.",
+                      "It was elected.", ""});
+    return {{}, ++data_.term};
+}
+
 const Task *TaskBook::task(const std::string &id) const
 {
     const auto found = data_.tasks.find(id);
--- a/Source/Placement/taskbook.h
+++ b/Source/Placement/taskbook.h
@@ -44,6 +44,8 @@
     std::uint64_t submitted = 0;
     /** No task that is made anew gets an attempt number up to this one. */
     std::uint32_t attemptFloor = 0;
+    /** Goes up with each leader that starts to schedule. */
+    std::uint64_t term = 0;
 };
 
 template<typename F>
@@ -57,6 +59,7 @@
     f(v.finishedCount);
     f(v.submitted);
     f(v.attemptFloor);
+    f(v.term);
 }
 
 /**
@@ -84,6 +87,8 @@
     const Task *task(const std::string &id) const;
     const Worker *worker(const std::string &name) const;
     const WorkerLedger &ledger() const { return ledger_; }
+    /** Term of the scheduler that started last. */
+    std::uint64_t term() const { return data_.term; }
     const ChangeJournal &journal() const { return journal_; }
     /** Ids of the tasks of a record in order. */
     std::vector<std::string> tasksOf(const Records::RecordKey &record) const;
@@ -104,6 +109,7 @@
     TaskOutcome apply(const CancelTasks &command, Drafts &drafts);
     TaskOutcome apply(const ExplainWaits &command, Drafts &drafts);
     TaskOutcome apply(const ExplainDrain &command, Drafts &drafts);
+    TaskOutcome apply(const StartTerm &command, Drafts &drafts);
 
     void submit(Task task, const Records::Record &record, Drafts &drafts);
     void followService(const Records::Record &record, const Records::ServiceSpec &spec,
@@ -117,6 +123,7 @@
     void cancel(Task &task, const std::string &reason, Drafts &drafts);
     void report(Worker &worker, const ReportedAttempt &reported, const ReportTasks &command,
                 Drafts &drafts);
+    void finishLate(const AttemptReport &news, Drafts &drafts);
     void attemptStopped(Task &task, const std::string &reason, Duration retryAfter, WallTime at,
                         Drafts &drafts);
     void attemptFailed(Task &task, Worker &worker, const ReportedAttempt &reported,
--- a/Source/Placement/taskbookattempts.cpp
+++ b/Source/Placement/taskbookattempts.cpp
@@ -122,6 +122,7 @@
                       Drafts &drafts)
 {
     const AttemptReport &news = reported.report;
+    finishLate(news, drafts);
     Task *task = liveTask(news.task, news.attempt);
     // Reports of attempts that have ended, or from a worker that does not hold the attempt, are
     // late; whatever they say was decided without them.
@@ -157,6 +158,16 @@
     }
 }
 
+void TaskBook::finishLate(const AttemptReport &news, Drafts &drafts)
+{
+    // The attempt was given up with its worker, but it had succeeded, and none came after it.
+    const auto found = data_.tasks.find(news.task);
+    const bool isLast = found != data_.tasks.end() && found->second.waits()
+                        && found->second.attempt == news.attempt && !found->second.isService();
+    if (isLast && news.state == AttemptState::Succeeded)
+        finish(found->second, TaskState::Done, news.reason, drafts);
+}
+
 void TaskBook::attemptStopped(Task &task, const std::string &reason, Duration retryAfter,
                               WallTime at, Drafts &drafts)
 {
--- a/Source/Placement/taskcommand.h
+++ b/Source/Placement/taskcommand.h
@@ -185,6 +185,8 @@
     std::uint64_t session = 0;
     std::string reason;
     WallTime at{};
+    /** Term of the scheduler that watched the lease. */
+    std::uint64_t term = 0;
 };
 
 template<typename F>
@@ -194,6 +196,7 @@
     f(v.session);
     f(v.reason);
     f(v.at);
+    f(v.term);
 }
 
 /** These tasks are no longer wanted. */
@@ -252,16 +255,33 @@
     f(v.reason);
 }
 
+/**
+ * A new leader starts to schedule. What an earlier one still proposes about leases is refused from
+ * here on, for it does not know of the leases that the new leader grants.
+ */
+struct StartTerm
+{
+    std::string leader;
+};
+
+template<typename F>
+void visitFields(F &&f, Fields<StartTerm> auto &&v)
+{
+    f(v.leader);
+}
+
 /** Every command of the task book; new alternatives go last. */
 using TaskCommand =
     std::variant<RegisterWorker, PlaceTasks, ReportTasks, SettleTasks, EvictTask, AbandonCheckpoint,
-                 ThrottleTask, LoseWorker, CancelTasks, ExplainWaits, ExplainDrain>;
+                 ThrottleTask, LoseWorker, CancelTasks, ExplainWaits, ExplainDrain, StartTerm>;
 
 /** What a command did. */
 struct TaskOutcome
 {
     /** One full sentence for each part that was refused; nothing was changed by these parts. */
     std::vector<std::string> refusals;
+    /** Term of the scheduler after a StartTerm. */
+    std::uint64_t term = 0;
 
     bool accepted() const { return refusals.empty(); }
 };
@@ -270,6 +290,7 @@
 void visitFields(F &&f, Fields<TaskOutcome> auto &&v)
 {
     f(v.refusals);
+    f(v.term);
 }
 
 } // namespace Oleander::Placement
--- a/Source/Placement/taskexecutor.cpp
+++ b/Source/Placement/taskexecutor.cpp
@@ -152,6 +152,9 @@
         if (hasEnded(entry.state))
             continue;
         entry.state = item.state;
+        // Nothing is left to learn from a stopped attempt, so the worker may forget it; one that
+        // succeeded or failed is kept until the leader took its report.
+        entry.mustStop = entry.mustStop || item.state == AttemptState::Stopped;
         if (!item.reason.empty())
             entry.reason = item.reason;
     }
--- a/Source/Placement/taskscheduler.cpp
+++ b/Source/Placement/taskscheduler.cpp
@@ -45,11 +45,9 @@
 void TaskScheduler::lead(TimePoint now)
 {
     isLeading_ = true;
-    ++term_;
-    Duration longestLease{};
-    for (const auto &[name, worker] : book_.workers())
-        longestLease = std::max(longestLease, worker.lease);
-    leases_.startTerm(now, longestLease);
+    ++period_;
+    term_ = 0;
+    losing_.clear();
     view_ = {};
     policy_ = PlacementPolicy(settings_.policy, settings_.seed);
     orders_.clear();
@@ -60,14 +58,49 @@
     waitReasons_.clear();
     draining_.clear();
     stamps_.clear();
+    sessions_.clear();
     journalPosition_ = UINT64_MAX;
     followBook(now);
+    startTerm();
+}
+
+void TaskScheduler::holdLeases(TimePoint now)
+{
+    // The hold begins once the term is committed: until then another leader may grant leases.
+    if (mustHold_)
+        leases_.startTerm(now, longestLease());
+    mustHold_ = false;
+}
+
+Duration TaskScheduler::longestLease() const
+{
+    Duration longest{};
+    for (const auto &[name, worker] : book_.workers())
+        longest = std::max(longest, worker.lease);
+    return longest;
+}
+
+void TaskScheduler::startTerm()
+{
+    port_.propose(StartTerm{settings_.leader}, [this, period = period_](const TaskOutcome *outcome) {
+        if (period != period_)
+            return;
+        if (!outcome) {
+            startTerm();
+            return;
+        }
+        term_ = outcome->term;
+        mustHold_ = true;
+        // What was proposed under an earlier term has taken effect by now or is refused.
+        losing_.clear();
+    });
 }
 
 void TaskScheduler::follow()
 {
     isLeading_ = false;
-    ++term_;
+    term_ = 0;
+    ++period_;
 }
 
 void TaskScheduler::followBook(TimePoint now)
@@ -76,7 +109,7 @@
     journalPosition_ = book_.journal().end();
     if (!changes) {
         for (const auto &[name, worker] : book_.workers())
-            followWorker(worker);
+            followWorker(worker, now);
         for (const auto &[id, task] : book_.tasks())
             followTask(id, now);
         return;
@@ -85,12 +118,19 @@
         if (change.kind == Change::Kind::Task)
             followTask(change.name, now);
         else if (const Worker *worker = book_.worker(change.name))
-            followWorker(*worker);
+            followWorker(*worker, now);
     }
 }
 
-void TaskScheduler::followWorker(const Worker &worker)
+void TaskScheduler::followWorker(const Worker &worker, TimePoint now)
 {
+    // A worker that registers is given a lease with its next heartbeat; until then it is waited for
+    // as if it had one.
+    std::uint64_t &session = sessions_[worker.name];
+    if (!worker.lost && session != worker.session) {
+        session = worker.session;
+        leases_.grant(worker.name, now);
+    }
     view_.setWorker(worker.name, worker.location, worker.capacity,
                     !worker.lost && worker.drain.empty() && worker.health == WorkerHealth::Healthy);
     if (!worker.drain.empty() && !worker.drained)
@@ -157,9 +197,12 @@
 {
     HeartbeatReply reply;
     reply.stamp = heartbeat.stamp;
-    if (!isLeading_ || heartbeat.capacity == Resources{})
+    if (!isActive() || heartbeat.capacity == Resources{})
         return reply;
     followBook(now);
+    if (book_.term() != term_)
+        return reply;
+    holdLeases(now);
     stamps_[worker] = heartbeat.stamp;
     const Worker *known = book_.worker(worker);
     const bool isRegistered = known && !known->lost && known->capacity == heartbeat.capacity
@@ -170,6 +213,9 @@
     // A lost worker gets a lease only once its return is committed, under its new session.
     if (!known || known->lost || known->lease < settings_.lease.length)
         return reply;
+    const auto losing = losing_.find(worker);
+    if (losing != losing_.end() && losing->second >= known->session)
+        return reply;
     reply.lease = leases_.grant(worker, now);
     reply.session = known->session;
     reported(worker, heartbeat.attempts, now, wall);
@@ -189,6 +235,10 @@
     const Task *task = book_.task(report.task);
     const bool isLive =
         task && task->live && task->attempt == report.attempt && task->live->worker == worker.name;
+    const bool isLateSuccess = task && task->waits() && task->attempt == report.attempt
+                               && report.state == AttemptState::Succeeded;
+    if (isLateSuccess)
+        return true;
     if (!isLive) {
         // Stopping is what such an attempt is to do; a stopped one the agent forgets by itself.
         if (report.state != AttemptState::Stopping && report.state != AttemptState::Stopped)
@@ -204,7 +254,7 @@
                              TimePoint now, WallTime wall)
 {
     const Worker *known = book_.worker(worker);
-    if (!isLeading_ || !known || known->lost)
+    if (!isActive() || !known || known->lost)
         return;
     followBook(now);
     ReportTasks command{worker, {}, probeDelay_.next(known->suspensions), wall};
@@ -253,9 +303,16 @@
 
 void TaskScheduler::tick(TimePoint now, WallTime wall)
 {
-    if (!isLeading_)
+    if (!isActive())
         return;
     followBook(now);
+    if (book_.term() > term_) {
+        // Another scheduler started a term; what it granted is not known here.
+        term_ = 0;
+        startTerm();
+        return;
+    }
+    holdLeases(now);
     loseWorkers(now, wall);
     watchLive(now, wall);
     drainWorkers(wall);
@@ -269,8 +326,9 @@
     for (const auto &[name, worker] : book_.workers()) {
         if (worker.lost || !leases_.surelyOver(name, now))
             continue;
-        proposeOnce("lose/" + name,
-                    LoseWorker{name, worker.session, "Its agent stopped answering.", wall});
+        losing_[name] = worker.session;
+        proposeOnce("lose/" + name, LoseWorker{name, worker.session,
+                                               "Its agent stopped answering.", wall, term_});
     }
 }
 
@@ -410,8 +468,9 @@
 {
     if (!underWay_.insert(key).second)
         return;
-    port_.propose(std::move(command), [this, key, term = term_, after = std::move(after)](bool) {
-        if (term != term_)
+    port_.propose(std::move(command), [this, key, period = period_,
+                                       after = std::move(after)](const TaskOutcome *) {
+        if (period != period_)
             return;
         underWay_.erase(key);
         if (after)
--- a/Source/Placement/taskscheduler.h
+++ b/Source/Placement/taskscheduler.h
@@ -36,6 +36,8 @@
     /** Placements in one command. */
     std::size_t batch = 256;
     std::uint32_t seed = 1;
+    /** Name of this process. */
+    std::string leader;
 };
 
 /**
@@ -46,8 +48,11 @@
 {
 public:
     virtual ~SchedulerPort() = default;
-    /** Commits \a command; \a done is called once, later, with true when it was applied. */
-    virtual void propose(TaskCommand command, std::function<void(bool)> done) = 0;
+    /**
+     * Commits \a command; \a done is called once, later, with what it did, or with null when it is
+     * not known whether it commits.
+     */
+    virtual void propose(TaskCommand command, std::function<void(const TaskOutcome *)> done) = 0;
     virtual void send(const std::string &worker, TaskOrder order) = 0;
 };
 
@@ -64,11 +69,16 @@
 public:
     TaskScheduler(const TaskBook &book, SchedulerPort &port, const SchedulerSettings &settings);
 
-    /** Starts over as the leader that was elected at \a now or before. */
+    /**
+     * Starts over as the leader that was elected at \a now or before. Nothing is granted or placed
+     * until the start of the term is committed.
+     */
     void lead(TimePoint now);
     /** Stops to propose and to order. */
     void follow();
     bool isLeading() const { return isLeading_; }
+    /** True once the start of the term is committed. */
+    bool isActive() const { return isLeading_ && term_ > 0; }
 
     /**
      * Takes a heartbeat and returns the answer. Comes only after the leadership was confirmed by
@@ -87,7 +97,7 @@
 private:
     void followBook(TimePoint now);
     void followTask(const std::string &id, TimePoint now);
-    void followWorker(const Worker &worker);
+    void followWorker(const Worker &worker, TimePoint now);
     TaskTraits traitsOf(const Task &task);
     void registerWorker(const std::string &worker, const Heartbeat &heartbeat, WallTime wall);
     void findAbsent(const std::string &worker, const std::vector<AttemptReport> &attempts,
@@ -95,6 +105,9 @@
     bool isNews(const Worker &worker, const AttemptReport &report, TimePoint now);
     void placeWaiting(TimePoint now, WallTime wall);
     std::optional<TaskPlacement> placementFor(const Task &task, TimePoint now, WallTime wall);
+    void startTerm();
+    void holdLeases(TimePoint now);
+    Duration longestLease() const;
     void loseWorkers(TimePoint now, WallTime wall);
     void watchLive(TimePoint now, WallTime wall);
     void drainWorkers(WallTime wall);
@@ -114,8 +127,18 @@
     Backoff retryDelay_;
     Backoff probeDelay_;
     bool isLeading_ = false;
-    /** Goes up with each term, so that outcomes of an earlier one are ignored. */
+    /** Counts calls of lead() and follow(), so that outcomes of an earlier one are ignored. */
+    std::uint64_t period_ = 0;
+    /** The term that the task book gave; 0 until it is committed. */
     std::uint64_t term_ = 0;
+    bool mustHold_ = false;
+    /** Session in which each worker was seen last while it was not lost. */
+    std::map<std::string, std::uint64_t> sessions_;
+    /**
+     * Sessions that this leader asked to declare lost. No lease is granted for them, also when the
+     * outcome is not known.
+     */
+    std::map<std::string, std::uint64_t> losing_;
     std::uint64_t journalPosition_ = 0;
     std::set<std::string> underWay_;
     /** Stamp of the last heartbeat by worker; orders carry it. */
--- /dev/null
+++ b/Tests/Placement/faultrun.h
@@ -0,0 +1,134 @@
+#pragma once
+
+#include "Placement/taskexecutor.h"
+#include "Placement/taskscheduler.h"
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace Oleander::Testing {
+
+/** True time of a run; every process sees it through a clock of its own that drifts. */
+using TrueTime = Duration;
+
+/** When one attempt really ran on one worker. */
+struct Interval
+{
+    std::string worker;
+    std::uint32_t attempt = 0;
+    std::uint64_t resumedFrom = 0;
+    TrueTime begin{};
+    TrueTime end = TrueTime::max();
+    std::string how;
+};
+
+/** What may go wrong in a run. */
+struct Faults
+{
+    double maxDrift = 0.01;
+    /** Chances in a step of 20 ms. */
+    double freezeAgent = 0;
+    double restartAgent = 0;
+    double cutWorker = 0;
+    double changeLeader = 0;
+    /** Chance that a message is lost, and that it arrives twice. */
+    double lose = 0;
+    double duplicate = 0;
+    /** Chance that a committed command's outcome is not told. */
+    double unknownOutcome = 0;
+    /** Chance that a task, drawn at random, is evicted. */
+    double evict = 0;
+    Duration mostDelay = std::chrono::milliseconds(30);
+    /** Longest that a message may be under way when it is late; late ones are one in fifty. */
+    Duration lateDelay = std::chrono::seconds(12);
+    Duration mostOutage = std::chrono::seconds(15);
+    /** Checkpoints that tasks take themselves, and those that the leader asks for. */
+    bool checkpointsFail = false;
+    bool loseStopAnswers = false;
+};
+
+/**
+ * \class FaultRun
+ * \brief Runs two schedulers, their task book, and agents with fake workers in steps of true time,
+ * and breaks what Faults says; the same seed gives the same run.
+ */
+class FaultRun
+{
+public:
+    FaultRun(std::uint32_t seed, const Faults &faults, int workers);
+    ~FaultRun();
+    FaultRun(const FaultRun &) = delete;
+    FaultRun &operator=(const FaultRun &) = delete;
+
+    void submit(const std::string &job, Records::BatchSpec spec);
+    void submitService(const std::string &name, Records::ServiceSpec spec);
+    void setRecord(Records::RecordKind kind, const std::string &name, Records::Spec spec,
+                   bool withdrawn);
+    void apply(const Placement::TaskCommand &command);
+    void runFor(Duration time);
+    /** Runs until \a condition or \a most; returns whether the condition holds. */
+    bool runUntil(const std::function<bool()> &condition, Duration most);
+    /** Stops to break anything from here on, and heals what is broken. */
+    void heal();
+    /** Gives a task on a worker a length; 0 lets it run until stopped. */
+    void setRunTime(Duration time) { runTime_ = time; }
+    /** Lets attempts of this task, or all on this worker, fail as they start. */
+    void failTask(const std::string &task) { failingTasks_.insert(task); }
+    void failWorker(const std::string &worker, bool fails);
+    void cut(const std::string &worker, bool isCut);
+
+    const Placement::TaskBook &book() const { return book_; }
+    const std::vector<Records::EventDraft> &drafts() const { return drafts_; }
+    const std::map<std::string, std::vector<Interval>> &intervals() const { return intervals_; }
+    bool told(const std::string &name, const std::string &words) const;
+    WallTime wall() const;
+
+    /** Describes the first two intervals of one task that overlap, or returns an empty text. */
+    std::string overlap() const;
+
+private:
+    struct Run;
+    struct Host;
+    struct Leader;
+    struct Delivery
+    {
+        TrueTime at{};
+        std::function<void()> act;
+    };
+
+    bool happens(double chance);
+    Duration delay();
+    void deliver(const std::function<void()> &act);
+    void step();
+    void breakSomething();
+    void stepHost(Host &host);
+    void callWorker(Host &host, const Placement::WorkerCall &call);
+    void stepWorker(Host &host);
+    void heartbeat(Host &host);
+    void receive(Leader &leader, const std::string &worker, std::uint64_t incarnation,
+                 const Heartbeat &message);
+    TimePoint clockOf(double rate) const;
+    void elect(std::size_t leader);
+    void endRun(Host &host, const std::string &task, const std::string &how);
+
+    Faults faults_;
+    std::minstd_rand random_;
+    TrueTime now_ = std::chrono::seconds(100);
+    Placement::TaskBook book_;
+    std::vector<Records::EventDraft> drafts_;
+    std::vector<std::unique_ptr<Host>> hosts_;
+    std::vector<std::unique_ptr<Leader>> leaders_;
+    std::size_t elected_ = 0;
+    std::multimap<TrueTime, std::function<void()>> deliveries_;
+    std::map<std::string, std::vector<Interval>> intervals_;
+    Duration runTime_{};
+    std::set<std::string> failingTasks_;
+    std::uint64_t revision_ = 0;
+};
+
+} // namespace Oleander::Testing
