bench: Measure the control log with three replicas in processes of their own

Reads without a leader now wait for one up to readTimeout: the bench had retried a read at once, and a task that posts itself again starves the sockets of the loop. A forwarded proposal ends as unknown when its connection goes.

--- a/Source/Entry/pendingproposals.cpp
+++ b/Source/Entry/pendingproposals.cpp
@@ -24,9 +24,9 @@
     appended_.emplace(position.index, Appended{position.term, std::move(proposal)});
 }
 
-std::uint64_t PendingProposals::addForwarded(Proposal proposal)
+std::uint64_t PendingProposals::addForwarded(Proposal proposal, const std::string &peer)
 {
-    forwarded_.emplace(nextId_, std::move(proposal));
+    forwarded_.emplace(nextId_, Forwarded{peer, std::move(proposal)});
     return nextId_++;
 }
 
@@ -35,7 +35,7 @@
     const auto found = forwarded_.find(id);
     if (found == forwarded_.end())
         return false;
-    proposal = std::move(found->second);
+    proposal = std::move(found->second.proposal);
     forwarded_.erase(found);
     return true;
 }
@@ -85,13 +85,25 @@
                tl::make_unexpected(unknownOutcome("No quorum answered in time.")));
         appended = appended_.erase(appended);
     }
+    endForwarded("The leader did not answer in time.",
+                 [now](const Forwarded &forwarded) { return now >= forwarded.proposal.deadline; });
+}
+
+void PendingProposals::endForwardedTo(const std::function<bool(const std::string &)> &isLost)
+{
+    endForwarded("The connection to the leader was lost.",
+                 [&](const Forwarded &forwarded) { return isLost(forwarded.peer); });
+}
+
+template<typename Condition>
+void PendingProposals::endForwarded(const std::string &why, Condition ended)
+{
     for (auto forwarded = forwarded_.begin(); forwarded != forwarded_.end();) {
-        if (now < forwarded->second.deadline) {
+        if (!ended(forwarded->second)) {
             ++forwarded;
             continue;
         }
-        finish(std::move(forwarded->second),
-               tl::make_unexpected(unknownOutcome("The leader did not answer in time.")));
+        finish(std::move(forwarded->second.proposal), tl::make_unexpected(unknownOutcome(why)));
         forwarded = forwarded_.erase(forwarded);
     }
 }
--- a/Source/Entry/pendingproposals.h
+++ b/Source/Entry/pendingproposals.h
@@ -35,8 +35,8 @@
     void wait(Proposal proposal) { waiting_.push_back(std::move(proposal)); }
     std::deque<Proposal> takeWaiting();
     void addAppended(LogPosition position, Proposal proposal);
-    /** Returns the id under which the answer will come. */
-    std::uint64_t addForwarded(Proposal proposal);
+    /** Returns the id under which the answer of \a peer will come. */
+    std::uint64_t addForwarded(Proposal proposal, const std::string &peer);
     /** Takes a forwarded proposal back, for its answer or another try. */
     bool takeForwarded(std::uint64_t id, Proposal &proposal);
 
@@ -44,12 +44,13 @@
     void committed(LogPosition position, const std::string &outcome);
     /** A snapshot took the place of the entries up to \a index. */
     void skippedTo(std::uint64_t index);
+    /** Ends what was forwarded to a peer for which \a isLost holds: its answer may be gone. */
+    void endForwardedTo(const std::function<bool(const std::string &)> &isLost);
     /** Ends what has waited too long; \a why tells what a waiting one lacked. */
     void expire(TimePoint now, const std::string &why);
     void finish(Proposal proposal, Result<std::string> outcome);
 
     std::vector<Finished> takeFinished();
-    bool empty() const { return waiting_.empty() && appended_.empty() && forwarded_.empty(); }
 
 private:
     struct Appended
@@ -57,10 +58,18 @@
         std::uint64_t term = 0;
         Proposal proposal;
     };
+    struct Forwarded
+    {
+        std::string peer;
+        Proposal proposal;
+    };
+
+    template<typename Condition>
+    void endForwarded(const std::string &why, Condition ended);
 
     std::deque<Proposal> waiting_;
     std::multimap<std::uint64_t, Appended> appended_;
-    std::map<std::uint64_t, Proposal> forwarded_;
+    std::map<std::uint64_t, Forwarded> forwarded_;
     std::uint64_t nextId_ = 1;
     std::vector<Finished> finished_;
 };
--- a/Source/Entry/replicatask.cpp
+++ b/Source/Entry/replicatask.cpp
@@ -5,6 +5,7 @@
 #include "Protocol/codec.h"
 #include "Runtime/log.h"
 #include "Runtime/messenger.h"
+#include "Runtime/statedump.h"
 #include "Storage/storagewriter.h"
 
 #include <fmt/format.h>
@@ -54,6 +55,7 @@
     void noteRole();
     StorageEvents storageEvents();
     std::string whyNoLeader() const;
+    std::vector<DumpRow> dumpRows() const;
 
     ReplicaTask &owner;
     EventLoop &loop;
@@ -62,9 +64,16 @@
     ReplicaTaskOptions options;
     std::optional<Replica> replica;
     PendingProposals proposals;
-    std::map<std::uint64_t, ReadCallback> reads;
+    struct Read
+    {
+        ReadCallback callback;
+        TimePoint deadline;
+    };
+    std::map<std::uint64_t, Read> reads;
     std::uint64_t nextRead = 1;
     std::vector<std::uint64_t> newReads;
+    /** Reads that failed and are tried again at the next tick. */
+    std::vector<std::uint64_t> retriedReads;
     std::uint64_t appliedIndex = 0;
     std::uint64_t bytesSinceSnapshot = 0;
     std::optional<Snapshot> savingSnapshot;
@@ -76,6 +85,7 @@
     std::size_t nextPeer = 0;
     Timer ticker;
     std::unique_ptr<StorageWriter> writer;
+    DumpPart dump{"replica", [this] { return dumpRows(); }};
     /** Posted work finds this gone once the task is. */
     std::shared_ptr<Private *> alive = std::make_shared<Private *>(this);
 };
@@ -180,7 +190,11 @@
 {
     if (replica && !failedForGood)
         replica->tick(now());
+    newReads.insert(newReads.end(), retriedReads.begin(), retriedReads.end());
+    retriedReads.clear();
     proposals.expire(now(), whyNoLeader());
+    proposals.endForwardedTo(
+        [this](const std::string &peer) { return !messenger.connected(peer); });
     flush();
 }
 
@@ -192,6 +206,22 @@
     return why;
 }
 
+std::vector<DumpRow> ReplicaTask::Private::dumpRows() const
+{
+    const ReplicaStatus status = owner.status();
+    return {{options.name,
+             {{"role", status.role},
+              {"leader", status.leader},
+              {"term", status.term},
+              {"commit", status.commitIndex},
+              {"applied", status.appliedIndex},
+              {"last", status.lastIndex},
+              {"snapshot", status.snapshotIndex},
+              {"voters", fmt::format("{}", fmt::join(status.voters, ","))},
+              {"learners", fmt::format("{}", fmt::join(status.learners, ","))},
+              {"storage_error", status.storageError}}}};
+}
+
 void ReplicaTask::Private::scheduleFlush()
 {
     if (flushScheduled)
@@ -255,7 +285,7 @@
         return false;
     ForwardRequest request;
     request.bytes = proposal.command;
-    request.id = proposals.addForwarded(std::move(proposal));
+    request.id = proposals.addForwarded(std::move(proposal), target);
     if (messenger.send(target, request))
         return true;
     // Not one byte has left, so another try is safe.
@@ -320,15 +350,20 @@
 void ReplicaTask::Private::finishReads(const std::vector<ReadOutcome> &outcomes)
 {
     for (const ReadOutcome &outcome : outcomes) {
-        auto found = reads.extract(outcome.id);
-        if (found.empty())
+        const auto waiting = reads.find(outcome.id);
+        if (waiting == reads.end())
             continue;
+        if (!outcome.current && now() < waiting->second.deadline) {
+            retriedReads.push_back(outcome.id);
+            continue;
+        }
+        auto found = reads.extract(waiting);
         Result<void> result;
         if (!outcome.current) {
             result = fail(Failure::Unavailable, Step::Commit, replica->leader(),
                           "No quorum confirmed in time that the local state is current.");
         }
-        loop.post([callback = std::move(found.mapped()), result] { callback(result); });
+        loop.post([callback = std::move(found.mapped().callback), result] { callback(result); });
     }
 }
 
@@ -382,6 +417,7 @@
     if (!proposals.takeForwarded(reply.id, proposal))
         return;
     if (reply.accepted) {
+        hintedLeader = reply.leader;
         proposals.finish(std::move(proposal), std::move(reply.bytes));
     } else if (reply.failure == static_cast<std::uint32_t>(Failure::NotLeader)) {
         // Nothing was appended there, so the command waits for the next try.
@@ -444,7 +480,7 @@
         });
         return;
     }
-    self.reads.emplace(self.nextRead, std::move(callback));
+    self.reads[self.nextRead] = {std::move(callback), self.now() + self.options.readTimeout};
     self.newReads.push_back(self.nextRead++);
     self.scheduleFlush();
 }
--- a/Source/Entry/replicatask.h
+++ b/Source/Entry/replicatask.h
@@ -30,6 +30,8 @@
     Duration electionTimeout = std::chrono::milliseconds(400);
     /** Longest wait of a proposal for a leader, and then for its commit. */
     Duration proposeTimeout = std::chrono::seconds(5);
+    /** Longest wait of a read for a leader and a quorum. */
+    Duration readTimeout = std::chrono::seconds(2);
     /** Committed entries between two snapshots. */
     std::uint64_t snapshotEntries = 20'000;
     /** Bytes of commands between two snapshots. */
--- /dev/null
+++ b/Tests/Bench/controlbench.cpp
@@ -0,0 +1,352 @@
+// Measures the control log with three replicas in processes of their own, each with a data folder
+// that it syncs, and a fourth process without one that proposes.
+//
+//   bench-control
+//   bench-control replica NAME FOLDER ADDRESS PEER=ADDRESS... (started by the bench itself)
+
+#include "Entry/replicatask.h"
+#include "Runtime/messenger.h"
+#include "State/controlstate.h"
+#include "Support/childprocess.h"
+#include "Support/loopback.h"
+#include "Support/temporaryfolder.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <cstdlib>
+#include <fstream>
+#include <map>
+#include <memory>
+#include <optional>
+
+using namespace Oleander;
+using namespace Oleander::Testing;
+
+namespace {
+
+constexpr std::size_t Workers = 1'400;
+constexpr std::size_t Tasks = 20'000;
+constexpr std::size_t InFlight = 256;
+constexpr int FailoverRounds = 5;
+constexpr int RestartRounds = 3;
+constexpr std::size_t ChangesBehind = 1'000;
+/** More than the leader keeps of its compacted log, so that a snapshot is sent. */
+constexpr std::size_t ChangesBehindSnapshot = 25'000;
+constexpr Duration Limit = std::chrono::seconds(120);
+const WallTime Noon{std::chrono::seconds(1'800'000'000)};
+
+using Addresses = std::map<std::string, std::string>;
+
+/** Links and replica of one process. */
+struct Process
+{
+    Process(const std::string &name, const std::string &folder, const std::string &address,
+            const Addresses &peers, std::uint64_t incarnation)
+        : messenger(loop, name, incarnation)
+    {
+        const auto listening = messenger.listen(address);
+        if (!listening) {
+            fmt::print(stderr, "{}\n", listening.error().text());
+            std::exit(1);
+        }
+        ReplicaTaskOptions options;
+        options.name = name;
+        options.folder = folder;
+        for (const auto &[peer, at] : peers) {
+            messenger.addPeer(peer, at);
+            if (peer != "door")
+                options.replicas.push_back(peer);
+        }
+        if (!folder.empty()) {
+            options.replicas.push_back(name);
+            std::sort(options.replicas.begin(), options.replicas.end());
+        }
+        task = std::make_unique<ReplicaTask>(loop, messenger, state, options);
+        if (const auto started = task->start(); !started) {
+            fmt::print(stderr, "{}\n", started.error().text());
+            std::exit(1);
+        }
+    }
+
+    EventLoop loop;
+    Messenger messenger;
+    State::ControlState state;
+    std::unique_ptr<ReplicaTask> task;
+};
+
+/** Says "ready" once its state is as new as the group's. */
+void sayWhenReady(Process &process)
+{
+    process.task->readBarrier([&process](Result<void> current) {
+        if (!current) {
+            sayWhenReady(process);
+            return;
+        }
+        fmt::print("ready {}\n", process.task->status().appliedIndex);
+        std::fflush(stdout);
+    });
+}
+
+int runReplica(const std::vector<std::string> &words)
+{
+    Addresses peers;
+    for (std::size_t i = 5; i < words.size(); ++i) {
+        const std::size_t at = words[i].find('=');
+        peers[words[i].substr(0, at)] = words[i].substr(at + 1);
+    }
+    const auto incarnation =
+        static_cast<std::uint64_t>(std::chrono::system_clock::now().time_since_epoch().count());
+    Process process(words[2], words[3], words[4], peers, incarnation);
+    sayWhenReady(process);
+    process.loop.run();
+    return 0;
+}
+
+/** The group and the process that proposes to it. */
+class Bench
+{
+public:
+    Bench()
+    {
+        for (const std::string name : {"door", "r1", "r2", "r3"})
+            addresses_[name] = Loopback::freeAddress(Loopback::nextHost());
+        for (const std::string name : {"r1", "r2", "r3"})
+            start(name);
+        Addresses replicas = addresses_;
+        replicas.erase("door");
+        door_ = std::make_unique<Process>("door", std::string(), addresses_["door"], replicas, 1);
+    }
+
+    void start(const std::string &name)
+    {
+        std::vector<std::string> command{"/proc/self/exe", "replica", name, folder(name),
+                                         addresses_[name]};
+        for (const auto &[peer, address] : addresses_) {
+            if (peer != name)
+                command.push_back(peer + "=" + address);
+        }
+        replicas_[name] = std::make_unique<ChildProcess>(command);
+    }
+    std::string folder(const std::string &name) const { return (folder_.path() / name).string(); }
+    ChildProcess &replica(const std::string &name) { return *replicas_.at(name); }
+    std::string leader() const { return door_->task->leaderName(); }
+    std::string follower() const { return leader() == "r1" ? "r2" : "r1"; }
+
+    /** Runs the loop until \a condition holds and returns the seconds that it took. */
+    double until(const std::function<bool()> &condition)
+    {
+        const TimePoint begin = now();
+        Timer poll(door_->loop, [&] {
+            if (condition())
+                door_->loop.stop();
+            if (now() > begin + Limit) {
+                fmt::print(stderr, "the bench waited too long\n");
+                std::exit(1);
+            }
+        });
+        poll.startEvery(std::chrono::milliseconds(1));
+        door_->loop.run();
+        return seconds(now() - begin);
+    }
+
+    /** Commits all commands, \a InFlight of them at a time; returns the seconds that it took. */
+    double commitAll(const std::vector<std::string> &commands)
+    {
+        next_ = 0;
+        committed_ = 0;
+        refused_ = 0;
+        commands_ = &commands;
+        for (std::size_t i = 0; i < InFlight; ++i)
+            proposeNext();
+        const double took = until([&] { return committed_ + refused_ == commands.size(); });
+        if (refused_ > 0)
+            fmt::print(stderr, "{} of {} commands had no outcome\n", refused_, commands.size());
+        return took;
+    }
+    std::size_t refused() const { return refused_; }
+
+    /** Kills the leader and returns the seconds until the next write was committed. */
+    double failover()
+    {
+        const std::string killed = leader();
+        const TimePoint begin = now();
+        replica(killed).kill();
+        std::optional<TimePoint> committed;
+        Timer proposer(door_->loop, [&] {
+            const TimePoint proposed = now();
+            door_->task->propose(changeOf(++changes_), [&, proposed](Result<std::string> outcome) {
+                if (outcome && !committed)
+                    committed = now();
+                static_cast<void>(proposed);
+            });
+        });
+        proposer.startEvery(std::chrono::milliseconds(5));
+        until([&] { return committed.has_value(); });
+        proposer.cancel();
+        start(killed);
+        waitReady(killed);
+        return seconds(*committed - begin);
+    }
+
+    /** Restarts a follower that missed \a changes; returns the seconds until it is current. */
+    double restart(std::size_t changes)
+    {
+        const std::string name = follower();
+        replica(name).kill();
+        std::vector<std::string> commands;
+        for (std::size_t i = 0; i < changes; ++i)
+            commands.push_back(changeOf(++changes_));
+        commitAll(commands);
+        const TimePoint begin = now();
+        start(name);
+        waitReady(name);
+        return seconds(now() - begin);
+    }
+
+    void waitReady(const std::string &name)
+    {
+        until([&] { return replica(name).standardOutput().find("ready") != std::string::npos; });
+    }
+
+    std::uint64_t logBytes(const std::string &name) const
+    {
+        std::uint64_t bytes = 0;
+        for (const auto &file : std::filesystem::directory_iterator(folder(name) + "/log"))
+            bytes += file.file_size();
+        return bytes;
+    }
+    double residentMiB(const std::string &name)
+    {
+        std::ifstream status(fmt::format("/proc/{}/status", replica(name).id()));
+        std::string word;
+        double kib = 0;
+        while (status >> word) {
+            if (word == "VmRSS:")
+                status >> kib;
+        }
+        return kib / 1024;
+    }
+
+private:
+    static double seconds(Duration duration) { return static_cast<double>(duration.count()) / 1e6; }
+    TimePoint now() const { return door_->loop.clock().now(); }
+    /** An amendment of one record, as an operator's change is. */
+    static std::string changeOf(std::size_t number)
+    {
+        Records::BatchSpec spec;
+        spec.team = "team";
+        spec.declared = {1'000, 1'024, 0};
+        spec.payload = fmt::format("archive --part={}", number);
+        return State::encodeCommand(
+            Records::Submit{{"operator", fmt::format("change-{}", number), Noon},
+                            {Records::RecordKind::Batch, fmt::format("change-{}", number)},
+                            2,
+                            spec,
+                            {}});
+    }
+    void proposeNext()
+    {
+        if (next_ == commands_->size())
+            return;
+        door_->task->propose((*commands_)[next_++], [this](Result<std::string> outcome) {
+            ++(outcome ? committed_ : refused_);
+            proposeNext();
+        });
+    }
+
+    TemporaryFolder folder_;
+    Addresses addresses_;
+    std::map<std::string, std::unique_ptr<ChildProcess>> replicas_;
+    std::unique_ptr<Process> door_;
+    const std::vector<std::string> *commands_ = nullptr;
+    std::size_t next_ = 0;
+    std::size_t committed_ = 0;
+    std::size_t refused_ = 0;
+    std::size_t changes_ = 0;
+};
+
+/** Commands that bring workers and tasks, and those that start each task. */
+struct Starts
+{
+    Starts()
+    {
+        State::ControlState shadow;
+        const auto prepare = [&](const State::Command &command) {
+            preparation.push_back(State::encodeCommand(command));
+            shadow.apply(preparation.size(), preparation.back());
+        };
+        for (std::size_t i = 0; i < Workers; ++i) {
+            Placement::RegisterWorker command;
+            command.worker = fmt::format("worker-{}", i);
+            command.location = {"region-1", "domain-1", fmt::format("rack-{}", i / 3)};
+            command.capacity = {64'000, 256'000, 2};
+            command.lease = std::chrono::seconds(3);
+            command.at = Noon;
+            prepare(Placement::TaskCommand(command));
+        }
+        for (std::size_t i = 0; i < Tasks; ++i) {
+            Records::BatchSpec spec;
+            spec.team = fmt::format("team-{}", i % 42);
+            spec.declared = {2'000, 4'096, 0};
+            spec.payload = fmt::format("archive --part={}", i);
+            const Records::RecordKey key{Records::RecordKind::Batch, fmt::format("job-{}", i)};
+            prepare(
+                Records::Submit{{"operator", fmt::format("key-{}", i), Noon}, key, 2, spec, {}});
+            Placement::PlaceTasks place;
+            place.at = Noon;
+            place.placements.push_back(
+                {shadow.tasks().tasksOf(key).front(), 1, fmt::format("worker-{}", i % Workers), 1});
+            starts.push_back(State::encodeCommand(Placement::TaskCommand(place)));
+        }
+    }
+
+    std::vector<std::string> preparation;
+    std::vector<std::string> starts;
+};
+
+void measure()
+{
+    Bench bench;
+    const Starts commands;
+    const std::uint64_t before = bench.logBytes("r1");
+    const double residentBefore = bench.residentMiB("r1");
+    bench.commitAll(commands.preparation);
+    const auto records = static_cast<double>(commands.preparation.size());
+    fmt::print(stderr, "log bytes a record {:.0f}, resident KiB a record {:.2f}\n",
+               static_cast<double>(bench.logBytes("r1") - before) / records,
+               (bench.residentMiB("r1") - residentBefore) * 1024 / records);
+
+    const double took = bench.commitAll(commands.starts);
+    const double rate = static_cast<double>(Tasks - bench.refused()) / took;
+    fmt::print("figure control.starts_rate {:.0f} 1/s target >=2300\n", rate);
+
+    double failover = 0;
+    for (int round = 0; round < FailoverRounds; ++round) {
+        const double one = bench.failover();
+        fmt::print(stderr, "failover {:.2f} s\n", one);
+        failover = std::max(failover, one);
+    }
+    fmt::print("figure control.failover {:.2f} s target <=1.6\n", failover);
+
+    double restart = 0;
+    for (int round = 0; round < RestartRounds; ++round) {
+        const double one = bench.restart(ChangesBehind);
+        fmt::print(stderr, "restart with {} changes behind {:.2f} s\n", ChangesBehind, one);
+        restart = std::max(restart, one);
+    }
+    fmt::print("figure control.restart {:.2f} s target <=1\n", restart);
+    fmt::print(stderr, "restart with a snapshot behind {:.2f} s\n",
+               bench.restart(ChangesBehindSnapshot));
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    const std::vector<std::string> words(argv, argv + argc);
+    if (words.size() > 5 && words[1] == "replica")
+        return runReplica(words);
+    measure();
+    return 0;
+}
