protocol: Read a whole number where a fraction may stand

Cause: every heartbeat with a usage report was dropped as malformed once a task ran at its full speed: the packer writes 1.0 as an integer and the reader took fractions only. Workers then lost their leases and their tasks moved in circles. Ruled out: the read barrier (status answers in 10 ms), the leases themselves, nng queues. Before: the demonstration's workers are lost about 4 s after they register. Posted work now runs a turn later, so that a retry that posts itself again cannot starve sockets and timers; its test fails with the former wake-up.

--- a/Source/Protocol/value.cpp
+++ b/Source/Protocol/value.cpp
@@ -120,10 +120,21 @@
 bool ValueReader::readDouble(double &value) const
 {
     const auto &object = asObject(object_);
-    if (object.type != msgpack::type::FLOAT64 && object.type != msgpack::type::FLOAT32)
+    // The packer writes a number without a fraction as an integer.
+    switch (object.type) {
+    case msgpack::type::FLOAT32:
+    case msgpack::type::FLOAT64:
+        value = object.via.f64;
+        return true;
+    case msgpack::type::POSITIVE_INTEGER:
+        value = static_cast<double>(object.via.u64);
+        return true;
+    case msgpack::type::NEGATIVE_INTEGER:
+        value = static_cast<double>(object.via.i64);
+        return true;
+    default:
         return false;
-    value = object.via.f64;
-    return true;
+    }
 }
 
 bool ValueReader::readBool(bool &value) const
--- a/Source/Runtime/eventloop.cpp
+++ b/Source/Runtime/eventloop.cpp
@@ -53,6 +53,8 @@
 
     SystemClock clock;
     event_base *base = nullptr;
+    // Posted work runs when this timer fires, in the turn after the posting: libevent looks at
+    // sockets and timers between turns, so work that posts itself again cannot starve them.
     event *wake = nullptr;
     std::function<void()> drain;
     std::mutex mutex;
@@ -60,6 +62,12 @@
     std::list<SignalWatch> signals;
     bool stopping = false;
 
+    void wakeSoon()
+    {
+        const timeval now{};
+        event_add(wake, &now);
+    }
+
     void runPosted()
     {
         std::vector<std::function<void()>> batch;
@@ -82,8 +90,7 @@
     std::signal(SIGPIPE, SIG_IGN); // NOLINT(bugprone-signal-handler)
     private_->base = event_base_new();
     private_->drain = [this] { private_->runPosted(); };
-    private_->wake = event_new(private_->base, -1, EV_PERSIST, runHandler, &private_->drain);
-    event_add(private_->wake, nullptr);
+    private_->wake = evtimer_new(private_->base, runHandler, &private_->drain);
 }
 
 EventLoop::~EventLoop()
@@ -107,7 +114,7 @@
         const std::lock_guard lock(private_->mutex);
         private_->stopping = true;
     }
-    event_active(private_->wake, EV_READ, 0);
+    private_->wakeSoon();
 }
 
 void EventLoop::post(std::function<void()> work)
@@ -119,7 +126,7 @@
         private_->posted.push_back(std::move(work));
     }
     if (first)
-        event_active(private_->wake, EV_READ, 0);
+        private_->wakeSoon();
 }
 
 void EventLoop::onSignal(int signalNumber, std::function<void()> handler)
--- a/Tests/Protocol/codectest.cpp
+++ b/Tests/Protocol/codectest.cpp
@@ -51,3 +51,12 @@
     frame.protocol = ProtocolVersion + 1;
     CHECK_FALSE(decodeFrame(encodeFrame(frame), "agent-1").has_value());
 }
+
+TEST_CASE("Numbers with and without a fraction survive, of either sign")
+{
+    for (const double number : {0.0, 1.0, -1.0, 0.75, -2.5, 1e300, 4503599627370497.0}) {
+        const auto decoded = decode<double>(encode(number));
+        REQUIRE(decoded.has_value());
+        CHECK(*decoded == number);
+    }
+}
--- a/Tests/Runtime/eventlooptest.cpp
+++ b/Tests/Runtime/eventlooptest.cpp
@@ -35,3 +35,25 @@
     loop.run();
     CHECK(fired == 3);
 }
+
+TEST_CASE("Work that posts itself again starves no timer")
+{
+    EventLoop loop;
+    bool fired = false;
+    // Ends the test when the timer never gets its turn.
+    int turnsLeft = 10'000'000;
+    std::function<void()> again = [&] {
+        if (--turnsLeft == 0)
+            loop.stop();
+        else
+            loop.post(again);
+    };
+    Timer timer(loop, [&] {
+        fired = true;
+        loop.stop();
+    });
+    timer.startOnce(std::chrono::milliseconds(1));
+    loop.post(again);
+    loop.run();
+    CHECK(fired);
+}
