--- a/Source/Protocol/value.cpp
+++ b/Source/Protocol/value.cpp
@@ -120,16 +120,21 @@
 bool ValueReader::readDouble(double &value) const
 {
     const auto &object = asObject(object_);
-    // The packer writes a double with a whole value as an integer, which is shorter.
-    if (object.type == msgpack::type::POSITIVE_INTEGER)
+    // The packer writes a number without a fraction as an integer.
+    switch (object.type) {
+    case msgpack::type::FLOAT32:
+    case msgpack::type::FLOAT64:
+        value = object.via.f64;
+        return true;
+    case msgpack::type::POSITIVE_INTEGER:
         value = static_cast<double>(object.via.u64);
-    else if (object.type == msgpack::type::NEGATIVE_INTEGER)
+        return true;
+    case msgpack::type::NEGATIVE_INTEGER:
         value = static_cast<double>(object.via.i64);
-    else if (object.type == msgpack::type::FLOAT64 || object.type == msgpack::type::FLOAT32)
-        value = object.via.f64;
-    else
+        return true;
+    default:
         return false;
-    return true;
+    }
 }
 
 bool ValueReader::readBool(bool &value) const
