agent: Send tasks and usage to the leader only, and log malformed frames

Cause: every entry got every attempt and its usage twice a second, though only the leader reads them; and frames that no process could read were counted where nobody looked, which hid why workers lost their leases.

--- a/Source/Agent/heartbeattask.cpp
+++ b/Source/Agent/heartbeattask.cpp
@@ -6,6 +6,8 @@
 
 // Changes that come together leave in one heartbeat.
 constexpr Duration GatherTime = std::chrono::milliseconds(5);
+// Usage is read every few seconds, so most heartbeats would only repeat it.
+constexpr std::uint64_t HeartbeatsPerUsage = 4;
 
 } // namespace
 
@@ -34,21 +36,31 @@
     heartbeat.location = options_.location;
     heartbeat.minions = requests_.minions();
     // Until the worker was listed once, nobody knows what it still runs, so it offers no room.
-    if (worker_.isReady()) {
+    if (worker_.isReady())
         heartbeat.capacity = options_.capacity;
-        heartbeat.attempts = worker_.attempts();
-        heartbeat.usage = worker_.usage();
-    }
     return heartbeat;
 }
 
+void HeartbeatTask::addTasks(Heartbeat &heartbeat) const
+{
+    if (!worker_.isReady())
+        return;
+    heartbeat.attempts = worker_.attempts();
+    if (heartbeat.stamp % HeartbeatsPerUsage == 0)
+        heartbeat.usage = worker_.usage();
+}
+
 void HeartbeatTask::sendToAll()
 {
-    const Heartbeat heartbeat = makeHeartbeat();
-    worker_.heartbeatMade(heartbeat.stamp);
+    const Heartbeat brief = makeHeartbeat();
+    Heartbeat full = brief;
+    addTasks(full);
+    worker_.heartbeatMade(brief.stamp);
+    const std::string &leader = worker_.leader();
     for (const auto &entry : options_.entries) {
+        const bool isForLeader = leader.empty() || entry == leader;
         // A heartbeat that cannot leave is replaced by the next one.
-        (void)messenger_.send(entry, heartbeat);
+        static_cast<void>(messenger_.send(entry, isForLeader ? full : brief));
     }
 }
 
--- a/Source/Agent/heartbeattask.h
+++ b/Source/Agent/heartbeattask.h
@@ -27,7 +27,8 @@
  * \brief Tells every entry, again and again, what this agent's host holds.
  *
  * A change of the minions goes out at once, since entries stop sending work to a leaving minion
- * by it.
+ * by it. Only the leader needs the tasks and their usage, and usage only now and then; the others
+ * get them while no leader is known.
  */
 class HeartbeatTask
 {
@@ -40,6 +41,7 @@
 
 private:
     Heartbeat makeHeartbeat();
+    void addTasks(Heartbeat &heartbeat) const;
     void sendToAll();
     void sendSoon();
 
--- a/Source/Runtime/link.cpp
+++ b/Source/Runtime/link.cpp
@@ -36,7 +36,7 @@
     Inbox *owner;
     nng_socket socket = NNG_SOCKET_INITIALIZER;
     event *readable = nullptr;
-    std::uint64_t malformed = 0;
+    std::uint64_t malformedFrames = 0;
     std::uint64_t bytes = 0;
 
     void drain()
@@ -57,7 +57,8 @@
         bytes += body.size();
         auto frame = decodeFrame(body, {});
         if (!frame) {
-            ++malformed;
+            ++malformedFrames;
+            owner->malformed.emit(frame.error());
             return;
         }
         owner->received.emit(std::move(*frame));
@@ -103,7 +104,7 @@
 
 std::uint64_t Inbox::malformedFrames() const
 {
-    return private_->malformed;
+    return private_->malformedFrames;
 }
 
 std::uint64_t Inbox::bytesReceived() const
--- a/Source/Runtime/link.h
+++ b/Source/Runtime/link.h
@@ -15,7 +15,7 @@
  * \class Inbox
  * \brief Receives the frames that other processes send to this one, over an nng PULL socket.
  *
- * Frames that cannot be decoded are counted and dropped.
+ * Frames that cannot be decoded are counted, told through malformed, and dropped.
  */
 class Inbox
 {
@@ -32,6 +32,8 @@
 
     /** Emitted on the loop's thread for each frame. */
     sigc::signal<void(Frame &&)> received;
+    /** Emitted on the loop's thread for each frame that was dropped. */
+    sigc::signal<void(const Error &)> malformed;
 
 private:
     struct Private;
--- a/Source/Runtime/messenger.cpp
+++ b/Source/Runtime/messenger.cpp
@@ -1,5 +1,7 @@
 #include "Runtime/messenger.h"
 
+#include "Runtime/log.h"
+
 #include <fmt/format.h>
 
 namespace Oleander {
@@ -8,6 +10,7 @@
     : loop_(loop), name_(std::move(name)), incarnation_(incarnation), inbox_(loop)
 {
     inbox_.received.connect([this](Frame &&frame) { receive(std::move(frame)); });
+    inbox_.malformed.connect([](const Error &error) { logEvent(LogEvent::FrameMalformed, error); });
 }
 
 Result<std::string> Messenger::listen(const std::string &address)
