--- a/Source/Entry/operatorrequest.cpp
+++ b/Source/Entry/operatorrequest.cpp
@@ -1,5 +1,6 @@
 #include "Entry/operatorrequest.h"
 
+#include "Base/printable.h"
 #include "Records/knownvalues.h"
 #include "Records/parse.h"
 
@@ -33,7 +34,7 @@
     const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
     if (error != std::errc() || end != text.data() + text.size() || value < least || value > most) {
         return refuse(fmt::format("{} is '{}'; allowed is a whole number from {} to {}.", what,
-                                  text, least, most));
+                                  printable(text), least, most));
     }
     return value;
 }
@@ -50,7 +51,7 @@
             std::string allowed;
             for (const auto word : known)
                 allowed += fmt::format("{}{}", allowed.empty() ? "" : ", ", word);
-            return refuse(fmt::format("The query holds '{}'; allowed are {}.", name,
+            return refuse(fmt::format("The query holds '{}'; allowed are {}.", printable(name),
                                       allowed.empty() ? "none" : allowed));
         }
         result[std::string(name)] =
@@ -113,7 +114,7 @@
     const auto slash = rest.find('/');
     if (slash == std::string_view::npos) {
         return fail(Failure::NotFound, Step::Receive, {},
-                    fmt::format("The path names '{}'; allowed is <kind>/<name>.", rest));
+                    fmt::format("The path names '{}'; allowed is <kind>/<name>.", printable(rest)));
     }
     return Records::parseKey(rest.substr(0, slash), rest.substr(slash + 1));
 }
@@ -206,15 +207,15 @@
     if (const auto kind = query->find("kind"); kind != query->end()) {
         list.kind = Records::kindNamed(kind->second);
         if (!list.kind) {
-            return refuse(fmt::format("Query 'kind' is '{}'; allowed is {}.", kind->second,
-                                      Records::allowedKinds()));
+            return refuse(fmt::format("Query 'kind' is '{}'; allowed is {}.",
+                                      printable(kind->second), Records::allowedKinds()));
         }
     }
     if (const auto withdrawn = query->find("withdrawn"); withdrawn != query->end()) {
         list.withWithdrawn = withdrawn->second == "yes";
         if (!list.withWithdrawn && withdrawn->second != "no") {
-            return refuse(
-                fmt::format("Query 'withdrawn' is '{}'; allowed is yes or no.", withdrawn->second));
+            return refuse(fmt::format("Query 'withdrawn' is '{}'; allowed is yes or no.",
+                                      printable(withdrawn->second)));
         }
     }
     if (const auto after = query->find("after"); after != query->end()) {
@@ -247,8 +248,8 @@
 tl::unexpected<Error> wrongMethod(const HttpRequest &request, std::string_view allowed)
 {
     return fail(Failure::Refused, Step::Receive, {},
-                fmt::format("The method of {} is {}; allowed is {}.", request.path, request.method,
-                            allowed));
+                fmt::format("The method of {} is {}; allowed is {}.", printable(request.path),
+                            printable(request.method), allowed));
 }
 
 Result<OperatorRequest> parseOneRecord(const HttpRequest &request, WallTime time)
@@ -281,8 +282,9 @@
         return isRead ? parseEvents(request) : wrongMethod(request, "GET");
     if (path == "/v1/status")
         return isRead ? Result<OperatorRequest>(StatusRequest{}) : wrongMethod(request, "GET");
-    return fail(Failure::NotFound, Step::Receive, {},
-                fmt::format("There is no {}; docs/reference lists the operators' paths.", path));
+    return fail(
+        Failure::NotFound, Step::Receive, {},
+        fmt::format("There is no {}; docs/reference lists the operators' paths.", printable(path)));
 }
 
 } // namespace Oleander
--- a/Source/Records/parse.cpp
+++ b/Source/Records/parse.cpp
@@ -1,5 +1,6 @@
 #include "Records/parse.h"
 
+#include "Base/printable.h"
 #include "Records/fieldreader.h"
 #include "Records/words.h"
 
@@ -190,7 +191,7 @@
     try {
         return Json::parse(body, StructureCheck(errors));
     } catch (const Json::exception &error) {
-        errors.push_back(fmt::format("The body is no JSON text: {}.", error.what()));
+        errors.push_back(fmt::format("The body is no JSON text: {}.", printable(error.what())));
         return {};
     }
 }
@@ -295,14 +296,14 @@
 {
     const auto known = kindNamed(kind);
     if (!known) {
-        return fail(
-            Failure::InvalidInput, Step::Receive, {},
-            fmt::format("The kind of the record is '{}'; allowed is {}.", kind, allowedKinds()));
+        return fail(Failure::InvalidInput, Step::Receive, {},
+                    fmt::format("The kind of the record is '{}'; allowed is {}.", printable(kind),
+                                allowedKinds()));
     }
     if (!isName(name)) {
-        return fail(
-            Failure::InvalidInput, Step::Receive, {},
-            fmt::format("The name of the record is '{}'; allowed is {}.", name, allowedName()));
+        return fail(Failure::InvalidInput, Step::Receive, {},
+                    fmt::format("The name of the record is '{}'; allowed is {}.", printable(name),
+                                allowedName()));
     }
     return RecordKey{*known, std::string(name)};
 }
--- /dev/null
+++ b/Tests/Base/printabletest.cpp
@@ -0,0 +1,12 @@
+#include "Base/printable.h"
+
+#include <catch2/catch.hpp>
+
+using namespace Oleander;
+
+TEST_CASE("Bytes from outside are shown as printable text")
+{
+    CHECK(printable("a b~") == "a b~");
+    CHECK(printable(std::string("\0\n\xff", 3)) == "\\x00\\x0a\\xff");
+    CHECK(printable(std::string(1000, 'a')) == std::string(200, 'a') + "...");
+}
--- a/Tests/Configuration/configurationpropertytest.cpp
+++ b/Tests/Configuration/configurationpropertytest.cpp
@@ -198,5 +198,6 @@
             model.step();
         model.heal();
     });
-    CHECK(failure == "");
+    INFO(failure);
+    CHECK(failure.empty());
 }
