entry, agent: Admit work only under a confirmed configuration

The caller's door, the router and the agent's admission ask the configuration's gate; the operators' door tells where a version is in force.

--- a/Source/Agent/agentprocess.cpp
+++ b/Source/Agent/agentprocess.cpp
@@ -4,6 +4,8 @@
 #include "Agent/miniondoor.h"
 #include "Agent/requesttask.h"
 #include "Agent/workertask.h"
+#include "Configuration/configurationfollower.h"
+#include "Configuration/configurationgate.h"
 #include "Runtime/incarnation.h"
 #include "Runtime/log.h"
 #include "Runtime/messenger.h"
@@ -19,9 +21,14 @@
 constexpr Duration DrainDelay = std::chrono::seconds(2);
 constexpr Duration DrainPoll = std::chrono::milliseconds(50);
 
-RequestAdmissionSettings admissionSettings(const AgentSettings &settings)
+/** Questions that are asked within one lease of the configuration. */
+constexpr int QuestionsPerLease = 6;
+
+RequestAdmissionSettings admissionSettings(const AgentSettings &settings,
+                                           std::function<Result<void>()> gate)
 {
     RequestAdmissionSettings admission;
+    admission.gate = std::move(gate);
     admission.agent = settings.name;
     admission.maxRemembered = settings.admission.rememberedRequests;
     return admission;
@@ -36,6 +43,15 @@
     return options;
 }
 
+ConfigurationFollowerOptions followerOptions(const AgentSettings &settings)
+{
+    ConfigurationFollowerOptions options;
+    options.interval = settings.configurationLease / QuestionsPerLease;
+    for (const auto &entry : settings.entries)
+        options.entries.push_back(entry.name);
+    return options;
+}
+
 HeartbeatTaskOptions heartbeatOptions(const AgentSettings &settings)
 {
     HeartbeatTaskOptions options;
@@ -58,7 +74,9 @@
     explicit AgentProcess(const AgentSettings &settings)
         : settings_(settings)
         , messenger_(loop_, settings.name, newIncarnation(loop_.clock()))
-        , requests_(loop_, messenger_, admissionSettings(settings))
+        , configuration_(settings.configurationLease, loop_.clock().now())
+        , follower_(loop_, messenger_, configuration_, followerOptions(settings))
+        , requests_(loop_, messenger_, admissionSettings(settings, gate()))
         , worker_(loop_, messenger_, workerOptions(settings))
         , heartbeats_(loop_, messenger_, requests_, worker_, heartbeatOptions(settings))
         , minionDoor_(loop_, requests_,
@@ -80,6 +98,11 @@
     }
 
 private:
+    std::function<Result<void>()> gate()
+    {
+        return [this] { return configuration_.check(loop_.clock().now()); };
+    }
+
     Result<void> start()
     {
         for (const int signal : {SIGTERM, SIGINT})
@@ -91,6 +114,7 @@
         if (auto listening = minionDoor_.listen(settings_.minionDoor); !listening)
             return tl::make_unexpected(listening.error());
         heartbeats_.start();
+        follower_.start();
         return {};
     }
 
@@ -115,6 +139,8 @@
     AgentSettings settings_;
     EventLoop loop_;
     Messenger messenger_;
+    ConfigurationGate configuration_;
+    ConfigurationFollower follower_;
     RequestTask requests_;
     WorkerTask worker_;
     HeartbeatTask heartbeats_;
--- a/Source/Configuration/configurationgate.cpp
+++ b/Source/Configuration/configurationgate.cpp
@@ -25,4 +25,13 @@
     return confirmedAt_ && *confirmedAt_ >= startedAt_ && now < *confirmedAt_ + lease_;
 }
 
+Result<void> ConfigurationGate::check(TimePoint now) const
+{
+    if (admits(now))
+        return {};
+    return fail(Failure::StaleConfiguration, Step::Admit, {},
+                "This process has not confirmed within its lease that its configuration is the one "
+                "in force, so it admits no work; nothing was run.");
+}
+
 } // namespace Oleander
--- a/Source/Configuration/configurationgate.h
+++ b/Source/Configuration/configurationgate.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Base/clock.h"
+#include "Base/error.h"
 
 #include <cstdint>
 #include <map>
@@ -37,6 +38,8 @@
 
     /** True while the own version is confirmed, so that work may be admitted. */
     bool admits(TimePoint now) const;
+    /** An error for whoever asks for work while none is admitted. */
+    Result<void> check(TimePoint now) const;
     /** Latest instant at which a quorum is known to have held no higher version. */
     std::optional<TimePoint> confirmedAt() const { return confirmedAt_; }
     Duration lease() const { return lease_; }
--- a/Source/Entry/configurationtask.cpp
+++ b/Source/Entry/configurationtask.cpp
@@ -72,6 +72,11 @@
     return gate_.admits(loop_.clock().now());
 }
 
+Result<void> ConfigurationTask::check() const
+{
+    return gate_.check(loop_.clock().now());
+}
+
 void ConfigurationTask::tick()
 {
     confirm();
--- a/Source/Entry/configurationtask.h
+++ b/Source/Entry/configurationtask.h
@@ -58,6 +58,8 @@
     void stateApplied();
     /** True while the own version is confirmed, so that this entry may admit work. */
     bool admits() const;
+    /** An error for whoever asks for work while none is admitted. */
+    Result<void> check() const;
     std::uint64_t version() const { return gate_.version(); }
     const ConfigurationValues &values() const { return gate_.values(); }
     /** Where the version in force at this entry is in force too. */
--- a/Source/Entry/entry.cpp
+++ b/Source/Entry/entry.cpp
@@ -1,6 +1,7 @@
 #include "Entry/entry.h"
 
 #include "Entry/callerdoor.h"
+#include "Entry/configurationtask.h"
 #include "Entry/operatordoor.h"
 #include "Entry/replicatask.h"
 #include "Entry/routertask.h"
@@ -39,23 +40,28 @@
     return static_cast<double>(value) / 100.0;
 }
 
-RouterSettings routerSettings(const EntrySettings &settings, std::uint64_t incarnation)
+/** Fails while the entry may not take work. */
+using Gate = std::function<Result<void>()>;
+
+RouterSettings routerSettings(const EntrySettings &settings, std::uint64_t incarnation, Gate gate)
 {
     RouterSettings router;
     router.entry = settings.name;
     router.incarnation = incarnation;
     router.location = settings.location;
     router.seed = incarnation;
+    router.gate = std::move(gate);
     router.maxInFlight = settings.request.maxInFlight;
     router.retryBudget.share = percent(settings.request.retryBudgetPercent);
     router.hedgeBudget.share = percent(settings.request.hedgeBudgetPercent);
     return router;
 }
 
-CallerDoorSettings callerDoorSettings(const EntrySettings &settings)
+CallerDoorSettings callerDoorSettings(const EntrySettings &settings, Gate gate)
 {
     CallerDoorSettings door;
     door.limits = settings.callerLimits;
+    door.gate = std::move(gate);
     door.defaultTimeout = settings.request.defaultTimeout;
     door.maxTimeout = settings.request.maxTimeout;
     return door;
@@ -72,12 +78,13 @@
         : settings_(settings)
         , messenger_(loop_, settings.name, newIncarnation(loop_.clock()))
         , replica_(loop_, messenger_, state_, replicaOptions(settings))
-        , router_(loop_, messenger_, routerSettings(settings, messenger_.incarnation()),
+        , configuration_(loop_, messenger_, state_, configurationParts(), configurationOptions())
+        , router_(loop_, messenger_, routerSettings(settings, messenger_.incarnation(), gate()),
                   [this](ClaimBatch batch, RouterTask::ClaimsCallback callback) {
                       commit<ClaimBatchOutcome>(std::move(batch), std::move(callback));
                   })
         , scheduler_(loop_, messenger_, schedulerOptions())
-        , callerDoor_(loop_, router_, callerDoorSettings(settings))
+        , callerDoor_(loop_, router_, callerDoorSettings(settings, gate()))
         , operatorDoor_(loop_, state_, settings.operatorLimits, operatorDoorParts())
         , drainTimer_(loop_, [this] { continueDrain(); })
     {}
@@ -108,6 +115,11 @@
                          });
     }
 
+    Gate gate()
+    {
+        return [this] { return configuration_.check(); };
+    }
+
     SchedulerTaskOptions schedulerOptions()
     {
         SchedulerTaskOptions options;
@@ -135,10 +147,33 @@
             replica_.readBarrier(std::move(callback));
         };
         parts.replicaStatus = [this] { return replica_.status(); };
-        parts.spread = [] { return ConfigurationSpread{}; };
+        parts.spread = [this] { return configuration_.spread(); };
+        return parts;
+    }
+
+    ConfigurationTaskParts configurationParts()
+    {
+        ConfigurationTaskParts parts;
+        parts.propose = [this](std::string command, ReplicaTask::ProposeCallback callback) {
+            replica_.propose(std::move(command), std::move(callback));
+        };
+        parts.readBarrier = [this](ReplicaTask::ReadCallback callback) {
+            replica_.readBarrier(std::move(callback));
+        };
+        parts.isLeader = [this] { return replica_.isLeader(); };
         return parts;
     }
 
+    ConfigurationTaskOptions configurationOptions()
+    {
+        ConfigurationTaskOptions options;
+        options.name = settings_.name;
+        for (const auto &member : settings_.controlGroup)
+            options.peers.push_back(member.name);
+        options.lease = settings_.lease.configuration;
+        return options;
+    }
+
     Result<void> start()
     {
         for (const int signal : {SIGTERM, SIGINT})
@@ -152,6 +187,8 @@
         replica_.roleChanged.connect([this] { scheduler_.roleChanged(); });
         if (auto started = replica_.start(); !started)
             return started;
+        replica_.applied.connect([this](std::uint64_t) { configuration_.stateApplied(); });
+        configuration_.start();
         scheduler_.roleChanged();
         if (auto listening = operatorDoor_.listen(settings_.operatorDoor); !listening)
             return tl::make_unexpected(listening.error());
@@ -188,6 +225,7 @@
     Messenger messenger_;
     State::ControlState state_;
     ReplicaTask replica_;
+    ConfigurationTask configuration_;
     RouterTask router_;
     SchedulerTask scheduler_;
     CallerDoor callerDoor_;
--- a/Tests/RequestPath/requestpath.cpp
+++ b/Tests/RequestPath/requestpath.cpp
@@ -13,9 +13,9 @@
 
 RequestPath::RequestPath(Options options)
     : options_(std::move(options)), heartbeats_(loop_, [this] {
-          for (auto &agent : agents_)
-              beat(*agent);
-      })
+        for (auto &agent : agents_)
+            beat(*agent);
+    })
 {
     options_.router.entry = "entry-1";
     options_.router.claims.entry = "entry-1";
@@ -73,8 +73,7 @@
 {
     Agent &agent = *agents_.at(index);
     std::vector<std::string> command{STANDIN_MINION_PROGRAM, "--agent=" + agent.doorAddress,
-                                     "--name=minion-" + std::to_string(index + 1),
-                                     "--ttl-ms=1000"};
+                                     "--name=minion-" + std::to_string(index + 1), "--ttl-ms=1000"};
     command.insert(command.end(), options_.minionFlags.begin(), options_.minionFlags.end());
     agent.minion.reset();
     agent.minion = std::make_unique<ChildProcess>(std::move(command));
