--- /dev/null
+++ b/Tests/Bench/configbench.cpp
@@ -0,0 +1,108 @@
+// Time from the acceptance of a configuration until it is in force in every process, with one
+// agent's link cut at the acceptance and healed a second later; the longest of several rounds.
+
+#include "Support/cluster.h"
+#include "Support/httpcall.h"
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <chrono>
+#include <cstdint>
+#include <cstdlib>
+#include <thread>
+
+using namespace Oleander::Testing;
+using Clock = std::chrono::steady_clock;
+using nlohmann::json;
+
+namespace {
+
+constexpr int Rounds = 5;
+constexpr std::size_t Agents = 6;
+constexpr std::size_t Entries = 3;
+constexpr auto CutFor = std::chrono::seconds(1);
+constexpr auto RoundLimit = std::chrono::seconds(30);
+constexpr double TargetSeconds = 4.0;
+
+json call(const Cluster &cluster, std::size_t entry, const std::string &method,
+          const std::string &path, const std::string &body = {},
+          std::vector<CallHeader> headers = {})
+{
+    const auto reply =
+        httpCall(cluster.operatorDoor(entry), {method, path, std::move(headers), body});
+    return reply && reply->status < 300 ? json::parse(reply->body) : json();
+}
+
+/** True when every process has \a version as an entry sees it. */
+bool isEverywhere(const Cluster &cluster, std::size_t entry, std::uint64_t version)
+{
+    const auto status = call(cluster, entry, "GET", "/v1/status");
+    if (status.is_null())
+        return false;
+    const auto &spread = status["configuration"];
+    return spread["version"] >= version && spread["in-force-at"].size() == Agents + Entries;
+}
+
+bool waitEverywhere(const Cluster &cluster, std::size_t entry, std::uint64_t version)
+{
+    const auto end = Clock::now() + RoundLimit;
+    while (!isEverywhere(cluster, entry, version)) {
+        if (Clock::now() > end)
+            return false;
+        std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    }
+    return true;
+}
+
+/** Seconds of one round; negative when it failed. */
+double measure(Cluster &cluster, int round)
+{
+    const auto agent = "agent-" + std::to_string(static_cast<std::size_t>(round) % Agents + 1);
+    const auto entry = static_cast<std::size_t>(round) % Entries;
+    cluster.isolate(agent);
+    std::vector<CallHeader> headers{{"Oleander-Operator", "bench"}};
+    if (round > 0)
+        headers.push_back({"If-Match", std::to_string(round)});
+    const auto body = fmt::format(R"({{"schema":2,"values":{{"round":"{}"}}}})", round);
+    const auto accepted =
+        call(cluster, entry, "PUT", "/v1/records/configuration/bench", body, headers);
+    if (accepted.is_null())
+        return -1;
+    const auto start = Clock::now();
+    std::this_thread::sleep_for(CutFor);
+    cluster.heal();
+    if (!waitEverywhere(cluster, entry, accepted["index"].get<std::uint64_t>()))
+        return -1;
+    return std::chrono::duration<double>(Clock::now() - start).count();
+}
+
+} // namespace
+
+int main()
+{
+    ClusterOptions options;
+    options.entries = Entries;
+    options.agents = Agents;
+    options.workers = false;
+    options.forwardLinks = true;
+    Cluster cluster(options);
+    if (!cluster.start() || !waitEverywhere(cluster, 0, 0)) {
+        fmt::print(stderr, "config bench: The cluster did not start.\n");
+        return EXIT_FAILURE;
+    }
+    double longest = 0;
+    for (int round = 0; round < Rounds; ++round) {
+        const double seconds = measure(cluster, round);
+        if (seconds < 0) {
+            fmt::print(stderr, "config bench: Round {} did not end.\n", round + 1);
+            return EXIT_FAILURE;
+        }
+        fmt::print(stderr, "config bench: round {}: {:.2f} s, of which the cut {} s\n", round + 1,
+                   seconds, CutFor.count());
+        longest = std::max(longest, seconds);
+    }
+    fmt::print("figure config.in_force {:.2f} s target <={}\n", longest, TargetSeconds);
+    return EXIT_SUCCESS;
+}
--- a/Tests/Support/cluster.cpp
+++ b/Tests/Support/cluster.cpp
@@ -2,6 +2,8 @@
 
 #include "Support/loopback.h"
 
+#include <algorithm>
+
 namespace Oleander::Testing {
 
 namespace {
@@ -138,7 +140,11 @@
                                const std::string &input) const
 {
     words.insert(words.begin(), OLEANDER_PROGRAM);
-    words.push_back("--server=" + operatorDoor(entry));
+    const auto namesServer = [](const std::string &word) {
+        return word.rfind("--server=", 0) == 0;
+    };
+    if (std::none_of(words.begin(), words.end(), namesServer))
+        words.push_back("--server=" + operatorDoor(entry));
     return runCommand(std::move(words), input);
 }
 
--- a/Tests/Support/cluster.h
+++ b/Tests/Support/cluster.h
@@ -87,7 +87,7 @@
     void isolate(const std::string &name);
     void heal();
 
-    /** Runs `oleander WORDS --server=...` against one entry. */
+    /** Runs `oleander WORDS --server=...` against one entry, unless \a words name a server. */
     CommandResult operate(std::size_t entry, std::vector<std::string> words,
                           const std::string &input = {}) const;
 
