--- a/Tests/Support/cluster.cpp
+++ b/Tests/Support/cluster.cpp
@@ -2,6 +2,7 @@
 
 #include "Support/loopback.h"
 
+#include <algorithm>
 #include <cstdlib>
 
 namespace Oleander::Testing {
@@ -158,7 +159,11 @@
                                const std::string &input) const
 {
     words.insert(words.begin(), OLEANDER_PROGRAM);
-    words.push_back("--server=" + operatorDoor(entry));
+    const auto namesServer = [](const std::string &word) {
+        return word.rfind("--server=", 0) == 0;
+    };
+    if (std::none_of(words.begin(), words.end(), namesServer))
+        words.push_back("--server=" + operatorDoor(entry));
     return runCommand(std::move(words), input);
 }
 
