--- /dev/null
+++ b/Source/Agent/agentdump.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "Agent/requesttask.h"
+#include "Agent/workertask.h"
+#include "Runtime/statedump.h"
+
+namespace Oleander {
+
+/**
+ * \class AgentDump
+ * \brief An agent's state dump: its lease, the attempts on its worker, and its minions' queues.
+ */
+class AgentDump
+{
+public:
+    AgentDump(const RequestTask &requests, const WorkerTask &worker);
+
+private:
+    DumpPart lease_;
+    DumpPart attempts_;
+    DumpPart requests_;
+    DumpPart minions_;
+};
+
+} // namespace Oleander
--- a/Source/Agent/agentprocess.cpp
+++ b/Source/Agent/agentprocess.cpp
@@ -1,5 +1,6 @@
 #include "Agent/agentprocess.h"
 
+#include "Agent/agentdump.h"
 #include "Agent/heartbeattask.h"
 #include "Agent/miniondoor.h"
 #include "Agent/requesttask.h"
@@ -9,6 +10,8 @@
 #include "Runtime/incarnation.h"
 #include "Runtime/log.h"
 #include "Runtime/messenger.h"
+#include "Runtime/processdoor.h"
+#include "Runtime/processwatch.h"
 #include "Settings/exitcode.h"
 
 #include <csignal>
@@ -64,6 +67,13 @@
     return options;
 }
 
+/** Shows the agent's state and metrics, and nothing else. */
+void answerOperator(const std::shared_ptr<HttpExchange> &exchange)
+{
+    if (!answerProcessRequest(*exchange))
+        exchange->respond({404, {}, "This door answers GET /v1/dump and GET /metrics.\n"});
+}
+
 /**
  * \class AgentProcess
  * \brief The tasks of one agent and the order in which they start and end.
@@ -81,6 +91,9 @@
         , heartbeats_(loop_, messenger_, requests_, worker_, heartbeatOptions(settings))
         , minionDoor_(loop_, requests_,
                       {settings.minionLimits, settings.admission.maxMinionLifetime})
+        , operatorDoor_(loop_, settings.operatorLimits, answerOperator)
+        , dump_(requests_, worker_)
+        , watch_(loop_)
         , drainTimer_(loop_, [this] { stopWhenIdle(); })
     {}
 
@@ -113,6 +126,10 @@
             messenger_.addPeer(entry.name, entry.address);
         if (auto listening = minionDoor_.listen(settings_.minionDoor); !listening)
             return tl::make_unexpected(listening.error());
+        if (!settings_.operatorDoor.empty()) {
+            if (auto listening = operatorDoor_.listen(settings_.operatorDoor); !listening)
+                return tl::make_unexpected(listening.error());
+        }
         heartbeats_.start();
         follower_.start();
         return {};
@@ -145,6 +162,9 @@
     WorkerTask worker_;
     HeartbeatTask heartbeats_;
     MinionDoor minionDoor_;
+    HttpServer operatorDoor_;
+    AgentDump dump_;
+    ProcessWatch watch_;
     Timer drainTimer_;
     TimePoint drainStart_{};
     bool draining_ = false;
--- a/Source/Entry/entry.cpp
+++ b/Source/Entry/entry.cpp
@@ -2,6 +2,7 @@
 
 #include "Entry/callerdoor.h"
 #include "Entry/configurationtask.h"
+#include "Entry/entrydump.h"
 #include "Entry/operatordoor.h"
 #include "Entry/replicatask.h"
 #include "Entry/routertask.h"
@@ -9,6 +10,7 @@
 #include "Runtime/incarnation.h"
 #include "Runtime/log.h"
 #include "Runtime/messenger.h"
+#include "Runtime/processwatch.h"
 #include "Settings/exitcode.h"
 #include "State/controlstate.h"
 
@@ -86,6 +88,8 @@
         , scheduler_(loop_, messenger_, schedulerOptions())
         , callerDoor_(loop_, router_, callerDoorSettings(settings, gate()))
         , operatorDoor_(loop_, state_, settings.operatorLimits, operatorDoorParts())
+        , dump_(state_, router_)
+        , watch_(loop_)
         , drainTimer_(loop_, [this] { continueDrain(); })
     {}
 
@@ -230,6 +234,8 @@
     SchedulerTask scheduler_;
     CallerDoor callerDoor_;
     OperatorDoor operatorDoor_;
+    EntryDump dump_;
+    ProcessWatch watch_;
     Timer drainTimer_;
     TimePoint drainStart_{};
     bool draining_ = false;
