--- a/Tests/Capacity/linkscapacity.cpp
+++ b/Tests/Capacity/linkscapacity.cpp
@@ -51,6 +51,8 @@
         messenger_.on<HeartbeatReply>([this](const Sender &, HeartbeatReply &&reply) {
             ++replies_;
             leases_ += reply.lease > Duration::zero() ? 1 : 0;
+            if (!reply.leader.empty())
+                leader_ = reply.leader;
         });
         timer_.startEvery(HeartbeatInterval);
     }
@@ -71,6 +73,14 @@
         beat.capacity = {16'000, 61'440, 1};
         beat.minions.push_back(
             {fmt::format("minion-{}", number_), "notices", MinionState::Serving, 8, 64, 8, 0});
+        for (std::size_t i = 0; i < Entries; ++i)
+            sent_ +=
+                messenger_.send(entryName(i), entryName(i) == leader_ ? full(beat) : beat) ? 1 : 0;
+    }
+
+    /** The heartbeat that the leader gets: the others need no tasks. */
+    Heartbeat full(Heartbeat beat) const
+    {
         for (int task = 0; task < TasksPerWorker; ++task) {
             const std::string id = fmt::format("job-{}-{}", number_, task);
             beat.attempts.push_back({id, 1, AttemptState::Running, {}, stamp_ / 100});
@@ -78,14 +88,14 @@
                 beat.usage.push_back(
                     {id, 1, std::chrono::seconds(5), {900, 2'048, 0}, Duration::zero(), 0.9});
         }
-        for (std::size_t i = 0; i < Entries; ++i)
-            sent_ += messenger_.send(entryName(i), beat) ? 1 : 0;
+        return beat;
     }
 
     std::size_t number_;
     Messenger messenger_;
     Timer timer_;
     std::string inbox_;
+    std::string leader_;
     std::uint64_t stamp_ = 0;
     std::uint64_t sent_ = 0;
     std::uint64_t replies_ = 0;
