--- a/Source/Cli/commandoptions.cpp
+++ b/Source/Cli/commandoptions.cpp
@@ -87,6 +87,11 @@
 
 } // namespace
 
+void setServer(const std::string &address)
+{
+    absl::SetFlag(&FLAGS_server, address);
+}
+
 Result<CommandOptions> readCommandOptions()
 {
     CommandOptions options;
--- a/Source/Cli/commandoptions.h
+++ b/Source/Cli/commandoptions.h
@@ -31,6 +31,9 @@
     std::string from;
 };
 
+/** Makes \a address the value of --server, as for a subcommand that takes it as a word. */
+void setServer(const std::string &address);
+
 /** Reads and checks the flags; the error names the flag, its value and what is allowed. */
 Result<CommandOptions> readCommandOptions();
 
--- a/Source/Cli/operatorcommand.cpp
+++ b/Source/Cli/operatorcommand.cpp
@@ -238,8 +238,8 @@
 
 Result<Plan> planDump(const Invocation &call)
 {
-    if (call.words.size() != 1)
-        return misuse("The usage is: oleander dump --server=ADDRESS:PORT.");
+    if (call.words.size() > 2)
+        return misuse("The usage is: oleander dump [ADDRESS:PORT].");
     const bool isJson = call.options.format == OutputFormat::Json;
     return Plan{readRequest("/v1/dump", isJson ? "output=json" : ""),
                 [](const std::string &body) { return body; }};
@@ -378,7 +378,10 @@
          "",
          "Shows the entry, its replica, the configuration, tasks and workers.",
          {"server", "output", "timeout"}},
-        {"dump", "", "Shows the state of one process.", {"server", "output", "timeout"}},
+        {"dump",
+         "[ADDRESS:PORT]",
+         "Shows the state of the process with this operators' door.",
+         {"server", "output", "timeout"}},
     };
     return Commands;
 }
@@ -388,6 +391,8 @@
 {
     const auto entry = std::find_if(std::begin(Plans), std::end(Plans),
                                     [&](const auto &row) { return row.name == words.front(); });
+    if (words.front() == "dump" && words.size() == 2)
+        setServer(words[1]);
     auto options = readCommandOptions();
     if (!options) {
         printError(errors, options.error());
--- a/Tests/Oleander/processtest.cpp
+++ b/Tests/Oleander/processtest.cpp
@@ -28,6 +28,9 @@
         REQUIRE(dump);
         CHECK(dump->status == 200);
         CHECK(contains(dump->body, "process self id="));
+        const auto shown = cluster.run({"dump", door});
+        CHECK(shown.exitCode == 0);
+        CHECK(contains(shown.output, "process self id="));
         const auto metrics = httpCall(door, {"GET", "/metrics", {}, {}});
         REQUIRE(metrics);
         CHECK(metrics->status == 200);
--- a/Tests/Support/cluster.cpp
+++ b/Tests/Support/cluster.cpp
@@ -155,6 +155,12 @@
     return bytes;
 }
 
+CommandResult Cluster::run(std::vector<std::string> words, const std::string &input) const
+{
+    words.insert(words.begin(), OLEANDER_PROGRAM);
+    return runCommand(std::move(words), input);
+}
+
 CommandResult Cluster::operate(std::size_t entry, std::vector<std::string> words,
                                const std::string &input) const
 {
--- a/Tests/Support/cluster.h
+++ b/Tests/Support/cluster.h
@@ -94,6 +94,8 @@
     /** Bytes on every link from and to the process called \a name. */
     std::uint64_t linkBytes(const std::string &name) const;
 
+    /** Runs `oleander WORDS`. */
+    CommandResult run(std::vector<std::string> words, const std::string &input = {}) const;
     /** Runs `oleander WORDS --server=...` against one entry, unless \a words name a server. */
     CommandResult operate(std::size_t entry, std::vector<std::string> words,
                           const std::string &input = {}) const;
