request: Prove the path over real sockets, and forget no minion over one failed send

A frozen minion once cost an idempotent request its whole deadline: the only other minion had been struck off because its agent's link was not yet up when it was first tried. A failed send now excludes a minion for that choice only.

--- a/Source/Agent/heartbeattask.h
+++ b/Source/Agent/heartbeattask.h
@@ -32,8 +32,8 @@
 class HeartbeatTask
 {
 public:
-    HeartbeatTask(EventLoop &loop, Messenger &messenger, RequestTask &requests,
-                  WorkerTask &worker, HeartbeatTaskOptions options);
+    HeartbeatTask(EventLoop &loop, Messenger &messenger, RequestTask &requests, WorkerTask &worker,
+                  HeartbeatTaskOptions options);
 
     /** Sends the first heartbeat and starts the timer. */
     void start();
--- a/Source/Routing/attemptbook.cpp
+++ b/Source/Routing/attemptbook.cpp
@@ -55,44 +55,27 @@
            && hasTime(request) && hedgeBudget_.withdraw(clock_.now());
 }
 
-Minion *AttemptBook::choose(const RoutedRequest &request, std::size_t &eligible)
-{
-    std::vector<const Minion *> tried;
-    tried.reserve(request.tried.size());
-    for (const auto &[agent, minion] : request.tried)
-        tried.push_back(table_.find(agent, minion));
-    const auto candidates = table_.eligible(request.caller.service, clock_.now());
-    eligible = candidates.size();
-    return choice_.choose(candidates, tried, clock_.now());
-}
-
 bool AttemptBook::start(RoutedRequest &request)
 {
+    std::vector<const Minion *> excluded;
+    excluded.reserve(request.tried.size());
+    for (const auto &[agent, minion] : request.tried)
+        excluded.push_back(table_.find(agent, minion));
     while (hasTime(request)) {
-        std::size_t eligible = 0;
-        Minion *minion = choose(request, eligible);
+        const auto eligible = table_.eligible(request.caller.service, clock_.now());
+        Minion *minion = choice_.choose(eligible, excluded, clock_.now());
         if (!minion) {
-            if (request.tried.empty()) {
+            if (excluded.empty()) {
                 request.remember(Step::Choose, settings_.entry,
                                  fmt::format("None of the {} eligible minions of \"{}\" has room.",
-                                             eligible, request.caller.service));
+                                             eligible.size(), request.caller.service));
             }
             return false;
         }
-        const std::uint64_t sequence = nextSequence_++;
-        const TimePoint now = clock_.now();
-        table_.started(*minion, now);
-        request.tried.emplace_back(minion->agent, minion->status.name);
-        const auto sent = port_.dispatch(minion->agent, minion->agentIncarnation,
-                                         dispatchOf(request, *minion, sequence));
-        if (sent) {
-            request.outstanding[sequence] = {minion->agent, minion->agentIncarnation,
-                                             minion->status.name, now};
-            owners_[sequence] = request.id;
+        if (send(request, *minion))
             return true;
-        }
-        request.remember(Step::Send, minion->agent, sent.error().detail);
-        table_.failed(*minion, now);
+        // Not a byte has left: a later attempt may find the agent connected again.
+        excluded.push_back(minion);
     }
     if (request.tried.empty())
         request.remember(Step::Choose, settings_.entry,
@@ -100,6 +83,25 @@
     return false;
 }
 
+bool AttemptBook::send(RoutedRequest &request, Minion &minion)
+{
+    const std::uint64_t sequence = nextSequence_++;
+    const TimePoint now = clock_.now();
+    table_.started(minion, now);
+    const auto sent = port_.dispatch(minion.agent, minion.agentIncarnation,
+                                     dispatchOf(request, minion, sequence));
+    if (!sent) {
+        request.remember(Step::Send, minion.agent, sent.error().detail);
+        table_.failed(minion, now);
+        return false;
+    }
+    request.tried.emplace_back(minion.agent, minion.status.name);
+    request.outstanding[sequence] = {minion.agent, minion.agentIncarnation, minion.status.name,
+                                     now};
+    owners_[sequence] = request.id;
+    return true;
+}
+
 RequestDispatch AttemptBook::dispatchOf(const RoutedRequest &request, const Minion &minion,
                                         std::uint64_t sequence) const
 {
--- a/Source/Routing/attemptbook.h
+++ b/Source/Routing/attemptbook.h
@@ -57,7 +57,7 @@
 
 private:
     Minion *minionOf(const Attempt &attempt);
-    Minion *choose(const RoutedRequest &request, std::size_t &eligible);
+    bool send(RoutedRequest &request, Minion &minion);
     RequestDispatch dispatchOf(const RoutedRequest &request, const Minion &minion,
                                std::uint64_t sequence) const;
     bool hasTime(const RoutedRequest &request) const;
--- a/Tests/RequestPath/leavingtest.cpp
+++ b/Tests/RequestPath/leavingtest.cpp
@@ -56,6 +56,7 @@
     for (auto &call : safe) {
         const auto reply = call.get();
         REQUIRE(reply.has_value());
+        INFO(reply->body);
         CHECK(reply->status == 200);
     }
     for (auto &call : once) {
--- a/Tests/RequestPath/limitstest.cpp
+++ b/Tests/RequestPath/limitstest.cpp
@@ -1,5 +1,4 @@
 #include "requestpath.h"
-
 #include "Support/socket.h"
 
 #include <catch2/catch.hpp>
@@ -9,13 +8,13 @@
 
 TEST_CASE("What exceeds slots, connections and the deadline is shed as not run, truly")
 {
-    RequestPath path(RequestPath::Options{.agents = 1,
-                                          .minionFlags = {"--slots=2", "--connections=4"}});
+    RequestPath path(
+        RequestPath::Options{.agents = 1, .minionFlags = {"--slots=2", "--connections=4"}});
     std::vector<std::future<std::optional<HttpReply>>> calls;
     for (int i = 0; i < 20; ++i) {
-        calls.push_back(path.start("POST", "/notices/x",
-                                   {{"Standin-Delay-Ms", "300"},
-                                    {"Standin-Request", "shed" + std::to_string(i)}}));
+        calls.push_back(path.start(
+            "POST", "/notices/x",
+            {{"Standin-Delay-Ms", "300"}, {"Standin-Request", "shed" + std::to_string(i)}}));
     }
     int answered = 0;
     for (std::size_t i = 0; i < calls.size(); ++i) {
--- a/Tests/Routing/routertest.cpp
+++ b/Tests/Routing/routertest.cpp
@@ -109,6 +109,20 @@
     CHECK(f.problem(id).outcome == Outcome::NotRun);
 }
 
+TEST_CASE("A minion whose agent could not be reached is taken once it can")
+{
+    RouterFixture f;
+    f.start();
+    f.unreachable = {"agent-2"};
+    const auto id = f.submit(true);
+    f.unreachable.clear();
+    f.answer(f.sent.at(0), Outcome::Unknown);
+    REQUIRE(f.sent.size() == 2);
+    CHECK(f.sent[1].agent == "agent-2");
+    f.answer(f.sent[1], Outcome::Ran, 200);
+    CHECK(f.whole(id).status == 200);
+}
+
 TEST_CASE("Retries end with their budget")
 {
     RouterFixture f;
--- a/Tests/Standins/minion.cpp
+++ b/Tests/Standins/minion.cpp
@@ -22,9 +22,11 @@
 #include <fmt/format.h>
 #include <netinet/in.h>
 
+#include <algorithm>
 #include <csignal>
 #include <map>
 #include <string>
+#include <vector>
 
 ABSL_FLAG(std::string, listen, "127.0.0.1:0", "ADDRESS:PORT of the HTTP door");
 ABSL_FLAG(std::string, agent, "",
@@ -51,6 +53,19 @@
     return value == nullptr ? std::string() : std::string(value);
 }
 
+/** Names of flags may be written with dashes on the command line; Abseil wants underscores. */
+std::vector<std::string> withUnderscores(int argc, char **argv)
+{
+    std::vector<std::string> words(argv, argv + argc);
+    for (std::size_t i = 1; i < words.size(); ++i) {
+        auto &word = words[i];
+        const auto nameEnd = std::min(word.find('='), word.size());
+        for (std::size_t at = 2; at < nameEnd; ++at)
+            word[at] = word[at] == '-' ? '_' : word[at];
+    }
+    return words;
+}
+
 /** The stand-in and its state. */
 class Minion
 {
@@ -301,7 +316,11 @@
 
 int main(int argc, char **argv)
 {
-    absl::ParseCommandLine(argc, argv);
+    std::vector<std::string> words = withUnderscores(argc, argv);
+    std::vector<char *> pointers;
+    for (auto &word : words)
+        pointers.push_back(word.data());
+    absl::ParseCommandLine(static_cast<int>(pointers.size()), pointers.data());
     EventLoop loop;
     Minion minion(loop, absl::GetFlag(FLAGS_listen));
     if (!minion.listen()) {
