--- /dev/null
+++ b/Tests/Bench/requestbench.cpp
@@ -0,0 +1,297 @@
+// Measures the request path with real processes: one entry, one agent and one stand-in minion, each
+// figure against the same stand-in called directly, in alternating rounds of one run.
+
+#include "Runtime/eventloop.h"
+#include "Runtime/httpclient.h"
+#include "Support/cluster.h"
+#include "Support/httpcall.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <functional>
+#include <string>
+#include <vector>
+
+using namespace Oleander;
+using namespace Oleander::Testing;
+
+namespace {
+
+constexpr int Slots = 8;
+constexpr int DelayMs = 5;
+constexpr double CapacityPerSecond = Slots * 1000.0 / DelayMs;
+constexpr int LatencyRounds = 3;
+constexpr Duration LatencyRoundTime = std::chrono::seconds(3);
+constexpr int ThroughputRounds = 3;
+constexpr Duration ThroughputRoundTime = std::chrono::seconds(3);
+constexpr std::size_t ThroughputConcurrency = 32;
+constexpr Duration GoodputTime = std::chrono::seconds(5);
+constexpr Duration GoodputTimeout = std::chrono::milliseconds(500);
+constexpr Duration CallTimeout = std::chrono::seconds(10);
+constexpr std::size_t MaxConnections = 1000;
+constexpr Duration ArrivalTick = std::chrono::milliseconds(1);
+constexpr Duration Warmup = std::chrono::seconds(1);
+
+struct Load
+{
+    std::string address;
+    std::string path;
+    Duration time{};
+    /** Open arrivals a second; 0 keeps \a concurrency calls going instead. */
+    double rate = 0.0;
+    std::size_t concurrency = 0;
+    Duration timeout = CallTimeout;
+};
+
+struct Outcomes
+{
+    std::vector<Duration> latencies;
+    std::size_t good = 0;
+    std::size_t refused = 0;
+    std::size_t failed = 0;
+    double seconds = 0.0;
+};
+
+/** Calls one address under one load, on a loop of its own. */
+class Generator
+{
+public:
+    explicit Generator(Load load)
+        : load_(std::move(load))
+        , client_(loop_, load_.address, MaxConnections)
+        , arrivals_(loop_, [this] { arrive(); })
+        , end_(loop_, [this] { end(); })
+    {}
+
+    Outcomes run()
+    {
+        start_ = loop_.clock().now();
+        end_.startOnce(load_.time);
+        if (load_.rate > 0.0)
+            arrivals_.startEvery(ArrivalTick);
+        for (std::size_t i = 0; i < load_.concurrency; ++i)
+            call();
+        loop_.run();
+        outcomes_.seconds = std::chrono::duration<double>(load_.time).count();
+        return std::move(outcomes_);
+    }
+
+private:
+    void arrive()
+    {
+        const std::chrono::duration<double> elapsed = loop_.clock().now() - start_;
+        for (; static_cast<double>(sent_) < load_.rate * elapsed.count(); ++sent_)
+            call();
+    }
+
+    void call()
+    {
+        HttpRequest request;
+        request.method = "GET";
+        request.path = load_.path;
+        const auto milliseconds =
+            std::chrono::duration_cast<std::chrono::milliseconds>(load_.timeout);
+        request.headers.push_back({"Oleander-Timeout-Ms", std::to_string(milliseconds.count())});
+        const TimePoint begun = loop_.clock().now();
+        ++open_;
+        client_.call(std::move(request), load_.timeout * 2, [this, begun](HttpCallResult result) {
+            ended(loop_.clock().now() - begun, result);
+        });
+    }
+
+    void ended(Duration latency, const HttpCallResult &result)
+    {
+        --open_;
+        if (!result)
+            ++outcomes_.failed;
+        else if (result->status != 200)
+            ++outcomes_.refused;
+        else if (!ending_ && latency <= load_.timeout)
+            count(latency);
+        if (ending_ && open_ == 0)
+            loop_.stop();
+        if (!ending_ && load_.concurrency > 0)
+            call();
+    }
+
+    void count(Duration latency)
+    {
+        ++outcomes_.good;
+        outcomes_.latencies.push_back(latency);
+    }
+
+    void end()
+    {
+        ending_ = true;
+        arrivals_.cancel();
+        if (open_ == 0)
+            loop_.stop();
+    }
+
+    Load load_;
+    EventLoop loop_;
+    HttpClient client_;
+    Timer arrivals_;
+    Timer end_;
+    Outcomes outcomes_;
+    TimePoint start_{};
+    std::size_t sent_ = 0;
+    std::size_t open_ = 0;
+    bool ending_ = false;
+};
+
+Outcomes generate(Load load)
+{
+    return Generator(std::move(load)).run();
+}
+
+void add(Outcomes &sum, Outcomes part)
+{
+    sum.latencies.insert(sum.latencies.end(), part.latencies.begin(), part.latencies.end());
+    sum.good += part.good;
+    sum.refused += part.refused;
+    sum.failed += part.failed;
+    sum.seconds += part.seconds;
+}
+
+double milliseconds(std::vector<Duration> latencies, double quantile)
+{
+    if (latencies.empty())
+        return 0.0;
+    std::sort(latencies.begin(), latencies.end());
+    const auto at = static_cast<std::size_t>(quantile * static_cast<double>(latencies.size() - 1));
+    return std::chrono::duration<double, std::milli>(latencies[at]).count();
+}
+
+double perSecond(const Outcomes &outcomes)
+{
+    return static_cast<double>(outcomes.good) / outcomes.seconds;
+}
+
+void figure(const std::string &name, double value, const std::string &unit,
+            const std::string &bound)
+{
+    fmt::print("figure {} {:.3f} {} target {}\n", name, value, unit, bound);
+    std::fflush(stdout);
+}
+
+void remark(const std::string &what, const Outcomes &outcomes)
+{
+    fmt::print(stderr, "# {}: {:.0f}/s good, {} refused, {} failed, p50 {:.3f} ms, p99 {:.3f} ms\n",
+               what, perSecond(outcomes), outcomes.refused, outcomes.failed,
+               milliseconds(outcomes.latencies, 0.5), milliseconds(outcomes.latencies, 0.99));
+}
+
+/** One entry, one agent and one minion that is ready to answer through the entry. */
+class Bench
+{
+public:
+    explicit Bench(std::vector<std::string> minionFlags) : cluster_(options(std::move(minionFlags)))
+    {
+        ready_ = cluster_.start() && waitFor([this] {
+                     const auto reply = httpCall(cluster_.callerDoor(0), {"GET", "/notices/x"});
+                     return reply && reply->status == 200;
+                 });
+    }
+
+    bool ready() const { return ready_; }
+    Load direct() const { return {cluster_.minionAddress(0), "/x"}; }
+    Load through() const { return {cluster_.callerDoor(0), "/notices/x"}; }
+
+private:
+    static ClusterOptions options(std::vector<std::string> minionFlags)
+    {
+        ClusterOptions options;
+        options.entries = 1;
+        options.agents = 1;
+        options.workers = false;
+        options.minions = true;
+        options.minionFlags = std::move(minionFlags);
+        return options;
+    }
+
+    Cluster cluster_;
+    bool ready_ = false;
+};
+
+bool measureAddedLatency()
+{
+    Bench bench({fmt::format("--slots={}", Slots), fmt::format("--delay-ms={}", DelayMs)});
+    if (!bench.ready())
+        return false;
+    Outcomes direct;
+    Outcomes through;
+    const auto round = [](Load load, Duration time) {
+        load.time = time;
+        load.rate = CapacityPerSecond / 2;
+        return generate(std::move(load));
+    };
+    round(bench.through(), Warmup);
+    for (int i = 0; i < LatencyRounds; ++i) {
+        add(direct, round(bench.direct(), LatencyRoundTime));
+        add(through, round(bench.through(), LatencyRoundTime));
+    }
+    remark("half capacity, direct", direct);
+    remark("half capacity, through entry and agent", through);
+    const auto added = [&](double quantile) {
+        return milliseconds(through.latencies, quantile) - milliseconds(direct.latencies, quantile);
+    };
+    figure("request.added_p50", added(0.5), "ms", "<=0.5");
+    figure("request.added_p99", added(0.99), "ms", "<=2");
+    return true;
+}
+
+bool measureThroughput()
+{
+    Bench bench({"--slots=64", "--connections=256"});
+    if (!bench.ready())
+        return false;
+    Outcomes direct;
+    Outcomes through;
+    const auto round = [](Load load, Duration time) {
+        load.time = time;
+        load.concurrency = ThroughputConcurrency;
+        return generate(std::move(load));
+    };
+    round(bench.through(), Warmup);
+    for (int i = 0; i < ThroughputRounds; ++i) {
+        add(direct, round(bench.direct(), ThroughputRoundTime));
+        add(through, round(bench.through(), ThroughputRoundTime));
+    }
+    remark("32 at once, direct", direct);
+    remark("32 at once, through entry and agent", through);
+    figure("request.throughput_ratio", perSecond(through) / perSecond(direct), "ratio", ">=0.5");
+    return true;
+}
+
+bool measureGoodput()
+{
+    Bench bench({fmt::format("--slots={}", Slots), fmt::format("--delay-ms={}", DelayMs)});
+    if (!bench.ready())
+        return false;
+    const auto at = [&](double share) {
+        Load load = bench.through();
+        load.time = GoodputTime;
+        load.timeout = GoodputTimeout;
+        load.rate = CapacityPerSecond * share;
+        return generate(std::move(load));
+    };
+    at(0.5);
+    const Outcomes capacity = at(1.0);
+    const Outcomes twice = at(2.0);
+    remark("at capacity", capacity);
+    remark("at twice the capacity", twice);
+    figure("request.goodput_ratio", perSecond(twice) / perSecond(capacity), "ratio", ">=0.9");
+    return true;
+}
+
+} // namespace
+
+int main()
+{
+    const bool measured = measureAddedLatency() && measureThroughput() && measureGoodput();
+    if (!measured)
+        fmt::print(stderr, "# the processes did not become ready\n");
+    return measured ? 0 : 1;
+}
