runtime: Let the frames of one turn of the loop share one nng message

Cause: a profile of an entry under load showed most time in nng's task threads waking each other for every message. Frames to one peer now gather until the end of the turn.

--- a/Source/Runtime/link.cpp
+++ b/Source/Runtime/link.cpp
@@ -2,6 +2,7 @@
 
 #include "Runtime/address.h"
 
+#include <arpa/inet.h>
 #include <event2/event.h>
 #include <fmt/format.h>
 #include <nng/nng.h>
@@ -9,19 +10,41 @@
 #include <nng/protocol/pipeline0/push.h>
 
 #include <atomic>
+#include <cstring>
 
 namespace Oleander {
 
 namespace {
 
 constexpr std::size_t MaxFrameBytes = 8U << 20U;
+// Frames of one turn of the loop share one nng message up to this size: each message wakes several
+// of nng's threads, which costs more than the frame itself.
+constexpr std::size_t BatchBytes = 256U << 10U;
+// A length in network byte order stands before each frame of a message.
+constexpr std::size_t LengthBytes = 4;
+constexpr std::size_t MaxMessageBytes = BatchBytes + MaxFrameBytes + LengthBytes;
 // Deep enough for a burst of one batch to one peer; a full queue is told to the sender.
-constexpr int SendQueueFrames = 4096;
+constexpr int SendQueueMessages = 4096;
+constexpr Duration RetryDelay = std::chrono::milliseconds(1);
 constexpr int MinReconnectMs = 20;
 constexpr int MaxReconnectMs = 500;
 // Other events of the loop get their turn after so many frames.
 constexpr int MaxFramesPerTurn = 256;
 
+std::size_t frameLength(std::string_view bytes)
+{
+    std::uint32_t length = 0;
+    std::memcpy(&length, bytes.data(), LengthBytes);
+    return ntohl(length);
+}
+
+void appendFrame(std::string &batch, const std::string &frame)
+{
+    const std::uint32_t length = htonl(static_cast<std::uint32_t>(frame.size()));
+    batch.append(reinterpret_cast<const char *>(&length), LengthBytes);
+    batch += frame;
+}
+
 Error linkError(int code, const std::string &address, const std::string &what)
 {
     return makeError(Failure::Unavailable, Step::Connect, address,
@@ -52,10 +75,22 @@
 
     void accept(nng_msg *message)
     {
-        const std::string_view body(static_cast<const char *>(nng_msg_body(message)),
-                                    nng_msg_len(message));
+        std::string_view body(static_cast<const char *>(nng_msg_body(message)),
+                              nng_msg_len(message));
         bytes += body.size();
-        auto frame = decodeFrame(body, {});
+        while (!body.empty()) {
+            const bool whole =
+                body.size() >= LengthBytes && body.size() - LengthBytes >= frameLength(body);
+            const std::size_t length = whole ? frameLength(body) : body.size();
+            const auto frame = whole ? body.substr(LengthBytes, length) : body;
+            acceptFrame(frame);
+            body.remove_prefix(whole ? LengthBytes + length : length);
+        }
+    }
+
+    void acceptFrame(std::string_view bytesOfFrame)
+    {
+        auto frame = decodeFrame(bytesOfFrame, {});
         if (!frame) {
             ++malformed;
             return;
@@ -81,7 +116,7 @@
     auto &socket = private_->socket;
     if (const int rc = nng_pull0_open(&socket); rc != 0)
         return tl::make_unexpected(linkError(rc, address, "The inbox cannot be opened"));
-    nng_socket_set_size(socket, NNG_OPT_RECVMAXSZ, MaxFrameBytes);
+    nng_socket_set_size(socket, NNG_OPT_RECVMAXSZ, MaxMessageBytes);
     nng_listener listener = NNG_LISTENER_INITIALIZER;
     const std::string url = "tcp://" + address;
     if (const int rc = nng_listen(socket, url.c_str(), &listener, 0); rc != 0)
@@ -139,21 +174,56 @@
 
 struct Outbox::Private
 {
+    EventLoop &loop;
     std::string address;
+    std::string batch;
+    bool flushing = false;
+    /** Retries a batch that found the queue full. */
+    std::unique_ptr<Timer> retry;
     nng_socket socket = NNG_SOCKET_INITIALIZER;
     SharedHandle shared = std::make_shared<OutboxShared>();
     std::uint64_t bytes = 0;
+
+    void flushSoon()
+    {
+        if (flushing)
+            return;
+        flushing = true;
+        loop.post([this, token = std::weak_ptr<OutboxShared>(shared)] {
+            const auto alive = token.lock();
+            if (alive && alive->owner != nullptr)
+                flush();
+        });
+    }
+
+    void flush()
+    {
+        flushing = false;
+        if (batch.empty())
+            return;
+        nng_msg *message = nullptr;
+        if (nng_msg_alloc(&message, 0) != 0)
+            return retry->startOnce(RetryDelay);
+        nng_msg_append(message, batch.data(), batch.size());
+        if (nng_sendmsg(socket, message, NNG_FLAG_NONBLOCK) != 0) {
+            nng_msg_free(message);
+            return retry->startOnce(RetryDelay);
+        }
+        bytes += batch.size();
+        batch.clear();
+    }
 };
 
-Outbox::Outbox(EventLoop &loop, std::string address) : private_(std::make_unique<Private>())
+Outbox::Outbox(EventLoop &loop, std::string address)
+    : private_(std::make_unique<Private>(Private{loop, std::move(address)}))
 {
-    private_->address = std::move(address);
+    private_->retry = std::make_unique<Timer>(loop, [self = private_.get()] { self->flush(); });
     private_->shared->loop = &loop;
     private_->shared->owner = this;
     auto &socket = private_->socket;
     if (nng_push0_open(&socket) != 0)
         return;
-    nng_socket_set_int(socket, NNG_OPT_SENDBUF, SendQueueFrames);
+    nng_socket_set_int(socket, NNG_OPT_SENDBUF, SendQueueMessages);
     nng_socket_set_ms(socket, NNG_OPT_RECONNMINT, MinReconnectMs);
     nng_socket_set_ms(socket, NNG_OPT_RECONNMAXT, MaxReconnectMs);
     nng_pipe_notify(socket, NNG_PIPE_EV_ADD_POST, notifyPipe, &private_->shared);
@@ -180,19 +250,19 @@
                     "There is no connection to the peer.");
     }
     const std::string bytes = encodeFrame(frame);
-    nng_msg *message = nullptr;
-    if (bytes.size() > MaxFrameBytes || nng_msg_alloc(&message, 0) != 0) {
+    if (bytes.size() > MaxFrameBytes) {
         return fail(Failure::TooLarge, Step::Send, private_->address,
                     fmt::format("A frame of {} bytes is over the limit of {}.", bytes.size(),
                                 MaxFrameBytes));
     }
-    nng_msg_append(message, bytes.data(), bytes.size());
-    if (nng_sendmsg(private_->socket, message, NNG_FLAG_NONBLOCK) != 0) {
-        nng_msg_free(message);
+    if (private_->batch.size() >= BatchBytes)
+        private_->flush();
+    if (private_->batch.size() >= BatchBytes) {
         return fail(Failure::Overloaded, Step::Send, private_->address,
                     "The queue to the peer is full.");
     }
-    private_->bytes += bytes.size();
+    appendFrame(private_->batch, bytes);
+    private_->flushSoon();
     return {};
 }
 
