--- a/Source/Runtime/link.cpp
+++ b/Source/Runtime/link.cpp
@@ -59,7 +59,7 @@
     Inbox *owner;
     nng_socket socket = NNG_SOCKET_INITIALIZER;
     event *readable = nullptr;
-    std::uint64_t malformed = 0;
+    std::uint64_t malformedFrames = 0;
     std::uint64_t bytes = 0;
 
     void drain()
@@ -92,7 +92,8 @@
     {
         auto frame = decodeFrame(bytesOfFrame, {});
         if (!frame) {
-            ++malformed;
+            ++malformedFrames;
+            owner->malformed.emit(frame.error());
             return;
         }
         owner->received.emit(std::move(*frame));
@@ -138,7 +139,7 @@
 
 std::uint64_t Inbox::malformedFrames() const
 {
-    return private_->malformed;
+    return private_->malformedFrames;
 }
 
 std::uint64_t Inbox::bytesReceived() const
