--- a/Source/Entry/entry.cpp
+++ b/Source/Entry/entry.cpp
@@ -52,6 +52,8 @@
     router.seed = incarnation;
     router.gate = std::move(gate);
     router.maxInFlight = settings.request.maxInFlight;
+    router.claims.entry = settings.name;
+    router.claims.keepFor = settings.request.keyLifetime;
     router.retryBudget.share = percent(settings.request.retryBudgetPercent);
     router.hedgeBudget.share = percent(settings.request.hedgeBudgetPercent);
     return router;
