request: Kill and stop real processes in the midst of requests

Entry killed between claim and answer, and after its answer; agent killed while requests run; entry told to stop; links of 4.5 ms.

--- /dev/null
+++ b/Tests/RequestPath/processfaultstest.cpp
@@ -0,0 +1,191 @@
+#include "Support/cluster.h"
+#include "Support/httpcall.h"
+
+#include <catch2/catch.hpp>
+
+#include <csignal>
+#include <future>
+
+using namespace Oleander::Testing;
+
+namespace {
+
+using Reply = std::optional<HttpReply>;
+
+/** Three entries, two agents and their minions, as real processes that are ready to answer. */
+struct Processes
+{
+    Cluster cluster;
+
+    explicit Processes(ClusterOptions options = {}) : cluster(withMinions(std::move(options)))
+    {
+        REQUIRE(cluster.start());
+        for (std::size_t entry = 0; entry < 3; ++entry) {
+            REQUIRE(waitFor([&] {
+                const auto reply = call(entry, "POST", {{"Idempotency-Key", freshKey()}});
+                return reply && reply->status == 200;
+            }));
+        }
+    }
+
+    static ClusterOptions withMinions(ClusterOptions options)
+    {
+        options.workers = false;
+        options.minions = true;
+        return options;
+    }
+
+    std::string freshKey() { return "ready-" + std::to_string(++keys_); }
+
+    Reply call(std::size_t entry, const std::string &method, std::vector<CallHeader> headers = {})
+    {
+        return httpCall(cluster.callerDoor(entry), {method, "/notices/x", std::move(headers)});
+    }
+    std::future<Reply> start(std::size_t entry, const std::string &method,
+                             std::vector<CallHeader> headers)
+    {
+        return std::async(std::launch::async, [this, entry, method, headers = std::move(headers)] {
+            return call(entry, method, headers);
+        });
+    }
+    int runs(const std::string &id)
+    {
+        int total = 0;
+        for (std::size_t agent = 0; agent < 2; ++agent) {
+            const auto reply =
+                httpCall(cluster.minionAddress(agent), {"GET", "/standin/runs/" + id});
+            total += reply ? std::stoi(reply->body) : 0;
+        }
+        return total;
+    }
+
+private:
+    int keys_ = 0;
+};
+
+std::vector<CallHeader> keyed(const std::string &key, int delayMs, int timeoutMs)
+{
+    return {{"Idempotency-Key", key},
+            {"Standin-Request", key},
+            {"Standin-Delay-Ms", std::to_string(delayMs)},
+            {"Oleander-Timeout-Ms", std::to_string(timeoutMs)}};
+}
+
+} // namespace
+
+TEST_CASE("An entry killed between claim and answer: the resend elsewhere runs nothing twice")
+{
+    Processes processes;
+    auto lost = processes.start(0, "POST", keyed("order-1", 1500, 5000));
+    REQUIRE(waitFor([&] { return processes.runs("order-1") == 1; }));
+    processes.cluster.entry(0).kill();
+    CHECK_FALSE(lost.get().has_value());
+
+    Reply resent;
+    // A new leader may have to be elected first; until then a resend is truly not run.
+    CHECK(waitFor([&] {
+        resent = processes.call(1, "POST", keyed("order-1", 0, 2000));
+        return resent && resent->body.find("\"outcome\":\"not-run\"") == std::string::npos;
+    }));
+    REQUIRE(resent.has_value());
+    CHECK(resent->body.find("\"outcome\":\"unknown\"") != std::string::npos);
+    CHECK(resent->body.find("\"peer\":\"entry-1\"") != std::string::npos);
+    CHECK(processes.runs("order-1") == 1);
+}
+
+TEST_CASE("An entry killed after its answer: the resend elsewhere gets the first answer")
+{
+    Processes processes;
+    const auto first = processes.call(0, "POST", keyed("order-2", 0, 5000));
+    REQUIRE(first.has_value());
+    REQUIRE(first->status == 200);
+    const auto again = processes.call(0, "POST", keyed("order-2", 0, 5000));
+    REQUIRE(again.has_value());
+    processes.cluster.entry(0).kill();
+    Reply resent;
+    CHECK(waitFor([&] {
+        resent = processes.call(1, "POST", keyed("order-2", 0, 2000));
+        return resent && resent->status == 200;
+    }));
+    REQUIRE(resent.has_value());
+    CHECK(resent->body == first->body);
+    CHECK(processes.runs("order-2") == 1);
+}
+
+TEST_CASE("An agent killed while a request runs: unknown for POST, the answer for GET")
+{
+    Processes processes;
+    std::vector<std::future<Reply>> once;
+    std::vector<std::future<Reply>> safe;
+    for (int i = 0; i < 4; ++i) {
+        const std::string id = std::to_string(i);
+        once.push_back(processes.start(1, "POST",
+                                       {{"Standin-Request", "once" + id},
+                                        {"Standin-Delay-Ms", "1500"},
+                                        {"Oleander-Timeout-Ms", "6000"}}));
+        safe.push_back(processes.start(1, "GET",
+                                       {{"Standin-Request", "safe" + id},
+                                        {"Standin-Delay-Ms", "1500"},
+                                        {"Oleander-Timeout-Ms", "15000"}}));
+    }
+    REQUIRE(waitFor([&] { return processes.runs("once0") + processes.runs("once3") == 2; }));
+    processes.cluster.agent(0).kill();
+    processes.cluster.startAgent(0);
+    for (std::size_t i = 0; i < once.size(); ++i) {
+        const auto reply = once[i].get();
+        REQUIRE(reply.has_value());
+        CHECK((reply->status == 200
+               || reply->body.find("\"outcome\":\"unknown\"") != std::string::npos));
+        CHECK(processes.runs("once" + std::to_string(i)) == 1);
+    }
+    for (auto &call : safe) {
+        const auto reply = call.get();
+        REQUIRE(reply.has_value());
+        INFO(reply->body);
+        CHECK(reply->status == 200);
+    }
+}
+
+TEST_CASE("An entry that is told to stop serves on, cuts off nothing, and exits with 0")
+{
+    Processes processes;
+    auto slow = processes.start(2, "POST", {{"Standin-Delay-Ms", "3000"}});
+    REQUIRE(waitFor([&] { return processes.runs("") >= 1; }));
+    processes.cluster.entry(2).signal(SIGTERM);
+    REQUIRE(waitFor([&] {
+        const auto health = httpCall(processes.cluster.callerDoor(2), {"GET", "/healthz"});
+        return health && health->status == 503;
+    }));
+    const auto served = processes.call(2, "GET");
+    REQUIRE(served.has_value());
+    CHECK(served->status == 200);
+    const auto reply = slow.get();
+    REQUIRE(reply.has_value());
+    CHECK(reply->status == 200);
+    const auto end = processes.cluster.entry(2).wait();
+    REQUIRE(end.has_value());
+    CHECK(end->exitCode == 0);
+}
+
+TEST_CASE("Requests pass between failure domains whose links are slow")
+{
+    ClusterOptions options;
+    options.forwardLinks = true;
+    Processes processes(std::move(options));
+    for (std::size_t entry = 0; entry < 3; ++entry) {
+        for (std::size_t agent = 0; agent < 2; ++agent) {
+            const std::string to = "agent-" + std::to_string(agent + 1);
+            const std::string from = "entry-" + std::to_string(entry + 1);
+            processes.cluster.link(from, to).setDelay(std::chrono::microseconds(4500));
+            processes.cluster.link(to, from).setDelay(std::chrono::microseconds(4500));
+        }
+    }
+    for (int i = 0; i < 20; ++i) {
+        const std::string id = "far" + std::to_string(i);
+        const auto reply =
+            processes.call(static_cast<std::size_t>(i % 3), "POST", {{"Standin-Request", id}});
+        REQUIRE(reply.has_value());
+        CHECK(reply->status == 200);
+        CHECK(processes.runs(id) == 1);
+    }
+}
