--- a/Source/Agent/miniondoor.cpp
+++ b/Source/Agent/miniondoor.cpp
@@ -1,7 +1,7 @@
 #include "Agent/miniondoor.h"
 
 #include "Agent/announcementparse.h"
-#include "Base/nametable.h"
+#include "Routing/callerrequest.h"
 
 #include <nlohmann/json.hpp>
 
@@ -13,12 +13,6 @@
 constexpr std::string_view ItemPrefix = "/v1/minions/";
 constexpr std::size_t MaxNameLength = 128;
 
-constexpr NameTable<MinionState, 3> StateNames = {{
-    {MinionState::Serving, "serving"},
-    {MinionState::Draining, "draining"},
-    {MinionState::Lapsed, "lapsed"},
-}};
-
 unsigned statusOf(const Error &error)
 {
     if (error.code == Failure::NotFound)
@@ -96,7 +90,7 @@
         nlohmann::json row;
         row["name"] = status.name;
         row["service"] = status.service;
-        row["state"] = nameIn(StateNames, status.state);
+        row["state"] = minionStateName(status.state);
         row["slots"] = status.slots;
         row["connections"] = status.connections;
         row["running"] = status.running;
--- a/Source/Agent/requesttask.cpp
+++ b/Source/Agent/requesttask.cpp
@@ -1,8 +1,8 @@
 #include "Agent/requesttask.h"
 
+#include "Routing/callerrequest.h"
 #include "Routing/endtoendheaders.h"
-
-#include <set>
+#include "Runtime/log.h"
 
 namespace Oleander {
 
@@ -14,6 +14,19 @@
 constexpr Duration TickPeriod = std::chrono::milliseconds(20);
 constexpr std::string_view TimeoutHeader = "Oleander-Timeout-Ms";
 
+LogEvent eventOf(MinionState state)
+{
+    switch (state) {
+    case MinionState::Serving:
+        return LogEvent::MinionAnnounced;
+    case MinionState::Draining:
+        return LogEvent::MinionDraining;
+    case MinionState::Lapsed:
+        break;
+    }
+    return LogEvent::MinionLapsed;
+}
+
 HttpRequest requestOf(RequestDispatch &&message, Duration timeout)
 {
     HttpRequest request;
@@ -34,7 +47,10 @@
     , admission_(loop.clock(), std::move(settings), *this)
     , timer_(loop, [this] { admission_.tick(); })
 {
-    admission_.onMinionsChanged([this] { minionsChanged.emit(); });
+    admission_.onMinionsChanged([this] {
+        noteMinions();
+        minionsChanged.emit();
+    });
     messenger_.on<RequestDispatch>([this](const Sender &from, RequestDispatch &&message) {
         admission_.dispatch(from.name, std::move(message));
     });
@@ -45,6 +61,34 @@
 
 RequestTask::~RequestTask() = default;
 
+void RequestTask::noteMinions()
+{
+    std::map<std::string, MinionState> states;
+    for (const auto &status : admission_.minions()) {
+        states[status.name] = status.state;
+        const auto known = noted_.find(status.name);
+        if (known != noted_.end() && known->second == status.state)
+            continue;
+        logEvent(eventOf(status.state), Step::Join, status.name, {{"service", status.service}});
+    }
+    noted_ = std::move(states);
+}
+
+std::vector<DumpRow> RequestTask::minionRows() const
+{
+    std::vector<DumpRow> rows;
+    for (const auto &status : admission_.minions()) {
+        rows.push_back({status.name,
+                        {{"service", status.service},
+                         {"state", minionStateName(status.state)},
+                         {"slots", status.slots},
+                         {"connections", status.connections},
+                         {"running", status.running},
+                         {"queued", status.queued}}});
+    }
+    return rows;
+}
+
 Result<void> RequestTask::announce(const MinionAnnouncement &announcement)
 {
     return admission_.announce(announcement);
--- a/Source/Agent/requesttask.h
+++ b/Source/Agent/requesttask.h
@@ -4,6 +4,7 @@
 #include "Runtime/eventloop.h"
 #include "Runtime/httpclient.h"
 #include "Runtime/messenger.h"
+#include "Runtime/statedump.h"
 
 #include <map>
 #include <memory>
@@ -49,6 +50,8 @@
     void answer(const std::string &entry, RequestAnswer answer) override;
     void callEnded(const std::string &request, HttpCallResult result);
     HttpClient &clientOf(const std::string &address);
+    void noteMinions();
+    std::vector<DumpRow> minionRows() const;
 
     EventLoop &loop_;
     Messenger &messenger_;
@@ -56,6 +59,9 @@
     Timer timer_;
     std::map<std::string, std::unique_ptr<HttpClient>> clients_;
     std::unordered_map<std::string, Call> calls_;
+    /** States that were logged last. */
+    std::map<std::string, MinionState> noted_;
+    DumpPart dump_{"minions", [this] { return minionRows(); }};
 };
 
 } // namespace Oleander
--- a/Source/Entry/callerdoor.cpp
+++ b/Source/Entry/callerdoor.cpp
@@ -2,6 +2,7 @@
 
 #include "Entry/callerparse.h"
 #include "Entry/problemjson.h"
+#include "Runtime/log.h"
 
 namespace Oleander {
 
@@ -21,7 +22,8 @@
 } // namespace
 
 CallerDoor::CallerDoor(EventLoop &loop, RouterTask &router, CallerDoorSettings settings)
-    : router_(router)
+    : clock_(loop.clock())
+    , router_(router)
     , settings_(std::move(settings))
     , server_(loop, settings_.limits,
               [this](const std::shared_ptr<HttpExchange> &exchange) { handle(exchange); })
@@ -39,12 +41,34 @@
         exchange->respond(problemResponse(request.error()));
         return;
     }
-    const RequestId id = router_.submit(std::move(*request), [exchange](CallerAnswer answer) {
+    const TimePoint begun = clock_.now();
+    const std::string service = request->service;
+    const auto done = [this, exchange, service, begun](CallerAnswer answer) {
+        note(service, begun, answer);
         exchange->respond(responseTo(std::move(answer)));
-    });
+    };
+    const RequestId id = router_.submit(std::move(*request), done);
     exchange->onClosed([this, id] { router_.callerLeft(id); });
 }
 
+void CallerDoor::note(const std::string &service, TimePoint begun, const CallerAnswer &answer)
+{
+    static LatencyHistogram &Seconds = processMetrics().histogram(
+        "oleander_request_seconds", "Time from a whole request to its answer.", {});
+    Seconds.record(clock_.now() - begun);
+    const auto *problem = std::get_if<RequestProblem>(&answer);
+    const std::string outcome(problem ? outcomeName(problem->outcome) : "answered");
+    processMetrics()
+        .counter("oleander_requests_total", "Requests of callers by outcome.",
+                 {{"outcome", outcome}})
+        .add();
+    if (!problem)
+        return;
+    const bool shed = problem->outcome == Outcome::NotRun;
+    logEvent(shed ? LogEvent::RequestShed : LogEvent::RequestFailed, problem->step, problem->peer,
+             {{"service", service}, {"outcome", outcome}, {"cause", problem->detail}});
+}
+
 HttpResponse CallerDoor::health() const
 {
     if (draining_)
--- a/Source/Entry/callerdoor.h
+++ b/Source/Entry/callerdoor.h
@@ -3,6 +3,7 @@
 #include "Entry/routertask.h"
 #include "Runtime/eventloop.h"
 #include "Runtime/httpserver.h"
+#include "Runtime/metrics.h"
 
 #include <string>
 
@@ -38,7 +39,10 @@
 private:
     void handle(const std::shared_ptr<HttpExchange> &exchange);
     HttpResponse health() const;
+    /** Counts and logs how a request ended. */
+    void note(const std::string &service, TimePoint begun, const CallerAnswer &answer);
 
+    const Clock &clock_;
     RouterTask &router_;
     CallerDoorSettings settings_;
     HttpServer server_;
--- a/Source/Entry/routertask.cpp
+++ b/Source/Entry/routertask.cpp
@@ -25,6 +25,40 @@
 
 RouterTask::~RouterTask() = default;
 
+std::vector<DumpRow> RouterTask::minionRows() const
+{
+    const TimePoint now = loop_.clock().now();
+    std::vector<DumpRow> rows;
+    for (const Minion *minion : router_.table().all()) {
+        const bool healthy = minion->health.state(now) == OutlierEjection::State::Healthy;
+        rows.push_back({minion->agent + '/' + minion->status.name,
+                        {{"service", minion->status.service},
+                         {"state", minionStateName(minion->status.state)},
+                         {"ejected", !healthy},
+                         {"slots", minion->status.slots},
+                         {"load", minion->load()},
+                         {"in_flight", minion->inFlight},
+                         {"latency_us", minion->latency.value(now).count()}}});
+    }
+    return rows;
+}
+
+std::vector<DumpRow> RouterTask::counterRows() const
+{
+    const RouterCounters &counters = router_.counters();
+    return {{"router",
+             {{"in_flight", router_.inFlight()},
+              {"submitted", counters.submitted},
+              {"answered", counters.answered},
+              {"not_run", counters.notRun},
+              {"unknown", counters.unknown},
+              {"ran", counters.ran},
+              {"retries", counters.retries},
+              {"hedges", counters.hedges},
+              {"late_answers", counters.lateAnswers},
+              {"callers_left", counters.callersLeft}}}};
+}
+
 RequestId RouterTask::submit(CallerRequest request, Router::Callback callback)
 {
     const RequestId id = router_.submit(std::move(request), std::move(callback));
--- a/Source/Entry/routertask.h
+++ b/Source/Entry/routertask.h
@@ -3,6 +3,7 @@
 #include "Routing/router.h"
 #include "Runtime/eventloop.h"
 #include "Runtime/messenger.h"
+#include "Runtime/statedump.h"
 
 #include <functional>
 #include <map>
@@ -41,6 +42,8 @@
     /** Proposes what waits and sets the timer; follows every call into the router. */
     void afterStep();
     void proposeWaiting();
+    std::vector<DumpRow> minionRows() const;
+    std::vector<DumpRow> counterRows() const;
 
     EventLoop &loop_;
     Messenger &messenger_;
@@ -50,6 +53,8 @@
     TimePoint timerAt_{};
     std::map<std::string, std::string> inboxes_;
     bool proposing_ = false;
+    DumpPart minionsDump_{"minions", [this] { return minionRows(); }};
+    DumpPart countersDump_{"requests", [this] { return counterRows(); }};
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/Source/Routing/callerrequest.h
+++ b/Source/Routing/callerrequest.h
@@ -57,6 +57,9 @@
 /** Returns the name of \a outcome as answers show it. */
 std::string_view outcomeName(Outcome outcome);
 
+/** Returns the name of \a state as lists and dumps show it. */
+std::string_view minionStateName(MinionState state);
+
 /** HTTP status codes that this package chooses itself. */
 namespace HttpStatus {
 constexpr unsigned NotFound = 404;
