--- a/Tests/Support/cluster.cpp
+++ b/Tests/Support/cluster.cpp
@@ -3,6 +3,7 @@
 #include "Support/loopback.h"
 
 #include <algorithm>
+#include <cstdlib>
 
 namespace Oleander::Testing {
 
@@ -21,6 +22,8 @@
 
 Cluster::Cluster(ClusterOptions options) : options_(std::move(options))
 {
+    // The command line asks for the operator's name, and CI has no user's name to fall back on.
+    setenv("OLEANDER_OPERATOR", "tester", 0);
     for (std::size_t i = 0; i < options_.entries; ++i) {
         const std::string host = Loopback::nextHost();
         auto &entry = entries_.emplace_back();
@@ -105,6 +108,12 @@
     host.minion = std::make_unique<ChildProcess>(std::move(command));
 }
 
+CommandResult Cluster::startAnotherEntry(std::size_t entry) const
+{
+    const auto settings = folder_.path() / (entries_.at(entry).name + ".ini");
+    return runCommand({OLEANDER_PROGRAM, "serve", settings.string()});
+}
+
 bool Cluster::waitStarted(const ChildProcess &process) const
 {
     return waitFor(
@@ -136,6 +145,16 @@
         forwarder->heal();
 }
 
+std::uint64_t Cluster::linkBytes(const std::string &name) const
+{
+    std::uint64_t bytes = 0;
+    for (const auto &[ends, forwarder] : links_) {
+        if (ends.first == name || ends.second == name)
+            bytes += forwarder->bytes();
+    }
+    return bytes;
+}
+
 CommandResult Cluster::operate(std::size_t entry, std::vector<std::string> words,
                                const std::string &input) const
 {
