--- a/Tests/Bench/controlbench.cpp
+++ b/Tests/Bench/controlbench.cpp
@@ -19,6 +19,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <stdexcept>
 
 using namespace Oleander;
 using namespace Oleander::Testing;
@@ -46,10 +47,8 @@
         : messenger(loop, name, incarnation)
     {
         const auto listening = messenger.listen(address);
-        if (!listening) {
-            fmt::print(stderr, "{}\n", listening.error().text());
-            std::exit(1);
-        }
+        if (!listening)
+            throw std::runtime_error(listening.error().text());
         ReplicaTaskOptions options;
         options.name = name;
         options.folder = folder;
@@ -63,10 +62,8 @@
             std::sort(options.replicas.begin(), options.replicas.end());
         }
         task = std::make_unique<ReplicaTask>(loop, messenger, state, options);
-        if (const auto started = task->start(); !started) {
-            fmt::print(stderr, "{}\n", started.error().text());
-            std::exit(1);
-        }
+        if (const auto started = task->start(); !started)
+            throw std::runtime_error(started.error().text());
     }
 
     EventLoop loop;
@@ -140,13 +137,14 @@
         Timer poll(door_->loop, [&] {
             if (condition())
                 door_->loop.stop();
-            if (now() > begin + Limit) {
-                fmt::print(stderr, "the bench waited too long\n");
-                std::exit(1);
-            }
+            if (now() > begin + Limit)
+                door_->loop.stop();
         });
         poll.startEvery(std::chrono::milliseconds(1));
         door_->loop.run();
+        // Thrown outside of the loop, so that the replicas end with the bench.
+        if (now() > begin + Limit)
+            throw std::runtime_error("the bench waited too long");
         return seconds(now() - begin);
     }
 
@@ -172,21 +170,21 @@
         const std::string killed = leader();
         const TimePoint begin = now();
         replica(killed).kill();
-        std::optional<TimePoint> committed;
+        // Outcomes may come after this function has returned.
+        const auto committed = std::make_shared<std::optional<TimePoint>>();
         Timer proposer(door_->loop, [&] {
-            const TimePoint proposed = now();
-            door_->task->propose(changeOf(++changes_), [&, proposed](Result<std::string> outcome) {
-                if (outcome && !committed)
-                    committed = now();
-                static_cast<void>(proposed);
-            });
+            door_->task->propose(changeOf(++changes_),
+                                 [this, committed](const Result<std::string> &outcome) {
+                                     if (outcome && !*committed)
+                                         *committed = now();
+                                 });
         });
         proposer.startEvery(std::chrono::milliseconds(5));
-        until([&] { return committed.has_value(); });
+        until([&] { return committed->has_value(); });
         proposer.cancel();
         start(killed);
         waitReady(killed);
-        return seconds(*committed - begin);
+        return seconds(**committed - begin);
     }
 
     /** Restarts a follower that missed \a changes; returns the seconds until it is current. */
@@ -345,8 +343,13 @@
 int main(int argc, char **argv)
 {
     const std::vector<std::string> words(argv, argv + argc);
-    if (words.size() > 5 && words[1] == "replica")
-        return runReplica(words);
-    measure();
+    try {
+        if (words.size() > 5 && words[1] == "replica")
+            return runReplica(words);
+        measure();
+    } catch (const std::exception &failure) {
+        fmt::print(stderr, "{}\n", failure.what());
+        return 1;
+    }
     return 0;
 }
