--- /dev/null
+++ b/Tests/Control/grouptest.cpp
@@ -0,0 +1,224 @@
+#include "Control/simulation.h"
+
+#include <catch2/catch.hpp>
+
+using namespace Oleander;
+
+namespace {
+
+constexpr Duration Settle = std::chrono::seconds(5);
+
+/** Faults of the network and the clocks only; the tests direct the rest. */
+SimulationFaults calmFaults()
+{
+    SimulationFaults faults;
+    faults.dropPercent = 0;
+    faults.duplicatePercent = 0;
+    faults.slowPercent = 0;
+    return faults;
+}
+
+/** True once a command that starts now is committed. */
+bool commits(Simulation &simulation)
+{
+    const std::uint64_t before = simulation.highestCommitted();
+    const std::string leader = simulation.leader();
+    if (leader.empty() || !simulation.propose(leader, "command"))
+        return false;
+    simulation.run(std::chrono::seconds(1));
+    return simulation.highestCommitted() > before;
+}
+
+std::vector<std::string> othersThan(const std::string &name)
+{
+    std::vector<std::string> others;
+    for (const std::string other : {"a", "b", "c"}) {
+        if (other != name)
+            others.push_back(other);
+    }
+    return others;
+}
+
+bool isVoter(Simulation &simulation, const std::string &name)
+{
+    return simulation.committedMembership().isVoter(name, simulation.replica(name).incarnation());
+}
+
+} // namespace
+
+TEST_CASE("A leader that can send but hears nothing is replaced and answers nothing as current")
+{
+    Simulation simulation(1, calmFaults());
+    simulation.run(Settle);
+    const std::string deaf = simulation.leader();
+    REQUIRE(commits(simulation));
+    for (const std::string &other : othersThan(deaf))
+        simulation.cut(other, deaf);
+    simulation.run(Settle);
+    const std::uint64_t served = simulation.readsServed();
+    simulation.read(deaf);
+    simulation.run(std::chrono::seconds(2));
+    CHECK(simulation.readsServed() == served);
+    CHECK(simulation.leader() != deaf);
+    CHECK(commits(simulation));
+    simulation.healLinks();
+    simulation.run(Settle);
+    CHECK(commits(simulation));
+    CHECK(simulation.violations().empty());
+}
+
+TEST_CASE("A leader that hears but cannot send is replaced")
+{
+    Simulation simulation(2, calmFaults());
+    simulation.run(Settle);
+    const std::string mute = simulation.leader();
+    for (const std::string &other : othersThan(mute))
+        simulation.cut(mute, other);
+    simulation.run(Settle);
+    CHECK(simulation.leader() != mute);
+    CHECK(commits(simulation));
+    CHECK(simulation.violations().empty());
+}
+
+TEST_CASE("A follower that cannot hear the leader does not disturb it")
+{
+    Simulation simulation(3, calmFaults());
+    simulation.run(Settle);
+    const std::string leader = simulation.leader();
+    const std::uint64_t term = simulation.replica(leader).term();
+    simulation.cut(leader, othersThan(leader).front());
+    simulation.run(Settle);
+    CHECK(simulation.leader() == leader);
+    CHECK(simulation.replica(leader).term() == term);
+    CHECK(commits(simulation));
+}
+
+TEST_CASE("A leader frozen for 30 seconds and woken appends nothing and serves no stale read")
+{
+    Simulation simulation(4, calmFaults());
+    simulation.run(Settle);
+    const std::string frozen = simulation.leader();
+    REQUIRE(commits(simulation));
+    // Cut off as well, so that it learns of no other leader and must know by its clock alone.
+    for (const std::string &other : othersThan(frozen)) {
+        simulation.cut(frozen, other);
+        simulation.cut(other, frozen);
+    }
+    simulation.freeze(frozen, std::chrono::seconds(30));
+    simulation.run(std::chrono::seconds(15));
+    REQUIRE(simulation.leader() != frozen);
+    REQUIRE(commits(simulation));
+    simulation.run(std::chrono::seconds(14));
+    const std::uint64_t last = simulation.replica(frozen).log().lastIndex();
+    const std::uint64_t served = simulation.readsServed();
+    CHECK_FALSE(simulation.propose(frozen, "late"));
+    simulation.read(frozen);
+    simulation.run(std::chrono::seconds(2));
+    CHECK(simulation.replica(frozen).log().lastIndex() == last);
+    CHECK(simulation.readsServed() == served);
+    simulation.healLinks();
+    simulation.run(Settle);
+    CHECK(commits(simulation));
+    CHECK(simulation.applied(frozen) == simulation.highestCommitted());
+    CHECK(simulation.violations().empty());
+}
+
+TEST_CASE("A second host lost right after a repair leaves a group that goes on")
+{
+    Simulation simulation(5, calmFaults());
+    simulation.run(Settle);
+    for (int round = 0; round < 6; ++round) {
+        REQUIRE(commits(simulation));
+        const std::string lost =
+            round % 2 == 0 ? simulation.leader() : othersThan(simulation.leader()).front();
+        simulation.loseDisk(lost);
+        for (int wait = 0; wait < 100 && !isVoter(simulation, lost); ++wait)
+            simulation.run(std::chrono::milliseconds(100));
+        REQUIRE(isVoter(simulation, lost));
+        const std::string second = othersThan(lost)[static_cast<std::size_t>(round / 2) % 2];
+        simulation.crash(second);
+        simulation.run(Settle);
+        CHECK(commits(simulation));
+        simulation.restart(second);
+        simulation.run(Settle);
+    }
+    CHECK(simulation.violations().empty());
+}
+
+TEST_CASE("A far-behind replica catches up from a snapshot while writing goes on")
+{
+    Simulation simulation(6, calmFaults());
+    simulation.run(Settle);
+    const std::string leader = simulation.leader();
+    const std::string behind = othersThan(leader).front();
+    simulation.crash(behind);
+    for (int i = 0; i < 100; ++i) {
+        REQUIRE(simulation.propose(leader, "while it was away"));
+        simulation.run(std::chrono::milliseconds(10));
+        simulation.takeSnapshot(leader);
+    }
+    simulation.run(std::chrono::seconds(1));
+    REQUIRE(simulation.replica(leader).log().baseIndex() > 50);
+    simulation.restart(behind);
+    for (int i = 0; i < 100; ++i) {
+        simulation.propose(leader, "while it catches up");
+        simulation.run(std::chrono::milliseconds(10));
+    }
+    simulation.run(Settle);
+    CHECK(simulation.applied(behind) == simulation.highestCommitted());
+    CHECK(simulation.replica(behind).snapshotIndex() > 50);
+    CHECK(simulation.violations().empty());
+}
+
+TEST_CASE("A new host takes the place of another, one change at a time")
+{
+    Simulation simulation(7, calmFaults());
+    simulation.run(Settle);
+    REQUIRE(commits(simulation));
+    REQUIRE(simulation.addToGroup("d"));
+    CHECK_FALSE(simulation.removeFromGroup("c"));
+    simulation.addNode("d");
+    simulation.run(Settle);
+    REQUIRE(isVoter(simulation, "d"));
+    REQUIRE(simulation.removeFromGroup("c"));
+    simulation.run(Settle);
+    CHECK(simulation.committedMembership().voterCount() == 3);
+    CHECK(simulation.committedMembership().find("c") == nullptr);
+    // The removed host does not disturb the others, which bear the loss of one of them.
+    simulation.crash(simulation.leader() == "a" ? "b" : "a");
+    simulation.run(Settle);
+    CHECK(commits(simulation));
+    CHECK(simulation.violations().empty());
+}
+
+TEST_CASE("A leader that is removed hands over")
+{
+    Simulation simulation(8, calmFaults());
+    simulation.run(Settle);
+    const std::string removed = simulation.leader();
+    REQUIRE(simulation.removeFromGroup(removed));
+    simulation.run(Settle);
+    CHECK(simulation.leader() != removed);
+    CHECK(simulation.committedMembership().find(removed) == nullptr);
+    CHECK(commits(simulation));
+    CHECK(simulation.violations().empty());
+}
+
+TEST_CASE("When every disk is full nothing is committed, and writes go on when there is space")
+{
+    Simulation simulation(9, calmFaults());
+    simulation.run(Settle);
+    REQUIRE(commits(simulation));
+    for (const std::string name : {"a", "b", "c"})
+        simulation.setDiskFull(name, true);
+    const std::uint64_t before = simulation.highestCommitted();
+    simulation.run(Settle);
+    CHECK(simulation.leader().empty());
+    CHECK_FALSE(simulation.propose("a", "refused"));
+    CHECK(simulation.highestCommitted() == before);
+    for (const std::string name : {"a", "b", "c"})
+        simulation.setDiskFull(name, false);
+    simulation.run(Settle);
+    CHECK(commits(simulation));
+    CHECK(simulation.violations().empty());
+}
--- a/Tests/Control/simulation.cpp
+++ b/Tests/Control/simulation.cpp
@@ -426,6 +426,26 @@
     tickNode(name);
 }
 
+bool Simulation::addToGroup(const std::string &name)
+{
+    const std::string target = leader();
+    const bool done =
+        !target.empty() && replica(target).addReplica(localNow(target), name).has_value();
+    if (!target.empty())
+        collect(target);
+    return done;
+}
+
+bool Simulation::removeFromGroup(const std::string &name)
+{
+    const std::string target = leader();
+    const bool done =
+        !target.empty() && replica(target).removeReplica(localNow(target), name).has_value();
+    if (!target.empty())
+        collect(target);
+    return done;
+}
+
 std::string Simulation::anyNode()
 {
     return names_[random_() % names_.size()];
--- a/Tests/Control/simulation.h
+++ b/Tests/Control/simulation.h
@@ -67,7 +67,12 @@
     void healLinks() { cuts_.clear(); }
     void setDiskFull(const std::string &node, bool full);
     void takeSnapshot(const std::string &node);
+    /** Starts a new replica, which greets the others. */
     void addNode(const std::string &name);
+    /** Asks the leader for the change; false when it refused. */
+    bool addToGroup(const std::string &name);
+    bool removeFromGroup(const std::string &name);
+    const Membership &committedMembership() const { return committedMembership_; }
     Replica &replica(const std::string &node) { return *nodes_.at(node).replica; }
     TimePoint localNow(const std::string &node) const;
     std::uint64_t highestCommitted() const { return committed_.size(); }
