--- a/Source/Placement/taskscheduler.cpp
+++ b/Source/Placement/taskscheduler.cpp
@@ -82,18 +82,20 @@
 
 void TaskScheduler::startTerm()
 {
-    port_.propose(StartTerm{settings_.leader}, [this, period = period_](const TaskOutcome *outcome) {
-        if (period != period_)
-            return;
-        if (!outcome) {
-            startTerm();
-            return;
-        }
-        term_ = outcome->term;
-        mustHold_ = true;
-        // What was proposed under an earlier term has taken effect by now or is refused.
-        losing_.clear();
-    });
+    port_.propose(StartTerm{settings_.leader},
+                  [this, period = period_](const TaskOutcome *outcome) {
+                      if (period != period_)
+                          return;
+                      if (!outcome) {
+                          startTerm();
+                          return;
+                      }
+                      term_ = outcome->term;
+                      mustHold_ = true;
+                      // What was proposed under an earlier term has taken effect by now or is
+                      // refused.
+                      losing_.clear();
+                  });
 }
 
 void TaskScheduler::follow()
@@ -327,8 +329,8 @@
         if (worker.lost || !leases_.surelyOver(name, now))
             continue;
         losing_[name] = worker.session;
-        proposeOnce("lose/" + name, LoseWorker{name, worker.session,
-                                               "Its agent stopped answering.", wall, term_});
+        proposeOnce("lose/" + name,
+                    LoseWorker{name, worker.session, "Its agent stopped answering.", wall, term_});
     }
 }
 
@@ -468,14 +470,14 @@
 {
     if (!underWay_.insert(key).second)
         return;
-    port_.propose(std::move(command), [this, key, period = period_,
-                                       after = std::move(after)](const TaskOutcome *) {
-        if (period != period_)
-            return;
-        underWay_.erase(key);
-        if (after)
-            after();
-    });
+    port_.propose(std::move(command),
+                  [this, key, period = period_, after = std::move(after)](const TaskOutcome *) {
+                      if (period != period_)
+                          return;
+                      underWay_.erase(key);
+                      if (after)
+                          after();
+                  });
 }
 
 } // namespace Oleander::Placement
--- a/Tests/Placement/faultrun.cpp
+++ b/Tests/Placement/faultrun.cpp
@@ -90,8 +90,7 @@
 };
 
 FaultRun::FaultRun(std::uint32_t seed, const Faults &faults, int workers)
-    : faults_(faults)
-    , random_(seed)
+    : faults_(faults), random_(seed)
 {
     std::uniform_real_distribution<double> drift(1.0 - faults.maxDrift, 1.0 + faults.maxDrift);
     for (int number = 0; number < workers; ++number) {
@@ -143,7 +142,8 @@
 
 TimePoint FaultRun::clockOf(double rate) const
 {
-    return TimePoint(Duration(static_cast<Duration::rep>(static_cast<double>(now_.count()) * rate)));
+    return TimePoint(
+        Duration(static_cast<Duration::rep>(static_cast<double>(now_.count()) * rate)));
 }
 
 WallTime FaultRun::wall() const
@@ -257,8 +257,9 @@
 void FaultRun::breakSomething()
 {
     const auto outage = [&] {
-        return now_ + Duration(std::uniform_int_distribution<Duration::rep>(
-                                   0, faults_.mostOutage.count())(random_));
+        return now_
+               + Duration(std::uniform_int_distribution<Duration::rep>(
+                   0, faults_.mostOutage.count())(random_));
     };
     for (auto &host : hosts_) {
         if (happens(faults_.freezeAgent))
@@ -274,10 +275,15 @@
     }
     if (happens(faults_.evict) && !book_.tasks().empty()) {
         auto task = book_.tasks().begin();
-        std::advance(task, std::uniform_int_distribution<std::size_t>(
-                               0, book_.tasks().size() - 1)(random_));
-        apply(EvictTask{task->first, task->second.attempt, StopCause::Relief, happens(0.5),
-                        "The test moves it.", {}, wall()});
+        std::advance(
+            task, std::uniform_int_distribution<std::size_t>(0, book_.tasks().size() - 1)(random_));
+        apply(EvictTask{task->first,
+                        task->second.attempt,
+                        StopCause::Relief,
+                        happens(0.5),
+                        "The test moves it.",
+                        {},
+                        wall()});
     }
     if (happens(faults_.changeLeader))
         elect(1 - elected_);
@@ -328,8 +334,8 @@
     leader.incarnations[worker] = std::max(leader.incarnations[worker], incarnation);
     if (incarnation < leader.incarnations[worker])
         return;
-    HeartbeatReply reply
-        = leader.scheduler->heartbeat(worker, message, clockOf(leader.rate), wall());
+    HeartbeatReply reply =
+        leader.scheduler->heartbeat(worker, message, clockOf(leader.rate), wall());
     reply.leader = "leader";
     for (auto &host : hosts_) {
         if (host->name != worker)
@@ -342,8 +348,7 @@
                     return;
                 target->executor->replied(reply);
                 for (auto &[task, run] : target->runs) {
-                    if (run.session == target->executor->session()
-                        && target->executor->leaseEnd())
+                    if (run.session == target->executor->session() && target->executor->leaseEnd())
                         run.leaseEnd = std::max(run.leaseEnd, *target->executor->leaseEnd());
                 }
             });
@@ -446,8 +451,8 @@
                 if (list[a].begin < list[b].end && list[b].begin < list[a].end) {
                     return task + " ran as attempt " + std::to_string(list[a].attempt) + " on "
                            + list[a].worker + " and as attempt " + std::to_string(list[b].attempt)
-                           + " on " + list[b].worker + " at " + std::to_string(list[b].begin.count())
-                           + " us";
+                           + " on " + list[b].worker + " at "
+                           + std::to_string(list[b].begin.count()) + " us";
                 }
             }
         }
--- a/Tests/Placement/lifecycletest.cpp
+++ b/Tests/Placement/lifecycletest.cpp
@@ -122,8 +122,8 @@
     fixture.submit("j", spec);
     fixture.place("batch.j", "w1");
     fixture.report("w1", "batch.j", 1, AttemptState::Running);
-    CHECK_FALSE(fixture.apply(EvictTask{"batch.j", 1, StopCause::Relief, false, "", {}, {}})
-                    .accepted());
+    CHECK_FALSE(
+        fixture.apply(EvictTask{"batch.j", 1, StopCause::Relief, false, "", {}, {}}).accepted());
     fixture.apply(LoseWorker{"w1", 1, "silent", fixture.now});
     CHECK(fixture.task("batch.j").state == TaskState::Failed);
     CHECK(fixture.task("batch.j").reason.find("not idempotent") != std::string::npos);
--- a/Tests/Placement/noduplicatetest.cpp
+++ b/Tests/Placement/noduplicatetest.cpp
@@ -123,9 +123,9 @@
         CHECK(run.runUntil(areDone, std::chrono::minutes(10)));
         CHECK(run.overlap().empty());
         for (const auto &[id, list] : run.intervals()) {
-            const auto succeeded = std::count_if(list.begin(), list.end(), [](const auto &interval) {
-                return interval.how == "succeeded";
-            });
+            const auto succeeded =
+                std::count_if(list.begin(), list.end(),
+                              [](const auto &interval) { return interval.how == "succeeded"; });
             INFO(id);
             CHECK(succeeded == 1);
         }
--- a/Tests/Placement/taskexecutortest.cpp
+++ b/Tests/Placement/taskexecutortest.cpp
@@ -108,9 +108,9 @@
     TaskExecutor executor{ExecutorSettings{}};
     const TimePoint now(std::chrono::seconds(200));
     executor.heartbeatMade(1, now);
-    executor.listed({{"old", 2, 3, AttemptState::Running, "", 0},
-                     {"new", 5, 4, AttemptState::Running, "", 7}},
-                    now);
+    executor.listed(
+        {{"old", 2, 3, AttemptState::Running, "", 0}, {"new", 5, 4, AttemptState::Running, "", 7}},
+        now);
     CHECK(executor.due(now).empty());
     executor.replied({1, std::chrono::seconds(5), "leader", 4});
     const auto calls = executor.due(now);
