placement: Add the pairwise policy, relief, fair queue and probes

ReliefPlanner throttles before it evicts and waits for later reports between steps. FairQueue serves services, urgent work, then teams by share.

--- a/Source/Placement/clusterview.cpp
+++ b/Source/Placement/clusterview.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr double MilliCoresPerCore = 1000.0;
+constexpr Duration MostReportAge = std::chrono::seconds(60);
 
 /** Share of the fullest dimension that is committed. */
 double loadOf(const WorkerView &worker)
@@ -46,7 +47,7 @@
 
 Resident &ClusterView::add(const TaskTraits &traits, Number worker, TimePoint now)
 {
-    remove(traits.id);
+    remove(traits.id, now);
     Resident &resident = residents_[traits.id];
     resident.traits = traits;
     resident.worker = worker;
@@ -54,18 +55,22 @@
     workers_[worker].residents.push_back(&resident);
     count(resident, 1);
     refresh(worker);
-    setUse(resident, traits.declared.milliCores / MilliCoresPerCore);
+    setUse(resident, traits.declared.milliCores / MilliCoresPerCore,
+           static_cast<double>(traits.declared.memoryMiB));
     return resident;
 }
 
-void ClusterView::remove(const std::string &task)
+void ClusterView::remove(const std::string &task, TimePoint now)
 {
     const auto found = residents_.find(task);
     if (found == residents_.end())
         return;
     Resident &resident = found->second;
     const Number worker = resident.worker;
-    setUse(resident, 0);
+    std::vector<FormerResident> &former = workers_[worker].former;
+    std::erase_if(former, [&](const auto &old) { return old.until + MostReportAge < now; });
+    former.push_back({resident.traits.kind, resident.cores, resident.since, now});
+    setUse(resident, 0, 0);
     std::erase(workers_[worker].residents, &resident);
     count(resident, -1);
     residents_.erase(found);
@@ -78,10 +83,13 @@
     return found == residents_.end() ? nullptr : &found->second;
 }
 
-void ClusterView::setUse(Resident &resident, double cores)
+void ClusterView::setUse(Resident &resident, double cores, double memoryMiB)
 {
-    workers_[resident.worker].coresUsed += cores - resident.cores;
+    WorkerView &worker = workers_[resident.worker];
+    worker.coresUsed += cores - resident.cores;
+    worker.memoryUsed += memoryMiB - resident.memoryMiB;
     resident.cores = cores;
+    resident.memoryMiB = memoryMiB;
 }
 
 Number ClusterView::intern(const std::string &text)
--- a/Source/Placement/clusterview.h
+++ b/Source/Placement/clusterview.h
@@ -45,11 +45,25 @@
     TimePoint since{};
     /** Processors in use by the last report, or the corrected declared size before the first. */
     double cores = 0;
+    /** Memory in use, likewise. */
+    double memoryMiB = 0;
+    /** Latency p99 of the last report as a logarithm of microseconds, and when it was true. */
+    double logLatency = 0;
+    TimePoint reportedAt{};
     std::uint32_t throttlePercent = 100;
     /** True while it is being stopped: it still occupies its size, but no decision moves it. */
     bool isLeaving = false;
 };
 
+/** A task that was on a worker a short while ago; late reports may still speak of that time. */
+struct FormerResident
+{
+    Number kind = NoNumber;
+    double cores = 0;
+    TimePoint since{};
+    TimePoint until{};
+};
+
 /** A worker as decisions see it. */
 struct WorkerView
 {
@@ -62,7 +76,9 @@
     bool accepts = false;
     /** Processors in use by the last reports. */
     double coresUsed = 0;
+    double memoryUsed = 0;
     std::vector<Resident *> residents;
+    std::vector<FormerResident> former;
 };
 
 /**
@@ -80,10 +96,10 @@
                      bool accepts);
     /** Puts a task on a worker; a task that is elsewhere moves. */
     Resident &add(const TaskTraits &traits, Number worker, TimePoint now);
-    void remove(const std::string &task);
+    void remove(const std::string &task, TimePoint now);
     Resident *find(const std::string &task);
-    /** Notes the processors that a resident uses. */
-    void setUse(Resident &resident, double cores);
+    /** Notes the processors and the memory that a resident uses. */
+    void setUse(Resident &resident, double cores, double memoryMiB);
 
     /** Returns the number that stands for \a text; equal texts have equal numbers. */
     Number intern(const std::string &text);
@@ -107,6 +123,7 @@
     std::vector<WorkerView> workers_;
     std::unordered_map<std::string, Number> workerNumbers_;
     std::unordered_map<std::string, Number> interned_;
+    // Residents are pointed to, and the addresses of a node-based map's elements are stable.
     std::unordered_map<std::string, Resident> residents_;
     CapacityTree tree_;
     std::vector<double> loads_;
--- /dev/null
+++ b/Source/Placement/pairwisechooser.cpp
@@ -0,0 +1,185 @@
+#include "Placement/pairwisechooser.h"
+
+#include "Placement/workerledger.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+namespace Oleander::Placement {
+
+namespace {
+
+constexpr double MilliCoresPerCore = 1000.0;
+/** Share of the processors up to which their use is not felt. */
+constexpr double ComfortableShare = 0.75;
+/** Reports after which a newer one counts no more than this many before it. */
+constexpr double MostCorrectionWeight = 50;
+/** A slowdown of the tail is felt more the slower it is already. */
+constexpr double TailExponent = 2.0;
+constexpr double MostLogSlowdown = 4.0;
+constexpr unsigned ProbesPerCandidate = 2;
+
+double coresOf(const WorkerView &worker)
+{
+    return std::max(1.0, worker.capacity.milliCores / MilliCoresPerCore);
+}
+
+/** Part of \a share above \a limit, squared. */
+double excess(double share, double limit)
+{
+    const double over = std::max(0.0, share - limit);
+    return over * over;
+}
+
+} // namespace
+
+double pressureOf(double coresUsed, const WorkerView &worker)
+{
+    return std::max(0.0, coresUsed / coresOf(worker) - ComfortableShare);
+}
+
+std::pair<double, double> PairwiseChooser::expectedUse(const TaskTraits &traits) const
+{
+    const auto found = corrections_.find(traits.kind);
+    const Correction correction = found == corrections_.end() ? Correction{} : found->second;
+    return {traits.declared.milliCores / MilliCoresPerCore * correction.cores,
+            static_cast<double>(traits.declared.memoryMiB) * correction.memory};
+}
+
+double PairwiseChooser::cautious(const Estimate &estimate) const
+{
+    return std::max(0.0, estimate.mean) + weights_.caution * std::sqrt(estimate.variance);
+}
+
+double PairwiseChooser::effectOn(const Resident &victim, const TaskTraits &traits, double intensity,
+                                 const WorkerView &worker) const
+{
+    const double added = cautious(model_.effect(victim.traits.kind, traits.kind)) * intensity;
+    if (!victim.traits.isService) {
+        return weights_.throughput * (1.0 - std::exp(-added)) * victim.cores / coresOf(worker);
+    }
+    const Estimate base = model_.base(victim.traits.kind);
+    const bool isKnown = victim.reportedAt != TimePoint();
+    const double now = isKnown ? std::clamp(victim.logLatency - base.mean, 0.0, MostLogSlowdown)
+                               : 0.0;
+    return weights_.latency * (std::exp(TailExponent * (now + added)) - std::exp(TailExponent * now))
+           / TailExponent;
+}
+
+double PairwiseChooser::spreadCost(const TaskTraits &traits, const WorkerView &worker,
+                                   const ClusterView &view) const
+{
+    if (traits.group == NoNumber || traits.spread == Records::Spread::Anywhere)
+        return 0;
+    double cost = weights_.sameRack * view.groupInRack(traits.group, worker.rack);
+    if (traits.spread == Records::Spread::FailureDomain)
+        cost += weights_.sameDomain * view.groupInDomain(traits.group, worker.failureDomain);
+    for (const Resident *resident : worker.residents) {
+        if (resident->traits.group == traits.group)
+            cost += weights_.sameWorker;
+    }
+    return cost;
+}
+
+double PairwiseChooser::cost(const TaskTraits &traits, const WorkerView &worker,
+                             const ClusterView &view) const
+{
+    const auto [cores, memory] = expectedUse(traits);
+    const double total = coresOf(worker);
+    const double intensity = cores / total;
+    double cost = spreadCost(traits, worker, view);
+    double suffered = 0;
+    bool hasService = traits.isService;
+    for (const Resident *resident : worker.residents) {
+        cost += effectOn(*resident, traits, intensity, worker);
+        suffered += cautious(model_.effect(traits.kind, resident->traits.kind)) * resident->cores
+                    / total;
+        hasService = hasService || resident->traits.isService;
+    }
+    cost += traits.isService
+                ? weights_.latency * (std::exp(TailExponent * suffered) - 1) / TailExponent
+                : weights_.throughput * (1.0 - std::exp(-suffered)) * intensity;
+    const double limit = 1.0 - (hasService ? weights_.serviceHeadroom : 0.0);
+    const double used = worker.coresUsed / total;
+    cost += weights_.pressure * (excess(used + intensity, limit) - excess(used, limit));
+    const double memoryTotal = std::max(1.0, static_cast<double>(worker.capacity.memoryMiB));
+    const double memoryShare = worker.memoryUsed / memoryTotal;
+    const double memoryLimit = 1.0 - weights_.memoryHeadroom;
+    cost += weights_.eviction * weights_.pressure
+            * (excess(memoryShare + memory / memoryTotal, memoryLimit)
+               - excess(memoryShare, memoryLimit));
+    // Accelerators stay free for those that need them.
+    if (traits.declared.accelerators == 0 && worker.available.accelerators > 0)
+        cost += weights_.throughput * intensity;
+    return cost;
+}
+
+std::optional<Number> PairwiseChooser::choose(const Demand &demand, const ClusterView &view)
+{
+    std::optional<Number> best;
+    double least = std::numeric_limits<double>::max();
+    unsigned looked = 0;
+    for (unsigned probe = 0; probe < ProbesPerCandidate * weights_.candidates; ++probe) {
+        const auto found = view.capacities().any(demand.traits.declared, random_);
+        if (!found)
+            return std::nullopt;
+        const auto number = static_cast<Number>(*found);
+        const WorkerView &worker = view.worker(number);
+        if (number == best || demand.avoid.contains(worker.name))
+            continue;
+        const double price = cost(demand.traits, worker, view);
+        if (price < least) {
+            least = price;
+            best = number;
+        }
+        if (++looked >= weights_.candidates)
+            break;
+    }
+    return best ? best : FirstFit{}.choose(demand, view);
+}
+
+void PairwiseChooser::learn(const UsageSample &sample, const Resident &resident,
+                            const ClusterView &view)
+{
+    const TaskTraits &traits = resident.traits;
+    const double declaredCores = traits.declared.milliCores / MilliCoresPerCore;
+    if (declaredCores > 0 && traits.declared.memoryMiB > 0 && resident.throttlePercent == 100) {
+        Correction &correction = corrections_[traits.kind];
+        const double share = 1.0 / (correction.weight + 1.0);
+        correction.cores += (sample.cores / declaredCores - correction.cores) * share;
+        correction.memory
+            += (sample.memoryMiB / static_cast<double>(traits.declared.memoryMiB)
+                - correction.memory)
+               * share;
+        correction.weight = std::min(MostCorrectionWeight, correction.weight + 1.0);
+    }
+    const bool saysLatency = traits.isService && sample.latencyP99 > Duration::zero();
+    const bool saysProgress = !traits.isService && sample.progress > 0
+                              && resident.throttlePercent == 100;
+    if ((!saysLatency && !saysProgress) || sample.at < resident.since)
+        return;
+    const WorkerView &worker = view.worker(resident.worker);
+    const double total = coresOf(worker);
+    std::vector<Neighbour> neighbours;
+    double used = 0;
+    for (const Resident *other : worker.residents) {
+        if (other->since > sample.at)
+            continue;
+        used += other->cores;
+        if (other != &resident)
+            neighbours.push_back({other->traits.kind, other->cores / total});
+    }
+    for (const FormerResident &former : worker.former) {
+        if (former.since <= sample.at && sample.at < former.until) {
+            used += former.cores;
+            neighbours.push_back({former.kind, former.cores / total});
+        }
+    }
+    const double value = saysLatency ? std::log(static_cast<double>(sample.latencyP99.count()))
+                                     : -std::log(std::min(1.0, sample.progress));
+    model_.learn(traits.kind, traits.isService, neighbours, pressureOf(used, worker), value,
+                 sample.at);
+}
+
+} // namespace Oleander::Placement
--- a/Source/Placement/placementpolicy.cpp
+++ b/Source/Placement/placementpolicy.cpp
@@ -1,8 +1,11 @@
 #include "Placement/placementpolicy.h"
 
+#include <cmath>
+
 namespace Oleander::Placement {
 
-PlacementPolicy::PlacementPolicy(PolicyKind kind, std::uint32_t seed)
+PlacementPolicy::PlacementPolicy(PolicyKind kind, std::uint32_t seed, const PolicyWeights &weights)
+    : relief_(weights)
 {
     switch (kind) {
     case PolicyKind::FirstFit:
@@ -14,13 +17,47 @@
     case PolicyKind::Random:
         chooser_ = RandomChoice{std::minstd_rand(seed)};
         break;
+    case PolicyKind::Pairwise:
+        chooser_ = PairwiseChooser(weights, seed);
+        break;
     }
 }
 
-std::optional<Number> PlacementPolicy::choose(const Demand &demand, const ClusterView &view,
-                                              TimePoint)
+std::optional<Number> PlacementPolicy::choose(const Demand &demand, const ClusterView &view)
 {
     return std::visit([&](auto &chooser) { return chooser.choose(demand, view); }, chooser_);
 }
 
+void PlacementPolicy::placed(Resident &resident, ClusterView &view)
+{
+    if (const auto *pairwise = std::get_if<PairwiseChooser>(&chooser_)) {
+        const auto [cores, memory] = pairwise->expectedUse(resident.traits);
+        view.setUse(resident, cores, memory);
+    }
+}
+
+void PlacementPolicy::report(const UsageSample &sample, ClusterView &view)
+{
+    Resident *resident = view.find(sample.task);
+    auto *pairwise = std::get_if<PairwiseChooser>(&chooser_);
+    // A report from before the task came here speaks of another place.
+    if (!resident || !pairwise || sample.at < resident->since || sample.at <= resident->reportedAt)
+        return;
+    pairwise->learn(sample, *resident, view);
+    view.setUse(*resident, sample.cores, sample.memoryMiB);
+    resident->reportedAt = sample.at;
+    if (resident->traits.isService && sample.latencyP99 > Duration::zero()) {
+        resident->logLatency = std::log(static_cast<double>(sample.latencyP99.count()));
+        relief_.noteReport(resident->worker);
+    }
+}
+
+std::vector<Relief> PlacementPolicy::relieve(const ClusterView &view, TimePoint now)
+{
+    const auto *pairwise = std::get_if<PairwiseChooser>(&chooser_);
+    if (!pairwise)
+        return {};
+    return relief_.plan(view, pairwise->model(), now);
+}
+
 } // namespace Oleander::Placement
--- a/Source/Placement/placementpolicy.h
+++ b/Source/Placement/placementpolicy.h
@@ -3,36 +3,51 @@
 #include "Base/nametable.h"
 #include "Placement/baselinechoosers.h"
 #include "Placement/clusterview.h"
+#include "Placement/pairwisechooser.h"
+#include "Placement/policyweights.h"
+#include "Placement/reliefplanner.h"
 
 #include <cstdint>
 #include <optional>
 #include <variant>
+#include <vector>
 
 namespace Oleander::Placement {
 
 /** Ways to choose a worker. */
-enum class PolicyKind { FirstFit, LeastLoaded, Random };
+enum class PolicyKind { FirstFit, LeastLoaded, Random, Pairwise };
 
-inline constexpr NameTable<PolicyKind, 3> PolicyKindNames = {{
+inline constexpr NameTable<PolicyKind, 4> PolicyKindNames = {{
     {PolicyKind::FirstFit, "first-fit"},
     {PolicyKind::LeastLoaded, "least-loaded"},
     {PolicyKind::Random, "random"},
+    {PolicyKind::Pairwise, "pairwise"},
 }};
 
 /**
  * \class PlacementPolicy
- * \brief Decides where tasks go; one interface over all ways to choose.
+ * \brief Decides where tasks go and how services are relieved; one interface over all ways.
+ *
+ * The baselines ignore reports and never relieve.
  */
 class PlacementPolicy
 {
 public:
-    explicit PlacementPolicy(PolicyKind kind, std::uint32_t seed = 1);
+    explicit PlacementPolicy(PolicyKind kind, std::uint32_t seed = 1,
+                             const PolicyWeights &weights = {});
 
     /** Returns a worker with room for the task, or nothing when there is none. */
-    std::optional<Number> choose(const Demand &demand, const ClusterView &view, TimePoint now);
+    std::optional<Number> choose(const Demand &demand, const ClusterView &view);
+    /** Notes in \a view what a task that was just placed is expected to use. */
+    void placed(Resident &resident, ClusterView &view);
+    /** Notes a report in \a view and learns from it. */
+    void report(const UsageSample &sample, ClusterView &view);
+    /** Returns the steps that relieve services now. */
+    std::vector<Relief> relieve(const ClusterView &view, TimePoint now);
 
 private:
-    std::variant<FirstFit, LeastLoaded, RandomChoice> chooser_;
+    std::variant<FirstFit, LeastLoaded, RandomChoice, PairwiseChooser> chooser_;
+    ReliefPlanner relief_;
 };
 
 } // namespace Oleander::Placement
--- /dev/null
+++ b/Source/Placement/reliefplanner.cpp
@@ -0,0 +1,121 @@
+#include "Placement/reliefplanner.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace Oleander::Placement {
+
+namespace {
+
+/** Reports come up to 30 s late; a step is judged only by later ones. */
+constexpr Duration SettleTime = std::chrono::seconds(35);
+/** A service without a stated target is to stay below this multiple of its undisturbed latency. */
+constexpr double DefaultTargetRatio = 2.0;
+/** Share of the target below which throttled work is let go again. */
+constexpr double EasyRatio = 0.7;
+/** Smallest effect, as a logarithm, for which a neighbour is held responsible. */
+constexpr double LeastEffect = 0.1;
+constexpr std::uint32_t FirstThrottle = 50;
+constexpr std::uint32_t LastThrottle = 25;
+
+/** Logarithm of the service's latency over its target; nothing known counts as good. */
+double excessOf(const Resident &service, const InterferenceModel &model)
+{
+    if (service.reportedAt == TimePoint())
+        return -1.0;
+    const double target
+        = service.traits.latencyTarget > Duration::zero()
+              ? std::log(static_cast<double>(service.traits.latencyTarget.count()))
+              : model.base(service.traits.kind).mean + std::log(DefaultTargetRatio);
+    return service.logLatency - target;
+}
+
+/** The batch neighbour that slows \a service most, and by how much. */
+std::pair<const Resident *, double> worstNeighbour(const Resident &service,
+                                                   const WorkerView &worker,
+                                                   const InterferenceModel &model)
+{
+    constexpr double MilliCoresPerCore = 1000.0;
+    const double total = std::max(1.0, worker.capacity.milliCores / MilliCoresPerCore);
+    std::pair<const Resident *, double> worst = {nullptr, 0.0};
+    for (const Resident *other : worker.residents) {
+        if (other->traits.isService || other->isLeaving)
+            continue;
+        const double effect = model.effect(service.traits.kind, other->traits.kind).mean
+                              * other->cores / total;
+        if (effect > worst.second)
+            worst = {other, effect};
+    }
+    return worst;
+}
+
+} // namespace
+
+std::vector<Relief> ReliefPlanner::plan(const ClusterView &view, const InterferenceModel &model,
+                                        TimePoint now)
+{
+    std::vector<Relief> steps;
+    for (const Number worker : reported_)
+        planFor(worker, view, model, now, steps);
+    reported_.clear();
+    return steps;
+}
+
+void ReliefPlanner::planFor(Number number, const ClusterView &view, const InterferenceModel &model,
+                            TimePoint now, std::vector<Relief> &steps)
+{
+    const WorkerView &worker = view.worker(number);
+    TimePoint &lastStep = lastSteps_[number];
+    if (lastStep != TimePoint() && now < lastStep + SettleTime)
+        return;
+    const Resident *pressed = nullptr;
+    double most = -1.0;
+    for (const Resident *resident : worker.residents) {
+        const double excess = resident->traits.isService ? excessOf(*resident, model) : -1.0;
+        if (excess > most) {
+            most = excess;
+            pressed = resident;
+        }
+    }
+    if (!pressed || most < std::log(EasyRatio)) {
+        ease(worker, lastStep, now, steps);
+        return;
+    }
+    if (most <= 0)
+        return;
+    const auto [offender, effect] = worstNeighbour(*pressed, worker, model);
+    if (!offender || effect < LeastEffect)
+        return;
+    const std::string reason = fmt::format("Service task {} answers at {:.1f} times its target.",
+                                           pressed->traits.id, std::exp(most));
+    if (offender->throttlePercent > LastThrottle) {
+        const std::uint32_t next
+            = offender->throttlePercent > FirstThrottle ? FirstThrottle : LastThrottle;
+        steps.push_back({Relief::Kind::Throttle, offender->traits.id, next, reason});
+        lastStep = now;
+        return;
+    }
+    // Throttling did not do; the eviction has to be worth its price.
+    if (offender->traits.mayRestart && weights_.latency * effect > weights_.eviction) {
+        steps.push_back({Relief::Kind::Evict, offender->traits.id, 100, reason});
+        lastStep = now;
+    }
+}
+
+void ReliefPlanner::ease(const WorkerView &worker, TimePoint &lastStep, TimePoint now,
+                         std::vector<Relief> &steps) const
+{
+    const auto throttled = std::find_if(
+        worker.residents.begin(), worker.residents.end(),
+        [](const Resident *resident) { return resident->throttlePercent < 100; });
+    if (throttled == worker.residents.end())
+        return;
+    const std::uint32_t next = (*throttled)->throttlePercent < FirstThrottle ? FirstThrottle : 100;
+    steps.push_back({Relief::Kind::Throttle, (*throttled)->traits.id, next,
+                     "The services beside it are well within their targets."});
+    lastStep = now;
+}
+
+} // namespace Oleander::Placement
--- /dev/null
+++ b/Source/Placement/reliefplanner.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "Placement/clusterview.h"
+#include "Placement/interferencemodel.h"
+#include "Placement/policyweights.h"
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace Oleander::Placement {
+
+/** One step that relieves a service. */
+struct Relief
+{
+    enum class Kind { Throttle, Evict };
+
+    Kind kind = Kind::Throttle;
+    std::string task;
+    std::uint32_t throttlePercent = 100;
+    std::string reason;
+};
+
+/**
+ * \class ReliefPlanner
+ * \brief Relieves services that their neighbours slow down: throttles first, evicts last, and
+ * never touches a service.
+ *
+ * After each step on a worker it waits until reports from after the step can have come in.
+ */
+class ReliefPlanner
+{
+public:
+    explicit ReliefPlanner(const PolicyWeights &weights) : weights_(weights) {}
+
+    /** Notes that there is news of a worker with services. */
+    void noteReport(Number worker) { reported_.insert(worker); }
+    /** Returns the steps to take now. */
+    std::vector<Relief> plan(const ClusterView &view, const InterferenceModel &model,
+                             TimePoint now);
+
+private:
+    void planFor(Number number, const ClusterView &view, const InterferenceModel &model,
+                 TimePoint now, std::vector<Relief> &steps);
+    void ease(const WorkerView &worker, TimePoint &lastStep, TimePoint now,
+              std::vector<Relief> &steps) const;
+
+    PolicyWeights weights_;
+    std::set<Number> reported_;
+    std::map<Number, TimePoint> lastSteps_;
+};
+
+} // namespace Oleander::Placement
--- a/Source/Placement/taskscheduler.cpp
+++ b/Source/Placement/taskscheduler.cpp
@@ -16,6 +16,12 @@
            || state == AttemptState::Failed;
 }
 
+double coresOf(const Resources &size)
+{
+    constexpr double MilliCoresPerCore = 1000.0;
+    return size.milliCores / MilliCoresPerCore;
+}
+
 /** Kind of a task: a service, or all jobs of a team that run the same program. */
 std::string kindText(const Task &task)
 {
@@ -31,7 +37,7 @@
     : book_(book)
     , port_(port)
     , settings_(settings)
-    , policy_(settings.policy, settings.seed)
+    , policy_(settings.policy, settings.seed, settings.weights)
     , leases_(settings.lease)
     , orders_(settings.resendInterval,
               [this](const std::string &worker, TaskOrder order) {
@@ -49,11 +55,16 @@
     term_ = 0;
     losing_.clear();
     view_ = {};
-    policy_ = PlacementPolicy(settings_.policy, settings_.seed);
+    policy_ = PlacementPolicy(settings_.policy, settings_.seed, settings_.weights);
     orders_.clear();
     underWay_.clear();
-    waiting_.clear();
-    waitingKeys_.clear();
+    queue_ = {};
+    for (const auto &[team, quota] : settings_.quotas)
+        queue_.setQuota(team, quota);
+    delayed_.clear();
+    delays_.clear();
+    suspended_.clear();
+    teams_.clear();
     watches_.clear();
     waitReasons_.clear();
     draining_.clear();
@@ -139,25 +150,22 @@
         draining_.insert(worker.name);
     else
         draining_.erase(worker.name);
+    if (worker.health == WorkerHealth::Suspended)
+        suspended_.insert(worker.name);
+    else
+        suspended_.erase(worker.name);
 }
 
 void TaskScheduler::followTask(const std::string &id, TimePoint now)
 {
-    const auto waitingKey = waitingKeys_.find(id);
-    if (waitingKey != waitingKeys_.end()) {
-        waiting_.erase({waitingKey->second, id});
-        waitingKeys_.erase(waitingKey);
-    }
+    dequeue(id);
     const Task *task = book_.task(id);
     if (!task || !task->live) {
-        view_.remove(id);
+        removeResident(id, now);
         watches_.erase(id);
         orders_.forget(id);
         if (task && task->waits()) {
-            const std::pair<int, std::uint64_t> key = {
-                task->isService() ? 0 : (task->urgent ? 1 : 2), task->order};
-            waiting_.insert({key, id});
-            waitingKeys_[id] = key;
+            enqueue(*task);
         } else {
             waitReasons_.erase(id);
         }
@@ -165,19 +173,69 @@
     }
     waitReasons_.erase(id);
     const Number worker = view_.workerNumber(task->live->worker);
-    const Resident *resident = view_.find(id);
+    Resident *resident = view_.find(id);
     if (!resident || resident->worker != worker
         || !(resident->traits.declared == task->live->committed)) {
-        TaskTraits traits = traitsOf(*task);
-        traits.declared = task->live->committed;
-        view_.add(traits, worker, now);
+        addResident(*task, task->live->committed, worker, now);
+        resident = view_.find(id);
     }
+    resident->throttlePercent = task->live->throttlePercent;
+    resident->isLeaving = task->state == TaskState::Stopping
+                          || task->state == TaskState::Checkpointing;
     Watch &watch = watches_[id];
     if (watch.attempt != task->attempt || watch.state != task->state)
         watch = {task->attempt, task->state, now, {}};
     orders_.follow(*task);
 }
 
+void TaskScheduler::enqueue(const Task &task)
+{
+    const QueueClass queueClass = task.isService() ? QueueClass::Service
+                                  : task.urgent    ? QueueClass::Urgent
+                                                   : QueueClass::Ordinary;
+    // A task joins the queue when its backoff is over.
+    if (task.notBefore > wall_) {
+        delayed_.insert({task.notBefore, task.id});
+        delays_[task.id] = task.notBefore;
+        return;
+    }
+    queue_.add({task.id, task.team, queueClass, task.order, coresOf(task.declared)});
+}
+
+void TaskScheduler::dequeue(const std::string &id)
+{
+    queue_.remove(id);
+    const auto delay = delays_.find(id);
+    if (delay == delays_.end())
+        return;
+    delayed_.erase({delay->second, id});
+    delays_.erase(delay);
+}
+
+void TaskScheduler::addResident(const Task &task, const Resources &size, Number worker,
+                                TimePoint now)
+{
+    removeResident(task.id, now);
+    TaskTraits traits = traitsOf(task);
+    traits.declared = size;
+    Resident &resident = view_.add(traits, worker, now);
+    policy_.placed(resident, view_);
+    if (!traits.isService)
+        queue_.noteUse(task.team, coresOf(size));
+    teams_[task.id] = task.team;
+}
+
+void TaskScheduler::removeResident(const std::string &id, TimePoint now)
+{
+    const Resident *resident = view_.find(id);
+    if (!resident)
+        return;
+    if (!resident->traits.isService)
+        queue_.noteUse(teams_[id], -coresOf(resident->traits.declared));
+    teams_.erase(id);
+    view_.remove(id, now);
+}
+
 TaskTraits TaskScheduler::traitsOf(const Task &task)
 {
     TaskTraits traits;
@@ -222,6 +280,7 @@
     reply.session = known->session;
     reported(worker, heartbeat.attempts, now, wall);
     findAbsent(worker, heartbeat.attempts, now, wall);
+    reportUsage(heartbeat.usage, now);
     return reply;
 }
 
@@ -307,6 +366,7 @@
 {
     if (!isActive())
         return;
+    wall_ = wall;
     followBook(now);
     if (book_.term() > term_) {
         // Another scheduler started a term; what it granted is not known here.
@@ -318,6 +378,7 @@
     loseWorkers(now, wall);
     watchLive(now, wall);
     drainWorkers(wall);
+    relieve(now, wall);
     placeWaiting(now, wall);
     explain(wall);
     orders_.tick(book_, now);
@@ -396,48 +457,76 @@
     }
 }
 
-std::optional<TaskPlacement> TaskScheduler::placementFor(const Task &task, TimePoint now,
-                                                         WallTime wall)
+std::optional<TaskPlacement> TaskScheduler::placementFor(const Task &task)
 {
     Demand demand{traitsOf(task), task.failedOn};
-    auto chosen = policy_.choose(demand, view_, now);
+    auto chosen = policy_.choose(demand, view_);
     if (!chosen && !demand.avoid.empty()) {
         demand.avoid.clear();
-        chosen = policy_.choose(demand, view_, now);
+        chosen = policy_.choose(demand, view_);
     }
     if (!chosen)
         return std::nullopt;
     const std::string &name = view_.worker(*chosen).name;
-    (void)wall;
     return TaskPlacement{task.id, task.attempt + 1, name, book_.worker(name)->session};
 }
 
+std::vector<TaskPlacement> TaskScheduler::probes(std::vector<std::string> &candidates,
+                                                 WallTime wall)
+{
+    std::vector<TaskPlacement> placements;
+    for (const std::string &name : suspended_) {
+        const Worker *worker = book_.worker(name);
+        if (!worker || worker->health != WorkerHealth::Suspended || worker->lost
+            || !worker->drain.empty() || wall < worker->probeAt)
+            continue;
+        // A task that failed elsewhere would say little about the worker.
+        const auto probe = std::find_if(candidates.begin(), candidates.end(), [&](const auto &id) {
+            const Task &task = *book_.task(id);
+            return task.failures == 0 && !task.isService() && task.mayRestart()
+                   && book_.ledger().fits(name, task.declared);
+        });
+        if (probe == candidates.end())
+            continue;
+        placements.push_back({*probe, book_.task(*probe)->attempt + 1, name, worker->session});
+        candidates.erase(probe);
+    }
+    return placements;
+}
+
 void TaskScheduler::placeWaiting(TimePoint now, WallTime wall)
 {
     if (underWay_.contains("place"))
         return;
+    while (!delayed_.empty() && delayed_.begin()->first <= wall) {
+        const std::string id = delayed_.begin()->second;
+        delayed_.erase(delayed_.begin());
+        delays_.erase(id);
+        enqueue(*book_.task(id));
+    }
+    std::vector<std::string> candidates = queue_.next(settings_.lookAhead);
     PlaceTasks command;
     command.at = wall;
+    command.placements = probes(candidates, wall);
     std::vector<Resources> withoutRoom;
-    for (const auto &[key, id] : waiting_) {
+    for (const std::string &id : candidates) {
+        if (command.placements.size() >= settings_.batch)
+            break;
         const Task &task = *book_.task(id);
-        if (wall < task.notBefore)
-            continue;
-        const bool isHopeless =
-            std::any_of(withoutRoom.begin(), withoutRoom.end(),
-                        [&](const Resources &size) { return fitsInto(size, task.declared); });
-        const auto placement = isHopeless ? std::nullopt : placementFor(task, now, wall);
+        const bool isHopeless
+            = std::any_of(withoutRoom.begin(), withoutRoom.end(), [&](const Resources &size) {
+                  return fitsInto(size, task.declared);
+              });
+        const auto placement = isHopeless ? std::nullopt : placementFor(task);
         if (!placement) {
             if (!isHopeless)
                 withoutRoom.push_back(task.declared);
-            waitReasons_.try_emplace(
-                id, fmt::format("No worker has {} free now.", describe(task.declared)));
+            waitReasons_.try_emplace(id, fmt::format("No worker has {} free now.",
+                                                     describe(task.declared)));
             continue;
         }
-        view_.add(traitsOf(task), view_.workerNumber(placement->worker), now);
         command.placements.push_back(*placement);
-        if (command.placements.size() >= settings_.batch)
-            break;
+        addResident(task, task.declared, view_.workerNumber(placement->worker), now);
     }
     if (command.placements.empty())
         return;
@@ -451,6 +540,39 @@
     });
 }
 
+void TaskScheduler::reportUsage(const std::vector<UsageReport> &usage, TimePoint now)
+{
+    for (const UsageReport &report : usage) {
+        const Task *task = book_.task(report.task);
+        if (!task || !task->live || task->attempt != report.attempt)
+            continue;
+        policy_.report({report.task, now - report.age, coresOf(report.used),
+                        static_cast<double>(report.used.memoryMiB), report.latencyP99,
+                        report.progress},
+                       view_);
+    }
+}
+
+void TaskScheduler::relieve(TimePoint now, WallTime wall)
+{
+    if (now < relievedAt_ + settings_.reliefInterval)
+        return;
+    relievedAt_ = now;
+    for (const Relief &step : policy_.relieve(view_, now)) {
+        const Task *task = book_.task(step.task);
+        if (!task || !task->live)
+            continue;
+        if (step.kind == Relief::Kind::Throttle) {
+            proposeOnce("throttle/" + task->id, ThrottleTask{task->id, task->attempt,
+                                                             step.throttlePercent, step.reason,
+                                                             wall});
+        } else if (task->evictions == 0
+                   || wall >= task->lastEvictedAt + settings_.evictionCoolDown) {
+            evict(*task, StopCause::Relief, true, step.reason, wall);
+        }
+    }
+}
+
 void TaskScheduler::explain(WallTime)
 {
     ExplainWaits command;
--- a/Source/Placement/taskscheduler.h
+++ b/Source/Placement/taskscheduler.h
@@ -3,6 +3,7 @@
 #include "Base/clock.h"
 #include "Placement/backoff.h"
 #include "Placement/clusterview.h"
+#include "Placement/fairqueue.h"
 #include "Placement/orderdispatcher.h"
 #include "Placement/placementpolicy.h"
 #include "Placement/taskbook.h"
@@ -21,7 +22,10 @@
 struct SchedulerSettings
 {
     WorkerLeaseSettings lease;
-    PolicyKind policy = PolicyKind::LeastLoaded;
+    PolicyKind policy = PolicyKind::Pairwise;
+    PolicyWeights weights;
+    /** Shares and bounds by team; a team that is not named has share 1 and no bound. */
+    std::map<std::string, TeamQuota> quotas;
     Duration resendInterval = std::chrono::seconds(1);
     /** A running attempt counts as healthy after this time. */
     Duration settleAfter = std::chrono::seconds(10);
@@ -33,8 +37,14 @@
     Duration retryBase = std::chrono::seconds(1);
     Duration retryMost = std::chrono::minutes(5);
     Duration probeBase = std::chrono::seconds(30);
+    /** An evicted task is not evicted again before this time. */
+    Duration evictionCoolDown = std::chrono::minutes(5);
+    /** Time between two looks at services that may need relief. */
+    Duration reliefInterval = std::chrono::seconds(1);
     /** Placements in one command. */
     std::size_t batch = 256;
+    /** Waiting tasks that are looked at in one tick. */
+    std::size_t lookAhead = 4096;
     std::uint32_t seed = 1;
     /** Name of this process. */
     std::string leader;
@@ -97,6 +107,8 @@
 private:
     void followBook(TimePoint now);
     void followTask(const std::string &id, TimePoint now);
+    void enqueue(const Task &task);
+    void dequeue(const std::string &id);
     void followWorker(const Worker &worker, TimePoint now);
     TaskTraits traitsOf(const Task &task);
     void registerWorker(const std::string &worker, const Heartbeat &heartbeat, WallTime wall);
@@ -104,7 +116,12 @@
                     TimePoint now, WallTime wall);
     bool isNews(const Worker &worker, const AttemptReport &report, TimePoint now);
     void placeWaiting(TimePoint now, WallTime wall);
-    std::optional<TaskPlacement> placementFor(const Task &task, TimePoint now, WallTime wall);
+    std::optional<TaskPlacement> placementFor(const Task &task);
+    std::vector<TaskPlacement> probes(std::vector<std::string> &candidates, WallTime wall);
+    void addResident(const Task &task, const Resources &size, Number worker, TimePoint now);
+    void removeResident(const std::string &id, TimePoint now);
+    void reportUsage(const std::vector<UsageReport> &usage, TimePoint now);
+    void relieve(TimePoint now, WallTime wall);
     void startTerm();
     void holdLeases(TimePoint now);
     Duration longestLease() const;
@@ -143,9 +160,17 @@
     std::set<std::string> underWay_;
     /** Stamp of the last heartbeat by worker; orders carry it. */
     std::map<std::string, std::uint64_t> stamps_;
-    /** Waiting tasks by urgency and order. */
-    std::set<std::pair<std::pair<int, std::uint64_t>, std::string>> waiting_;
-    std::map<std::string, std::pair<int, std::uint64_t>> waitingKeys_;
+    FairQueue queue_;
+    /** Tasks that wait for the end of their backoff. */
+    std::set<std::pair<WallTime, std::string>> delayed_;
+    std::map<std::string, WallTime> delays_;
+    /** Calendar time of the last tick. */
+    WallTime wall_{};
+    /** Team of each resident. */
+    std::map<std::string, std::string> teams_;
+    TimePoint relievedAt_{};
+    /** Workers that wait for a probe. */
+    std::set<std::string> suspended_;
     /** Since when this leader sees a live attempt in its state. */
     struct Watch
     {
