--- a/Source/Protocol/value.cpp
+++ b/Source/Protocol/value.cpp
@@ -120,9 +120,15 @@
 bool ValueReader::readDouble(double &value) const
 {
     const auto &object = asObject(object_);
-    if (object.type != msgpack::type::FLOAT64 && object.type != msgpack::type::FLOAT32)
+    // The packer writes a double with a whole value as an integer, which is shorter.
+    if (object.type == msgpack::type::POSITIVE_INTEGER)
+        value = static_cast<double>(object.via.u64);
+    else if (object.type == msgpack::type::NEGATIVE_INTEGER)
+        value = static_cast<double>(object.via.i64);
+    else if (object.type == msgpack::type::FLOAT64 || object.type == msgpack::type::FLOAT32)
+        value = object.via.f64;
+    else
         return false;
-    value = object.via.f64;
     return true;
 }
 
--- a/Tests/Protocol/codectest.cpp
+++ b/Tests/Protocol/codectest.cpp
@@ -51,3 +51,13 @@
     frame.protocol = ProtocolVersion + 1;
     CHECK_FALSE(decodeFrame(encodeFrame(frame), "agent-1").has_value());
 }
+
+TEST_CASE("Every finite double survives the wire, whole numbers included")
+{
+    for (const double value : {0.0, 1.0, -2.0, 0.75, -0.5, 1e300, 4503599627370496.0}) {
+        INFO(value);
+        const auto decoded = decode<double>(encode(value));
+        REQUIRE(decoded.has_value());
+        CHECK(*decoded == value);
+    }
+}
