--- a/Tests/Placement/faultrun.cpp
+++ b/Tests/Placement/faultrun.cpp
@@ -343,7 +343,7 @@
         deliver([this, target = host.get(), incarnation, reply] {
             if (target->cutUntil > now_)
                 return;
-            target->waiting.push_back([this, target, incarnation, reply] {
+            target->waiting.push_back([target, incarnation, reply] {
                 if (target->incarnation != incarnation)
                     return;
                 target->executor->replied(reply);
