--- a/Source/Placement/pairwisechooser.cpp
+++ b/Source/Placement/pairwisechooser.cpp
@@ -106,7 +106,7 @@
     const double memoryTotal = std::max(1.0, static_cast<double>(worker.capacity.memoryMiB));
     const double memoryShare = worker.memoryUsed / memoryTotal;
     const double memoryLimit = 1.0 - weights_.memoryHeadroom;
-    cost += weights_.eviction * weights_.pressure
+    cost += weights_.eviction * weights_.memoryPressure
             * (excess(memoryShare + memory / memoryTotal, memoryLimit)
                - excess(memoryShare, memoryLimit));
     // Accelerators stay free for those that need them.
--- a/Source/Placement/policyweights.h
+++ b/Source/Placement/policyweights.h
@@ -23,8 +23,9 @@
     /** Share of processors and memory that is left free beside services and beside batch work. */
     double serviceHeadroom = 0.25;
     double memoryHeadroom = 0.1;
-    /** Price of using up the headroom. */
+    /** Prices of using up the headroom of processors and, for each eviction's price, of memory. */
     double pressure = 20.0;
+    double memoryPressure = 200.0;
     /** Workers that are looked at for one decision. */
     unsigned candidates = 16;
 };
