--- a/Source/Placement/interferencemodel.cpp
+++ b/Source/Placement/interferencemodel.cpp
@@ -21,9 +21,7 @@
 
 } // namespace
 
-InterferenceModel::InterferenceModel(const InterferenceSettings &settings)
-    : settings_(settings)
-{}
+InterferenceModel::InterferenceModel(const InterferenceSettings &settings) : settings_(settings) {}
 
 Estimate InterferenceModel::known(std::uint32_t victim, std::uint32_t aggressor,
                                   const Estimate &prior) const
@@ -53,10 +51,10 @@
     const auto [found, isNew] = entries_.try_emplace(key(victim, aggressor), Entry{prior, at});
     Entry &entry = found->second;
     if (!isNew && at > entry.updated) {
-        const double seconds
-            = static_cast<double>((at - entry.updated).count()) / MicrosecondsPerSecond;
-        entry.estimate.variance
-            = std::min(prior.variance, entry.estimate.variance + settings_.decay * seconds);
+        const double seconds =
+            static_cast<double>((at - entry.updated).count()) / MicrosecondsPerSecond;
+        entry.estimate.variance =
+            std::min(prior.variance, entry.estimate.variance + settings_.decay * seconds);
         entry.updated = at;
     }
     return entry;
--- a/Source/Placement/pairwisechooser.cpp
+++ b/Source/Placement/pairwisechooser.cpp
@@ -61,10 +61,10 @@
     }
     const Estimate base = model_.base(victim.traits.kind);
     const bool isKnown = victim.reportedAt != TimePoint();
-    const double now = isKnown ? std::clamp(victim.logLatency - base.mean, 0.0, MostLogSlowdown)
-                               : 0.0;
-    return weights_.latency * (std::exp(TailExponent * (now + added)) - std::exp(TailExponent * now))
-           / TailExponent;
+    const double now =
+        isKnown ? std::clamp(victim.logLatency - base.mean, 0.0, MostLogSlowdown) : 0.0;
+    return weights_.latency
+           * (std::exp(TailExponent * (now + added)) - std::exp(TailExponent * now)) / TailExponent;
 }
 
 double PairwiseChooser::spreadCost(const TaskTraits &traits, const WorkerView &worker,
@@ -93,8 +93,8 @@
     bool hasService = traits.isService;
     for (const Resident *resident : worker.residents) {
         cost += effectOn(*resident, traits, intensity, worker);
-        suffered += cautious(model_.effect(traits.kind, resident->traits.kind)) * resident->cores
-                    / total;
+        suffered +=
+            cautious(model_.effect(traits.kind, resident->traits.kind)) * resident->cores / total;
         hasService = hasService || resident->traits.isService;
     }
     cost += traits.isService
@@ -148,15 +148,14 @@
         Correction &correction = corrections_[traits.kind];
         const double share = 1.0 / (correction.weight + 1.0);
         correction.cores += (sample.cores / declaredCores - correction.cores) * share;
-        correction.memory
-            += (sample.memoryMiB / static_cast<double>(traits.declared.memoryMiB)
-                - correction.memory)
-               * share;
+        correction.memory +=
+            (sample.memoryMiB / static_cast<double>(traits.declared.memoryMiB) - correction.memory)
+            * share;
         correction.weight = std::min(MostCorrectionWeight, correction.weight + 1.0);
     }
     const bool saysLatency = traits.isService && sample.latencyP99 > Duration::zero();
-    const bool saysProgress = !traits.isService && sample.progress > 0
-                              && resident.throttlePercent == 100;
+    const bool saysProgress =
+        !traits.isService && sample.progress > 0 && resident.throttlePercent == 100;
     if ((!saysLatency && !saysProgress) || sample.at < resident.since)
         return;
     const WorkerView &worker = view.worker(resident.worker);
--- a/Source/Placement/pairwisechooser.h
+++ b/Source/Placement/pairwisechooser.h
@@ -36,8 +36,7 @@
 {
 public:
     PairwiseChooser(const PolicyWeights &weights, std::uint32_t seed)
-        : weights_(weights)
-        , random_(seed)
+        : weights_(weights), random_(seed)
     {}
 
     std::optional<Number> choose(const Demand &demand, const ClusterView &view);
--- a/Source/Placement/reliefplanner.cpp
+++ b/Source/Placement/reliefplanner.cpp
@@ -25,17 +25,15 @@
 {
     if (service.reportedAt == TimePoint())
         return -1.0;
-    const double target
-        = service.traits.latencyTarget > Duration::zero()
-              ? std::log(static_cast<double>(service.traits.latencyTarget.count()))
-              : model.base(service.traits.kind).mean + std::log(DefaultTargetRatio);
+    const double target = service.traits.latencyTarget > Duration::zero()
+                              ? std::log(static_cast<double>(service.traits.latencyTarget.count()))
+                              : model.base(service.traits.kind).mean + std::log(DefaultTargetRatio);
     return service.logLatency - target;
 }
 
 /** The batch neighbour that slows \a service most, and by how much. */
-std::pair<const Resident *, double> worstNeighbour(const Resident &service,
-                                                   const WorkerView &worker,
-                                                   const InterferenceModel &model)
+std::pair<const Resident *, double>
+worstNeighbour(const Resident &service, const WorkerView &worker, const InterferenceModel &model)
 {
     constexpr double MilliCoresPerCore = 1000.0;
     const double total = std::max(1.0, worker.capacity.milliCores / MilliCoresPerCore);
@@ -43,8 +41,8 @@
     for (const Resident *other : worker.residents) {
         if (other->traits.isService || other->isLeaving)
             continue;
-        const double effect = model.effect(service.traits.kind, other->traits.kind).mean
-                              * other->cores / total;
+        const double effect =
+            model.effect(service.traits.kind, other->traits.kind).mean * other->cores / total;
         if (effect > worst.second)
             worst = {other, effect};
     }
@@ -91,8 +89,8 @@
     const std::string reason = fmt::format("Service task {} answers at {:.1f} times its target.",
                                            pressed->traits.id, std::exp(most));
     if (offender->throttlePercent > LastThrottle) {
-        const std::uint32_t next
-            = offender->throttlePercent > FirstThrottle ? FirstThrottle : LastThrottle;
+        const std::uint32_t next =
+            offender->throttlePercent > FirstThrottle ? FirstThrottle : LastThrottle;
         steps.push_back({Relief::Kind::Throttle, offender->traits.id, next, reason});
         lastStep = now;
         return;
@@ -107,9 +105,9 @@
 void ReliefPlanner::ease(const WorkerView &worker, TimePoint &lastStep, TimePoint now,
                          std::vector<Relief> &steps) const
 {
-    const auto throttled = std::find_if(
-        worker.residents.begin(), worker.residents.end(),
-        [](const Resident *resident) { return resident->throttlePercent < 100; });
+    const auto throttled =
+        std::find_if(worker.residents.begin(), worker.residents.end(),
+                     [](const Resident *resident) { return resident->throttlePercent < 100; });
     if (throttled == worker.residents.end())
         return;
     const std::uint32_t next = (*throttled)->throttlePercent < FirstThrottle ? FirstThrottle : 100;
--- a/Source/Placement/taskscheduler.cpp
+++ b/Source/Placement/taskscheduler.cpp
@@ -180,8 +180,8 @@
         resident = view_.find(id);
     }
     resident->throttlePercent = task->live->throttlePercent;
-    resident->isLeaving = task->state == TaskState::Stopping
-                          || task->state == TaskState::Checkpointing;
+    resident->isLeaving =
+        task->state == TaskState::Stopping || task->state == TaskState::Checkpointing;
     Watch &watch = watches_[id];
     if (watch.attempt != task->attempt || watch.state != task->state)
         watch = {task->attempt, task->state, now, {}};
@@ -513,16 +513,15 @@
         if (command.placements.size() >= settings_.batch)
             break;
         const Task &task = *book_.task(id);
-        const bool isHopeless
-            = std::any_of(withoutRoom.begin(), withoutRoom.end(), [&](const Resources &size) {
-                  return fitsInto(size, task.declared);
-              });
+        const bool isHopeless =
+            std::any_of(withoutRoom.begin(), withoutRoom.end(),
+                        [&](const Resources &size) { return fitsInto(size, task.declared); });
         const auto placement = isHopeless ? std::nullopt : placementFor(task);
         if (!placement) {
             if (!isHopeless)
                 withoutRoom.push_back(task.declared);
-            waitReasons_.try_emplace(id, fmt::format("No worker has {} free now.",
-                                                     describe(task.declared)));
+            waitReasons_.try_emplace(
+                id, fmt::format("No worker has {} free now.", describe(task.declared)));
             continue;
         }
         command.placements.push_back(*placement);
@@ -563,9 +562,9 @@
         if (!task || !task->live)
             continue;
         if (step.kind == Relief::Kind::Throttle) {
-            proposeOnce("throttle/" + task->id, ThrottleTask{task->id, task->attempt,
-                                                             step.throttlePercent, step.reason,
-                                                             wall});
+            proposeOnce(
+                "throttle/" + task->id,
+                ThrottleTask{task->id, task->attempt, step.throttlePercent, step.reason, wall});
         } else if (task->evictions == 0
                    || wall >= task->lastEvictedAt + settings_.evictionCoolDown) {
             evict(*task, StopCause::Relief, true, step.reason, wall);
--- a/Tests/Bench/placementbench.cpp
+++ b/Tests/Bench/placementbench.cpp
@@ -63,8 +63,8 @@
             // One pair in four disturbs strongly, the others hardly.
             const bool isStrong = unit(random) < 0.25;
             const double most = victim < ServiceKinds ? 3.0 : 1.0;
-            truth.effects[victim][aggressor] = isStrong ? most * (0.5 + 0.5 * unit(random))
-                                                        : 0.1 * unit(random);
+            truth.effects[victim][aggressor] =
+                isStrong ? most * (0.5 + 0.5 * unit(random)) : 0.1 * unit(random);
         }
     }
     const auto factor = [&] { return std::exp((2 * unit(random) - 1) * std::log(4.0)); };
@@ -110,8 +110,8 @@
         job.work = job.left = 60 + unit(random) * 2 * (MeanSeconds - 60);
         const double jitter = 0.8 + 0.4 * unit(random);
         job.cores = job.traits.declared.milliCores / 1000.0 * truth.coreFactor[kind] * jitter;
-        job.memory = static_cast<double>(job.traits.declared.memoryMiB)
-                     * truth.memoryFactor[kind] * jitter;
+        job.memory =
+            static_cast<double>(job.traits.declared.memoryMiB) * truth.memoryFactor[kind] * jitter;
         jobs.push_back(std::move(job));
     };
     double due = 0;
@@ -215,10 +215,10 @@
         std::vector<Resources> withoutRoom;
         for (const std::size_t number : waiting_) {
             Job &job = jobs_[number];
-            const bool isHopeless
-                = std::any_of(withoutRoom.begin(), withoutRoom.end(), [&](const Resources &size) {
-                      return fitsInto(size, job.traits.declared);
-                  });
+            const bool isHopeless =
+                std::any_of(withoutRoom.begin(), withoutRoom.end(), [&](const Resources &size) {
+                    return fitsInto(size, job.traits.declared);
+                });
             Demand demand{job.traits, {}};
             demand.traits.kind = kindNumbers_[job.traits.kind];
             const auto worker = isHopeless || second_ < job.cooledDownAt
@@ -237,18 +237,12 @@
     }
 
     Job &jobOf(const Resident &resident) { return jobs_[numberOf(resident.traits.id)]; }
-    const Job &jobOf(const Resident &resident) const
-    {
-        return jobs_[numberOf(resident.traits.id)];
-    }
+    const Job &jobOf(const Resident &resident) const { return jobs_[numberOf(resident.traits.id)]; }
     static std::size_t numberOf(const std::string &id)
     {
         return static_cast<std::size_t>(std::strtoul(id.c_str() + 1, nullptr, 10));
     }
-    unsigned kindOf(const Resident &resident) const
-    {
-        return tableKinds_.at(resident.traits.kind);
-    }
+    unsigned kindOf(const Resident &resident) const { return tableKinds_.at(resident.traits.kind); }
 
     /** Load of the services goes up and down over half an hour. */
     double serviceCores() const
@@ -274,9 +268,7 @@
             double memory = 0;
             for (const Resident *resident : worker.residents) {
                 used += coresOf(*resident);
-                memory += resident->traits.isService
-                              ? 4000
-                              : jobOf(*resident).memory;
+                memory += resident->traits.isService ? 4000 : jobOf(*resident).memory;
             }
             for (const Resident *resident : worker.residents)
                 advance(*resident, worker, used / total, ended);
@@ -293,8 +285,8 @@
         double sum = 0;
         for (const Resident *other : worker.residents) {
             if (other != &resident)
-                sum += truth_.effects[kindOf(resident)][kindOf(*other)]
-                       * coresOf(*other) / (WorkerMilliCores / 1000.0);
+                sum += truth_.effects[kindOf(resident)][kindOf(*other)] * coresOf(*other)
+                       / (WorkerMilliCores / 1000.0);
         }
         return sum;
     }
@@ -310,8 +302,8 @@
         std::normal_distribution<double> noise(0, 0.05);
         if (resident.traits.isService) {
             // Both effects saturate, as a service sheds what it cannot answer.
-            const double queueing
-                = 1 + QueueingSteepness * std::clamp(share - QueueingShare, 0.0, 1.0);
+            const double queueing =
+                1 + QueueingSteepness * std::clamp(share - QueueingShare, 0.0, 1.0);
             const double latency = BaseLatencyMicroseconds * queueing
                                    * std::exp(std::min(slowed, MostDisturbance) + noise(random_));
             if (second_ >= WarmUpSeconds)
@@ -320,8 +312,8 @@
             sample.latencyP99 = Duration(static_cast<Duration::rep>(latency));
         } else {
             Job &job = jobOf(resident);
-            const double speed = std::exp(-slowed) / std::max(1.0, share)
-                                 * resident.throttlePercent / 100.0;
+            const double speed =
+                std::exp(-slowed) / std::max(1.0, share) * resident.throttlePercent / 100.0;
             job.left -= speed;
             if (second_ >= WarmUpSeconds)
                 done_ += speed * job.traits.declared.milliCores / 1000.0;
@@ -429,11 +421,10 @@
     for (const double load : Loads) {
         const Measured first = meanOf(PolicyKind::FirstFit, {}, load);
         const auto print = [&](const char *name, const Measured &measured) {
-            fmt::print(stderr,
-                       "{:>5} {:<22} {:>9.1f} {:>7.3f} {:>11.0f} {:>7.3f} {:>9.1f} {:>9.1f}\n",
-                       load, name, measured.p99, measured.p99 / first.p99, measured.throughput,
-                       measured.throughput / first.throughput, measured.evictions,
-                       measured.throttles);
+            fmt::print(
+                stderr, "{:>5} {:<22} {:>9.1f} {:>7.3f} {:>11.0f} {:>7.3f} {:>9.1f} {:>9.1f}\n",
+                load, name, measured.p99, measured.p99 / first.p99, measured.throughput,
+                measured.throughput / first.throughput, measured.evictions, measured.throttles);
         };
         print("first-fit", first);
         print("least-loaded", meanOf(PolicyKind::LeastLoaded, {}, load));
@@ -443,8 +434,8 @@
                                          isLatencyFirst ? latencyFirst() : throughputFirst(), load);
             print(isLatencyFirst ? "pairwise (licensing)" : "pairwise (Brazos)", ours);
             worstP99 = std::max(worstP99, ours.p99 / first.p99);
-            worstEvictions = std::max(worstEvictions,
-                                      ours.evictions / std::max(1.0, first.evictions));
+            worstEvictions =
+                std::max(worstEvictions, ours.evictions / std::max(1.0, first.evictions));
             keepsThroughput = keepsThroughput && ours.throughput >= 0.97 * first.throughput;
         }
     }
@@ -486,8 +477,7 @@
         if (chosen)
             policy.placed(view.add(demand.traits, *chosen, timeOf(1)), view);
     }
-    const std::chrono::duration<double, std::micro> took
-        = std::chrono::steady_clock::now() - begin;
+    const std::chrono::duration<double, std::micro> took = std::chrono::steady_clock::now() - begin;
     return took.count() / Decisions;
 }
 
@@ -497,7 +487,8 @@
     constexpr unsigned ManyTasks = 42'300;
     const double few = decisionMicroseconds(ManyWorkers / 10, ManyTasks / 10);
     const double many = decisionMicroseconds(ManyWorkers, ManyTasks);
-    fmt::print(stderr, "decision at 280 workers {:.1f} us, at 2,800 workers {:.1f} us\n", few, many);
+    fmt::print(stderr, "decision at 280 workers {:.1f} us, at 2,800 workers {:.1f} us\n", few,
+               many);
     fmt::print("figure placement.decision {:.1f} us target <=40\n", many);
 }
 
--- a/Tests/Placement/faultattributiontest.cpp
+++ b/Tests/Placement/faultattributiontest.cpp
@@ -1,8 +1,8 @@
-#include "Placement/backoff.h"
 #include "Placement/faultattribution.h"
 
 #include "bookfixture.h"
 #include "faultrun.h"
+#include "Placement/backoff.h"
 
 #include <catch2/catch.hpp>
 
@@ -63,9 +63,9 @@
     for (int job = 0; job < 40; ++job)
         run.submit("j" + std::to_string(job), batchOf());
     const auto health = [&] { return run.book().worker("w1")->health; };
-    CHECK(run.runUntil(
-        [&] { return run.book().worker("w1") && health() == WorkerHealth::Suspended; },
-        std::chrono::minutes(2)));
+    CHECK(
+        run.runUntil([&] { return run.book().worker("w1") && health() == WorkerHealth::Suspended; },
+                     std::chrono::minutes(2)));
     const auto allDone = [&] {
         for (const auto &[id, task] : run.book().tasks()) {
             if (task.state != TaskState::Done)
@@ -77,8 +77,8 @@
     run.failWorker("w1", false);
     for (int job = 0; job < 400; ++job)
         run.submit("later" + std::to_string(job), batchOf());
-    CHECK(run.runUntil([&] { return health() == WorkerHealth::Healthy; },
-                       std::chrono::minutes(15)));
+    CHECK(
+        run.runUntil([&] { return health() == WorkerHealth::Healthy; }, std::chrono::minutes(15)));
     CHECK(run.told("w1", "suspended"));
     CHECK(run.told("w1", "gets work again"));
 }
