--- a/Source/Entry/recordoutcome.cpp
+++ b/Source/Entry/recordoutcome.cpp
@@ -90,6 +90,26 @@
     }
 };
 
+/** Tasks of a record; of a withdrawn service those that are still being stopped too. */
+std::vector<const Task *> tasksOf(const Placement::TaskBook &book, const Records::Record &record)
+{
+    const Records::RecordKey key{record.kind, record.name};
+    std::vector<const Task *> tasks;
+    if (record.withdrawn && record.kind == Records::RecordKind::Service) {
+        // The book no longer counts the replicas of a withdrawn service.
+        for (const auto &[id, task] : book.tasks()) {
+            if (task.record == key)
+                tasks.push_back(&task);
+        }
+        return tasks;
+    }
+    for (const auto &id : book.tasksOf(key)) {
+        if (const auto *task = book.task(id))
+            tasks.push_back(task);
+    }
+    return tasks;
+}
+
 } // namespace
 
 std::string spreadSentence(const ConfigurationSpread &spread, std::uint64_t version)
@@ -113,10 +133,7 @@
                               const ConfigurationSpread &spread)
 {
     RecordOutcome outcome;
-    for (const auto &id : state.tasks().tasksOf({record.kind, record.name})) {
-        if (const auto *task = state.tasks().task(id))
-            outcome.tasks.push_back(task);
-    }
+    outcome.tasks = tasksOf(state.tasks(), record);
     if (record.withdrawn) {
         const bool isGone = std::all_of(outcome.tasks.begin(), outcome.tasks.end(),
                                         [](const Task *task) { return !task->live; });
--- /dev/null
+++ b/Tests/Cli/referencetest.cpp
@@ -0,0 +1,43 @@
+#include "Cli/operatorcommand.h"
+#include "Records/knownvalues.h"
+
+#include <catch2/catch.hpp>
+#include <fmt/format.h>
+
+#include <fstream>
+#include <sstream>
+
+using namespace Oleander;
+using Catch::Matchers::Contains;
+
+namespace {
+
+std::string page(const std::string &path)
+{
+    std::ifstream file(std::string(OLEANDER_ROOT) + "/docs/reference/" + path);
+    REQUIRE(file.good());
+    std::ostringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
+} // namespace
+
+TEST_CASE("Each subcommand has a page with each of its flags")
+{
+    for (const auto &command : operatorCommands()) {
+        const auto text = page(fmt::format("commands/{}.md", command.name));
+        CHECK_THAT(text, Contains(fmt::format("# oleander {}", command.name)));
+        for (const auto flag : command.flags)
+            CHECK_THAT(text, Contains(fmt::format("| `--{}` |", flag)));
+    }
+}
+
+TEST_CASE("The page of the records lists each value that the system reads, with its bounds")
+{
+    const auto text = page("records.md");
+    for (const auto &known : Records::knownValues()) {
+        CHECK_THAT(text, Contains(fmt::format("| `{}` | {} to {} | {} |", known.name, known.least,
+                                              known.most, known.fallback)));
+    }
+}
--- a/Tests/Entry/operatordoortest.cpp
+++ b/Tests/Entry/operatordoortest.cpp
@@ -115,6 +115,27 @@
     CHECK(fixture.answerTo(200, "GET", "/v1/status")["entry"] == "entry-1");
 }
 
+TEST_CASE("A withdrawn service counts as stopping until its last replica has stopped")
+{
+    Fixture fixture;
+    const std::string service =
+        R"({"schema":1,"team":"t","cores":1,"memory-gib":1,"replicas":2,"command":"c"})";
+    fixture.answerTo(201, "PUT", "/v1/records/service/s", service);
+    const auto &tasks = fixture.state.tasks().tasks();
+    REQUIRE(tasks.size() == 2);
+    const auto apply = [&](const Placement::TaskCommand &command) {
+        fixture.state.apply(++fixture.index, State::encodeCommand(command));
+    };
+    apply(
+        Placement::RegisterWorker{"w1", {}, {4000, 8192, 0}, std::chrono::seconds(3), WallTime{}});
+    const auto id = tasks.begin()->first;
+    apply(Placement::PlaceTasks{{{id, 1, "w1", fixture.state.tasks().worker("w1")->session}}, {}});
+    REQUIRE(tasks.begin()->second.live.has_value());
+    fixture.answerTo(200, "DELETE", "/v1/records/service/s");
+    const auto shown = fixture.answerTo(200, "GET", "/v1/records/service/s");
+    CHECK(shown["outcome"]["state"] == "stopping");
+}
+
 TEST_CASE("Who loses a race gets the record in force and who wrote it")
 {
     Fixture fixture;
--- a/Tests/State/controlstatetest.cpp
+++ b/Tests/State/controlstatetest.cpp
@@ -93,6 +93,25 @@
     CHECK(fixture.state.events().size() == 100);
 }
 
+TEST_CASE("A wave of 1,000 withdrawals takes every job out of the queue in one step")
+{
+    constexpr int Count = 1000;
+    Fixture fixture;
+    Withdraw wave{{"anna", "", Noon}, {}, {}};
+    for (int i = 0; i < Count; ++i) {
+        const auto name = "job-" + std::to_string(i);
+        fixture.submit(submitOf(RecordKind::Batch, name, BatchSpec{"team", {100, 64, 0}, "run"}));
+        wave.keys.push_back({RecordKind::Batch, name});
+    }
+    const auto before = fixture.state.events().after(UINT64_MAX, 0).newest;
+    const auto outcome = fixture.apply<ChangeOutcome>(wave);
+    CHECK(outcome.changes.size() == Count);
+    for (const auto &[id, task] : fixture.state.tasks().tasks())
+        CHECK(task.state == Placement::TaskState::Cancelled);
+    // Each record leaves a line of its own for the next shift.
+    CHECK(fixture.state.events().after(before, 10 * Count).events.size() >= Count);
+}
+
 TEST_CASE("A snapshot carries the whole state and a damaged one changes nothing")
 {
     Fixture fixture;
