agent: Start no task while the configuration is unconfirmed

The leader orders again until a report shows the effect, so an order that is left alone is only late. Stops, checkpoints and throttles stay allowed. entry: one parameter as the linter wants it.

--- a/Source/Agent/agentprocess.cpp
+++ b/Source/Agent/agentprocess.cpp
@@ -34,9 +34,10 @@
     return admission;
 }
 
-WorkerTaskOptions workerOptions(const AgentSettings &settings)
+WorkerTaskOptions workerOptions(const AgentSettings &settings, std::function<Result<void>()> gate)
 {
     WorkerTaskOptions options;
+    options.gate = std::move(gate);
     options.address = settings.worker.address;
     options.callTimeout = settings.worker.callTimeout;
     options.usageInterval = settings.worker.usageInterval;
@@ -77,7 +78,7 @@
         , configuration_(settings.configurationLease, loop_.clock().now())
         , follower_(loop_, messenger_, configuration_, followerOptions(settings))
         , requests_(loop_, messenger_, admissionSettings(settings, gate()))
-        , worker_(loop_, messenger_, workerOptions(settings))
+        , worker_(loop_, messenger_, workerOptions(settings, gate()))
         , heartbeats_(loop_, messenger_, requests_, worker_, heartbeatOptions(settings))
         , minionDoor_(loop_, requests_,
                       {settings.minionLimits, settings.admission.maxMinionLifetime})
--- a/Source/Agent/workertask.cpp
+++ b/Source/Agent/workertask.cpp
@@ -36,6 +36,9 @@
         tick();
     });
     messenger_.on<TaskOrder>([this](const Sender &, TaskOrder &&order) {
+        const bool isNewWork = order.action == TaskAction::Start;
+        if (isNewWork && options_.gate && !options_.gate())
+            return;
         // A refusal needs no answer: the leader orders again until a report shows the effect.
         static_cast<void>(executor_.ordered(order, loop_.clock().now()));
         tick();
--- a/Source/Agent/workertask.h
+++ b/Source/Agent/workertask.h
@@ -5,6 +5,7 @@
 #include "Runtime/httpclient.h"
 #include "Runtime/messenger.h"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -22,6 +23,8 @@
     Duration usageInterval = std::chrono::seconds(2);
     Duration tickInterval = std::chrono::milliseconds(100);
     Placement::ExecutorSettings executor;
+    /** Fails while the agent may not take work, as without a fresh configuration; may be empty. */
+    std::function<Result<void>()> gate;
 };
 
 /**
--- a/Source/Entry/entry.cpp
+++ b/Source/Entry/entry.cpp
@@ -105,7 +105,7 @@
 private:
     /** Commits a command whose outcome is of type \a Wanted. */
     template<typename Wanted>
-    void commit(State::Command command, std::function<void(Result<Wanted>)> callback)
+    void commit(const State::Command &command, std::function<void(Result<Wanted>)> callback)
     {
         replica_.propose(State::encodeCommand(command),
                          [callback = std::move(callback)](Result<std::string> bytes) {
