--- a/Source/Configuration/configurationfollower.cpp
+++ b/Source/Configuration/configurationfollower.cpp
@@ -1,5 +1,7 @@
 #include "Configuration/configurationfollower.h"
 
+#include "Runtime/log.h"
+
 #include <algorithm>
 
 namespace Oleander {
@@ -20,6 +22,7 @@
     , questions_(gate)
     , options_(std::move(options))
     , timer_(loop, [this] { askInTurn(); })
+    , dump_("configuration", [this] { return dumpRows(); })
     , alive_(std::make_shared<ConfigurationFollower *>(this))
 {
     messenger_.heard.connect([weak = std::weak_ptr(alive_)](const Sender &sender) {
@@ -41,8 +44,40 @@
     timer_.startEvery(options_.interval);
 }
 
+void ConfigurationFollower::logApplied() const
+{
+    logEvent(LogEvent::ConfigurationApplied, Step::Apply, {}, {{"version", gate_.version()}});
+}
+
+void ConfigurationFollower::logTransition()
+{
+    const bool isAdmitting = gate_.admits(loop_.clock().now());
+    if (wasAdmitting_ && !isAdmitting) {
+        logEvent(LogEvent::ConfigurationStale, Step::Spread,
+                 options_.entries.empty() ? std::string() : entryInTurn(),
+                 {{"version", gate_.version()}});
+    }
+    wasAdmitting_ = isAdmitting;
+}
+
+std::vector<DumpRow> ConfigurationFollower::dumpRows() const
+{
+    const auto now = loop_.clock().now();
+    const auto age =
+        gate_.confirmedAt()
+            ? std::chrono::duration_cast<std::chrono::milliseconds>(now - *gate_.confirmedAt())
+                  .count()
+            : -1;
+    return {{"in-force",
+             {{"version", gate_.version()},
+              {"admits", gate_.admits(now)},
+              {"confirmed_ms_ago", age},
+              {"values", gate_.values().size()}}}};
+}
+
 void ConfigurationFollower::askInTurn()
 {
+    logTransition();
     if (options_.entries.empty())
         return;
     if (!turnAnswered_)
@@ -79,8 +114,13 @@
     const auto taken = questions_.take(push);
     if (taken.confirmed && from.name == entryInTurn())
         turnAnswered_ = true;
+    if (push.version < gate_.version()) {
+        logEvent(LogEvent::ConfigurationRefused, Step::Apply, from.name,
+                 {{"version", gate_.version()}, {"offered", push.version}});
+    }
     if (!taken.changed)
         return;
+    logApplied();
     messenger_.setConfigurationVersion(gate_.version());
     changed.emit();
 }
--- a/Source/Configuration/configurationfollower.h
+++ b/Source/Configuration/configurationfollower.h
@@ -4,6 +4,7 @@
 #include "Configuration/configurationgate.h"
 #include "Runtime/eventloop.h"
 #include "Runtime/messenger.h"
+#include "Runtime/statedump.h"
 
 #include <sigc++/sigc++.h>
 
@@ -41,11 +42,16 @@
     /** Asks the first entry and starts the timer. */
     void start();
 
+    /** Tells the log which version came into force in this process. */
+    void logApplied() const;
+
     /** Emitted when another version came into force in this process. */
     sigc::signal<void()> changed;
 
 private:
     const std::string &entryInTurn() const;
+    void logTransition();
+    std::vector<DumpRow> dumpRows() const;
     void askInTurn();
     void ask(const std::string &entry);
     void heard(const Sender &sender);
@@ -61,6 +67,8 @@
     bool turnAnswered_ = true;
     std::size_t turn_ = 0;
     TimePoint lastUrgent_{};
+    bool wasAdmitting_ = false;
+    DumpPart dump_;
     /** Handlers of the messenger that outlive the follower find this empty. */
     std::shared_ptr<ConfigurationFollower *> alive_;
 };
--- a/Source/Entry/configurationtask.cpp
+++ b/Source/Entry/configurationtask.cpp
@@ -63,8 +63,10 @@
 void ConfigurationTask::stateApplied()
 {
     const auto &configuration = state_.configuration();
-    if (gate_.offer(configuration.version, configuration.values, std::nullopt))
-        cameIntoForce();
+    if (!gate_.offer(configuration.version, configuration.values, std::nullopt))
+        return;
+    follower_.logApplied();
+    cameIntoForce();
 }
 
 bool ConfigurationTask::admits() const
@@ -101,8 +103,10 @@
         auto &self = **held;
         self.isConfirming_ = false;
         const auto &configuration = self.state_.configuration();
-        if (read && self.gate_.offer(configuration.version, configuration.values, startedAt))
-            self.cameIntoForce();
+        if (!read || !self.gate_.offer(configuration.version, configuration.values, startedAt))
+            return;
+        self.follower_.logApplied();
+        self.cameIntoForce();
     });
 }
 
--- a/Source/Entry/operatordoor.cpp
+++ b/Source/Entry/operatordoor.cpp
@@ -1,5 +1,7 @@
 #include "Entry/operatordoor.h"
 
+#include "Records/recordevents.h"
+#include "Runtime/log.h"
 #include "Runtime/processdoor.h"
 
 #include <algorithm>
@@ -25,6 +27,19 @@
     });
 }
 
+void logOutcome(const Records::ChangeOutcome &outcome)
+{
+    for (const auto &change : outcome.changes) {
+        const auto event =
+            Records::isAccepted(change.result) ? LogEvent::RecordAccepted : LogEvent::RecordRefused;
+        logEvent(event, Step::Commit, {},
+                 {{"record", Records::keyText(change.key)},
+                  {"result", Records::changeName(change.result)},
+                  {"revision", change.revision},
+                  {"index", outcome.index}});
+    }
+}
+
 HttpResponse answerRead(const OperatorView &view, const ShowRequest &request)
 {
     return answerShow(view, request);
@@ -130,6 +145,7 @@
             exchange->respond(answerProblem(outcome.error(), CommandFate::Unknown));
             return;
         }
+        logOutcome(*outcome);
         (*door)->answerCommitted({exchange, std::move(*outcome), answer, deadline});
     };
     parts_.propose(State::encodeCommand(command), finish);
--- a/Tests/Cli/operatorsracetest.cpp
+++ b/Tests/Cli/operatorsracetest.cpp
@@ -48,9 +48,10 @@
     for (int round = 1; round <= 5; ++round) {
         std::vector<HttpReply> replies(Operators);
         std::vector<std::thread> threads;
+        threads.reserve(Operators);
         for (int i = 0; i < Operators; ++i) {
             threads.emplace_back([&, i] {
-                const auto door = cluster.operatorDoor(static_cast<std::size_t>(i) % 3);
+                const auto &door = cluster.operatorDoor(static_cast<std::size_t>(i) % 3);
                 replies[static_cast<std::size_t>(i)] =
                     put(door, "a", i, {{"If-Match", std::to_string(round)}});
             });
@@ -94,6 +95,7 @@
         }
     };
     std::vector<std::thread> threads;
+    threads.reserve(3);
     for (int first = 0; first < 3; ++first)
         threads.emplace_back(submitAll, first);
     cluster.entry(leaderEntry).kill();
--- a/Tests/State/controlstatetest.cpp
+++ b/Tests/State/controlstatetest.cpp
@@ -109,7 +109,7 @@
     for (const auto &[id, task] : fixture.state.tasks().tasks())
         CHECK(task.state == Placement::TaskState::Cancelled);
     // Each record leaves a line of its own for the next shift.
-    CHECK(fixture.state.events().after(before, 10 * Count).events.size() >= Count);
+    CHECK(fixture.state.events().after(before, 10UL * Count).events.size() >= Count);
 }
 
 TEST_CASE("A snapshot carries the whole state and a damaged one changes nothing")
