--- a/Source/Entry/entry.cpp
+++ b/Source/Entry/entry.cpp
@@ -54,6 +54,8 @@
     router.seed = incarnation;
     router.gate = std::move(gate);
     router.maxInFlight = settings.request.maxInFlight;
+    router.claims.entry = settings.name;
+    router.claims.keepFor = settings.request.keyLifetime;
     router.retryBudget.share = percent(settings.request.retryBudgetPercent);
     router.hedgeBudget.share = percent(settings.request.hedgeBudgetPercent);
     return router;
@@ -109,7 +111,7 @@
 private:
     /** Commits a command whose outcome is of type \a Wanted. */
     template<typename Wanted>
-    void commit(State::Command command, std::function<void(Result<Wanted>)> callback)
+    void commit(const State::Command &command, std::function<void(Result<Wanted>)> callback)
     {
         replica_.propose(State::encodeCommand(command),
                          [callback = std::move(callback)](Result<std::string> bytes) {
