--- a/Tests/Bench/controlbench.cpp
+++ b/Tests/Bench/controlbench.cpp
@@ -75,7 +75,7 @@
 /** Says "ready" once its state is as new as the group's. */
 void sayWhenReady(Process &process)
 {
-    process.task->readBarrier([&process](Result<void> current) {
+    process.task->readBarrier([&process](const Result<void> &current) {
         if (!current) {
             sayWhenReady(process);
             return;
@@ -121,7 +121,7 @@
                                          addresses_[name]};
         for (const auto &[peer, address] : addresses_) {
             if (peer != name)
-                command.push_back(peer + "=" + address);
+                command.push_back(fmt::format("{}={}", peer, address));
         }
         replicas_[name] = std::make_unique<ChildProcess>(command);
     }
@@ -247,7 +247,7 @@
     {
         if (next_ == commands_->size())
             return;
-        door_->task->propose((*commands_)[next_++], [this](Result<std::string> outcome) {
+        door_->task->propose((*commands_)[next_++], [this](const Result<std::string> &outcome) {
             ++(outcome ? committed_ : refused_);
             proposeNext();
         });
--- a/Tests/Entry/replicagroup.h
+++ b/Tests/Entry/replicagroup.h
@@ -126,7 +126,7 @@
     Result<std::string> commit(const std::string &name, const std::string &command)
     {
         std::optional<Result<std::string>> outcome;
-        task(name).propose(command, [&](Result<std::string> result) { outcome = result; });
+        task(name).propose(command, [&](const Result<std::string> &result) { outcome = result; });
         REQUIRE(until([&] { return outcome.has_value(); }));
         return *outcome;
     }
--- a/Tests/Entry/replicatasktest.cpp
+++ b/Tests/Entry/replicatasktest.cpp
@@ -37,18 +37,18 @@
 TEST_CASE("A read barrier at a follower waits for what was committed before it")
 {
     ReplicaGroup group(Three);
-    for (int i = 0; i < 20; ++i) {
+    for (std::size_t i = 0; i < 20; ++i) {
         REQUIRE(group.commit(Three[i % 3], "entry").has_value());
         const std::string &reader = Three[(i + 1) % 3];
         std::optional<bool> current;
         std::size_t seen = 0;
-        group.task(reader).readBarrier([&](Result<void> result) {
+        group.task(reader).readBarrier([&](const Result<void> &result) {
             current = result.has_value();
             seen = group.machine(reader).count();
         });
         REQUIRE(group.until([&] { return current.has_value(); }));
         if (*current)
-            CHECK(seen == static_cast<std::size_t>(i) + 1);
+            CHECK(seen == i + 1);
     }
 }
 
