entry, agent: Dump each section once

Cause: the minions and the requests of a process were dumped twice, by their tasks and by the process, and in the JSON form the later rows replaced the earlier ones. The tasks keep them; rows of one section from several tasks now stand together.

--- a/Source/Agent/agentdump.cpp
+++ b/Source/Agent/agentdump.cpp
@@ -38,27 +38,12 @@
               {"cancelled", counters.cancelled}}}};
 }
 
-Rows minionRows(const RequestTask &requests)
-{
-    Rows rows;
-    for (const auto &minion : requests.minions()) {
-        rows.push_back({minion.name,
-                        {{"service", minion.service},
-                         {"state", static_cast<int>(minion.state)},
-                         {"slots", minion.slots},
-                         {"running", minion.running},
-                         {"queued", minion.queued}}});
-    }
-    return rows;
-}
-
 } // namespace
 
 AgentDump::AgentDump(const RequestTask &requests, const WorkerTask &worker)
     : lease_("lease", [&worker] { return leaseRows(worker); })
     , attempts_("attempts", [&worker] { return attemptRows(worker); })
     , requests_("requests", [&requests] { return requestRows(requests); })
-    , minions_("minions", [&requests] { return minionRows(requests); })
 {}
 
 } // namespace Oleander
--- a/Source/Agent/agentdump.h
+++ b/Source/Agent/agentdump.h
@@ -8,7 +8,7 @@
 
 /**
  * \class AgentDump
- * \brief An agent's state dump: its lease, the attempts on its worker, and its minions' queues.
+ * \brief An agent's state dump: its lease, the attempts on its worker, and its admission.
  */
 class AgentDump
 {
@@ -19,7 +19,6 @@
     DumpPart lease_;
     DumpPart attempts_;
     DumpPart requests_;
-    DumpPart minions_;
 };
 
 } // namespace Oleander
--- a/Source/Entry/entry.cpp
+++ b/Source/Entry/entry.cpp
@@ -90,7 +90,7 @@
         , scheduler_(loop_, messenger_, schedulerOptions())
         , callerDoor_(loop_, router_, callerDoorSettings(settings, gate()))
         , operatorDoor_(loop_, state_, settings.operatorLimits, operatorDoorParts())
-        , dump_(state_, router_)
+        , dump_(state_)
         , watch_(loop_)
         , drainTimer_(loop_, [this] { continueDrain(); })
     {}
--- a/Source/Entry/entrydump.cpp
+++ b/Source/Entry/entrydump.cpp
@@ -60,46 +60,13 @@
     return rows;
 }
 
-Rows requestRows(const Router &router)
-{
-    const auto &counters = router.counters();
-    return {{"router",
-             {{"in_flight", router.inFlight()},
-              {"submitted", counters.submitted},
-              {"ran", counters.ran},
-              {"not_run", counters.notRun},
-              {"unknown", counters.unknown},
-              {"retries", counters.retries},
-              {"hedges", counters.hedges},
-              {"callers_left", counters.callersLeft}}}};
-}
-
-Rows minionRows(const Router &router)
-{
-    Rows rows;
-    for (const auto *minion : router.table().all()) {
-        const auto &status = minion->status;
-        rows.push_back({minion->agent + '/' + status.name,
-                        {{"service", status.service},
-                         {"failure_domain", minion->location.failureDomain},
-                         {"state", static_cast<int>(status.state)},
-                         {"slots", status.slots},
-                         {"running", status.running},
-                         {"queued", status.queued},
-                         {"in_flight", minion->inFlight}}});
-    }
-    return rows;
-}
-
 } // namespace
 
-EntryDump::EntryDump(const State::ControlState &state, const RouterTask &router)
+EntryDump::EntryDump(const State::ControlState &state)
     : configuration_("configuration", [&state] { return configurationRows(state); })
     , records_("records", [&state] { return recordRows(state); })
     , tasks_("tasks", [&state] { return taskRows(state); })
     , ledger_("ledger", [&state] { return ledgerRows(state); })
-    , requests_("requests", [&router] { return requestRows(router.router()); })
-    , minions_("minions", [&router] { return minionRows(router.router()); })
 {}
 
 } // namespace Oleander
--- a/Source/Entry/entrydump.h
+++ b/Source/Entry/entrydump.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include "Entry/routertask.h"
 #include "Runtime/statedump.h"
 #include "State/controlstate.h"
 
@@ -8,20 +7,18 @@
 
 /**
  * \class EntryDump
- * \brief The parts of an entry's state dump that come from the control state and the router.
+ * \brief The parts of an entry's state dump that come from the control state.
  */
 class EntryDump
 {
 public:
-    EntryDump(const State::ControlState &state, const RouterTask &router);
+    explicit EntryDump(const State::ControlState &state);
 
 private:
     DumpPart configuration_;
     DumpPart records_;
     DumpPart tasks_;
     DumpPart ledger_;
-    DumpPart requests_;
-    DumpPart minions_;
 };
 
 } // namespace Oleander
--- a/Source/Runtime/statedump.cpp
+++ b/Source/Runtime/statedump.cpp
@@ -95,7 +95,10 @@
 {
     auto document = nlohmann::json::object();
     for (const auto &section : allSections()) {
-        auto &rows = document[section.name] = nlohmann::json::array();
+        // Several tasks of a process may give rows of one section.
+        auto &rows = document[section.name];
+        if (rows.is_null())
+            rows = nlohmann::json::array();
         for (const auto &row : section.rows) {
             nlohmann::json object = {{"name", row.name}};
             for (const auto &field : row.fields)
