agent: List the tasks in every fourth heartbeat

Cause: fifteen attempts listed twice a second are most of an agent's traffic, though each change is reported when it happens. A heartbeat now says whether it lists them, so that one without a list ends nothing; the end of an attempt is repeated over 24 heartbeats, six of which list it. The fault runs of the tests send heartbeats in the same way.

--- a/Source/Agent/heartbeattask.cpp
+++ b/Source/Agent/heartbeattask.cpp
@@ -6,8 +6,8 @@
 
 // Changes that come together leave in one heartbeat.
 constexpr Duration GatherTime = std::chrono::milliseconds(5);
-// Usage is read every few seconds, so most heartbeats would only repeat it.
-constexpr std::uint64_t HeartbeatsPerUsage = 4;
+// Changes are reported when they happen, so most heartbeats would only repeat the tasks.
+constexpr std::uint64_t HeartbeatsPerListing = 4;
 
 } // namespace
 
@@ -36,6 +36,7 @@
     heartbeat.location = options_.location;
     heartbeat.minions = requests_.minions();
     // Until the worker was listed once, nobody knows what it still runs, so it offers no room.
+    heartbeat.attemptsOmitted = true;
     if (worker_.isReady())
         heartbeat.capacity = options_.capacity;
     return heartbeat;
@@ -45,9 +46,9 @@
 {
     if (!worker_.isReady())
         return;
+    heartbeat.attemptsOmitted = false;
     heartbeat.attempts = worker_.attempts();
-    if (heartbeat.stamp % HeartbeatsPerUsage == 0)
-        heartbeat.usage = worker_.usage();
+    heartbeat.usage = worker_.usage();
 }
 
 void HeartbeatTask::sendToAll()
@@ -56,9 +57,12 @@
     Heartbeat full = brief;
     addTasks(full);
     worker_.heartbeatMade(brief.stamp);
+    // A new leader gets the tasks with the first heartbeat after it has made itself known.
     const std::string &leader = worker_.leader();
+    const bool listsTasks = leader != lastLeader_ || brief.stamp % HeartbeatsPerListing == 0;
+    lastLeader_ = leader;
     for (const auto &entry : options_.entries) {
-        const bool isForLeader = leader.empty() || entry == leader;
+        const bool isForLeader = leader.empty() || (listsTasks && entry == leader);
         // A heartbeat that cannot leave is replaced by the next one.
         static_cast<void>(messenger_.send(entry, isForLeader ? full : brief));
     }
--- a/Source/Agent/heartbeattask.h
+++ b/Source/Agent/heartbeattask.h
@@ -27,8 +27,8 @@
  * \brief Tells every entry, again and again, what this agent's host holds.
  *
  * A change of the minions goes out at once, since entries stop sending work to a leaving minion
- * by it. Only the leader needs the tasks and their usage, and usage only now and then; the others
- * get them while no leader is known.
+ * by it. Only the leader needs the tasks and their usage, and only now and then; the others get
+ * them while no leader is known.
  */
 class HeartbeatTask
 {
@@ -52,6 +52,7 @@
     Timer timer_;
     Timer soon_;
     std::uint64_t lastStamp_ = 0;
+    std::string lastLeader_;
 };
 
 } // namespace Oleander
--- a/Source/Placement/taskexecutor.h
+++ b/Source/Placement/taskexecutor.h
@@ -46,8 +46,8 @@
     Duration retryInterval = std::chrono::milliseconds(500);
     /** Heartbeat stamps that are remembered; an order that answers an older one is refused. */
     std::size_t rememberedStamps = 64;
-    /** Heartbeats that repeat the end of an attempt. */
-    std::uint64_t endRepeats = 6;
+    /** Heartbeats over which the end of an attempt is repeated; a few of them list attempts. */
+    std::uint64_t endRepeats = 24;
 };
 
 /**
--- a/Source/Placement/taskscheduler.cpp
+++ b/Source/Placement/taskscheduler.cpp
@@ -279,7 +279,8 @@
     reply.lease = leases_.grant(worker, now);
     reply.session = known->session;
     reported(worker, heartbeat.attempts, now, wall);
-    findAbsent(worker, heartbeat.attempts, now, wall);
+    if (!heartbeat.attemptsOmitted)
+        findAbsent(worker, heartbeat.attempts, now, wall);
     reportUsage(heartbeat.usage, now);
     return reply;
 }
--- a/Source/Protocol/messages.h
+++ b/Source/Protocol/messages.h
@@ -130,6 +130,8 @@
     std::vector<MinionStatus> minions;
     std::vector<AttemptReport> attempts;
     std::vector<UsageReport> usage;
+    /** True when this heartbeat leaves its attempts out; then none of them counts as ended. */
+    bool attemptsOmitted = false;
 };
 
 template<typename F>
@@ -142,6 +144,7 @@
     f(v.minions);
     f(v.attempts);
     f(v.usage);
+    f(v.attemptsOmitted);
 }
 
 /** Entry to agent: answer to a heartbeat. Only the leader grants a lease. */
--- a/Tests/Placement/faultrun.cpp
+++ b/Tests/Placement/faultrun.cpp
@@ -318,7 +318,10 @@
     message.stamp = ++host.stamp;
     message.location = {"r", "d" + host.name, "k" + host.name};
     message.capacity = HostCapacity;
-    message.attempts = host.executor->reports();
+    // An agent lists its attempts in every fourth heartbeat only.
+    message.attemptsOmitted = message.stamp % 4 != 0;
+    if (!message.attemptsOmitted)
+        message.attempts = host.executor->reports();
     host.executor->heartbeatMade(message.stamp, clockOf(host.rate));
     if (host.cutUntil > now_)
         return;
