--- a/Tests/Bench/placementbench.cpp
+++ b/Tests/Bench/placementbench.cpp
@@ -151,8 +151,8 @@
 class Trial
 {
 public:
-    Trial(PolicyKind kind, const PolicyWeights &weights, std::uint32_t seed, double load)
-        : policy_(kind, seed, weights)
+    Trial(PolicyKind policyKind, const PolicyWeights &weights, std::uint32_t seed, double load)
+        : policy_(policyKind, seed, weights)
         , truth_(hiddenTruth(seed))
         , jobs_(arrivalsFor(seed, load, truth_))
         , random_(seed + 99)
@@ -441,7 +441,11 @@
     }
     if (!keepsThroughput)
         fmt::print(stderr, "batch throughput fell below 97% of first fit somewhere\n");
-    fmt::print("figure placement.p99_ratio {:.3f} ratio target <=0.6\n", worstP99);
+    // The tail counts only at equal throughput.
+    if (keepsThroughput)
+        fmt::print("figure placement.p99_ratio {:.3f} ratio target <=0.6\n", worstP99);
+    else
+        fmt::print("figure placement.p99_ratio missed ratio target <=0.6\n");
     fmt::print("figure placement.evictions_ratio {:.3f} ratio target <=1\n", worstEvictions);
 }
 
