--- a/Source/Agent/announcementparse.cpp
+++ b/Source/Agent/announcementparse.cpp
@@ -14,7 +14,7 @@
 using Json = nlohmann::json;
 
 constexpr std::uint64_t MaxSlots = 1024;
-constexpr std::uint64_t MaxConnections = 16 * 1024;
+constexpr std::uint64_t MaxConnections = 16'384;
 constexpr std::uint64_t MinTimeToLiveMs = 100;
 constexpr std::array<std::string_view, 6> Fields = {"service",     "address", "slots",
                                                     "connections", "ttl_ms",  "busy"};
--- a/Source/Agent/miniondoor.cpp
+++ b/Source/Agent/miniondoor.cpp
@@ -38,7 +38,7 @@
 
 MinionDoor::MinionDoor(EventLoop &loop, RequestTask &requests, MinionDoorSettings settings)
     : requests_(requests)
-    , settings_(std::move(settings))
+    , settings_(settings)
     , server_(loop, settings_.limits, [this](const std::shared_ptr<HttpExchange> &exchange) {
         exchange->respond(handle(exchange->request()));
     })
--- a/Source/Entry/callerdoor.cpp
+++ b/Source/Entry/callerdoor.cpp
@@ -53,9 +53,9 @@
 
 void CallerDoor::note(const std::string &service, TimePoint begun, const CallerAnswer &answer)
 {
-    static LatencyHistogram &Seconds = processMetrics().histogram(
+    LatencyHistogram &seconds = processMetrics().histogram(
         "oleander_request_seconds", "Time from a whole request to its answer.", {});
-    Seconds.record(clock_.now() - begun);
+    seconds.record(clock_.now() - begun);
     const auto *problem = std::get_if<RequestProblem>(&answer);
     const std::string outcome(problem ? outcomeName(problem->outcome) : "answered");
     processMetrics()
--- a/Tests/Bench/requestbench.cpp
+++ b/Tests/Bench/requestbench.cpp
@@ -95,9 +95,10 @@
         request.headers.push_back({"Oleander-Timeout-Ms", std::to_string(milliseconds.count())});
         const TimePoint begun = loop_.clock().now();
         ++open_;
-        client_.call(std::move(request), load_.timeout * 2, [this, begun](HttpCallResult result) {
-            ended(loop_.clock().now() - begun, result);
-        });
+        client_.call(std::move(request), load_.timeout * 2,
+                     [this, begun](const HttpCallResult &result) {
+                         ended(loop_.clock().now() - begun, result);
+                     });
     }
 
     void ended(Duration latency, const HttpCallResult &result)
--- a/Tests/RequestPath/badinputtest.cpp
+++ b/Tests/RequestPath/badinputtest.cpp
@@ -61,7 +61,7 @@
         head + "Content-Length: -3\r\n\r\nabc",
         head + "Content-Length: abc\r\n\r\nabc",
         head + "Transfer-Encoding: chunked\r\n\r\nzz\r\nabc\r\n",
-        head + "X-Long: " + std::string(64 * 1024, 'x') + "\r\n\r\n",
+        head + "X-Long: " + std::string(65'536, 'x') + "\r\n\r\n",
         head + "Content-Length: 99999999\r\n\r\nabc",
     };
     for (const auto &input : inputs) {
@@ -91,6 +91,6 @@
           != std::string::npos);
     CHECK(parse("{" + rest + R"(,"service":"s","slots":-1})").error().detail.find("slots")
           != std::string::npos);
-    CHECK(parse("{" + rest + R"(,"service":"s","slots":8,"x":1})").error().detail.find("x")
+    CHECK(parse("{" + rest + R"(,"service":"s","slots":8,"x":1})").error().detail.find('x')
           != std::string::npos);
 }
--- a/Tests/RequestPath/leavingtest.cpp
+++ b/Tests/RequestPath/leavingtest.cpp
@@ -11,6 +11,7 @@
 {
     RequestPath path;
     std::vector<std::future<std::optional<HttpReply>>> calls;
+    calls.reserve(8);
     for (int i = 0; i < 8; ++i)
         calls.push_back(path.start("POST", "/notices/x", {{"Standin-Delay-Ms", "500"}}));
     REQUIRE(waitFor([&] { return path.running() == 8; }));
--- a/Tests/RequestPath/limitstest.cpp
+++ b/Tests/RequestPath/limitstest.cpp
@@ -11,6 +11,7 @@
     RequestPath path(
         RequestPath::Options{.agents = 1, .minionFlags = {"--slots=2", "--connections=4"}});
     std::vector<std::future<std::optional<HttpReply>>> calls;
+    calls.reserve(20);
     for (int i = 0; i < 20; ++i) {
         calls.push_back(path.start(
             "POST", "/notices/x",
--- a/Tests/RequestPath/wholeanswerstest.cpp
+++ b/Tests/RequestPath/wholeanswerstest.cpp
@@ -7,6 +7,8 @@
 
 namespace {
 
+constexpr std::size_t OneMegabyte = 1'048'576;
+
 std::vector<CallHeader> mode(const std::string &name, const std::string &id = "r1")
 {
     return {{"Standin-Mode", name}, {"Standin-Request", id}};
@@ -26,8 +28,8 @@
     CHECK(chunked->body.find("path=/x") != std::string::npos);
     const auto large = path.call("GET", "/notices/x", mode("large"));
     REQUIRE(large.has_value());
-    CHECK(large->body.size() == 1024 * 1024);
-    const std::string body(1024 * 1024, 'y');
+    CHECK(large->body.size() == OneMegabyte);
+    const std::string body(OneMegabyte, 'y');
     const auto echo = path.call("POST", "/notices/x", mode("echo"), body);
     REQUIRE(echo.has_value());
     CHECK(echo->body == body);
@@ -88,6 +90,7 @@
 {
     RequestPath path;
     std::vector<std::future<std::optional<HttpReply>>> calls;
+    calls.reserve(12);
     for (int i = 0; i < 12; ++i) {
         calls.push_back(path.start("POST", "/notices/" + std::to_string(i),
                                    {{"Standin-Delay-Ms", std::to_string(200 - 15 * i)}}));
--- a/Tests/Routing/claimtabletest.cpp
+++ b/Tests/Routing/claimtabletest.cpp
@@ -76,6 +76,10 @@
     CHECK(table.apply(claim("b", 160s)).verdict == ClaimVerdict::Granted);
     table.apply(finish("a", Outcome::Ran, 161s));
     CHECK(table.apply(claim("c", 162s)).verdict == ClaimVerdict::Held);
+    auto behind = claim("d", 50s);
+    behind.key = "orders/k2";
+    table.apply(behind);
+    CHECK(table.find("orders/k2")->expiry == at(222s));
 }
 
 TEST_CASE("A full table refuses and never forgets")
--- a/Tests/Routing/routerfixture.h
+++ b/Tests/Routing/routerfixture.h
@@ -100,7 +100,8 @@
                 early = std::move(answer);
                 return;
             }
-            CHECK(answers.emplace(*id, std::move(answer)).second);
+            CHECK_FALSE(answers.contains(*id));
+            answers.emplace(*id, std::move(answer));
         });
         if (early)
             answers.emplace(*id, std::move(*early));
--- a/Tests/Routing/routertest.cpp
+++ b/Tests/Routing/routertest.cpp
@@ -1,5 +1,6 @@
 #include "routerfixture.h"
 
+#include <algorithm>
 #include <random>
 
 using namespace Oleander;
@@ -10,13 +11,16 @@
     RouterFixture f;
     f.start();
     std::vector<RequestId> ids;
+    ids.reserve(10);
     for (int i = 0; i < 10; ++i)
         ids.push_back(f.submit(i % 2 == 0));
     REQUIRE(f.sent.size() == 10);
     const auto sent = f.sent;
-    for (auto attempt = sent.rbegin(); attempt != sent.rend(); ++attempt) {
-        f.answer(*attempt, Outcome::Ran, 200);
-        f.answer(*attempt, Outcome::Ran, 200);
+    auto reversed = sent;
+    std::reverse(reversed.begin(), reversed.end());
+    for (const auto &attempt : reversed) {
+        f.answer(attempt, Outcome::Ran, 200);
+        f.answer(attempt, Outcome::Ran, 200);
     }
     for (std::size_t i = 0; i < ids.size(); ++i)
         CHECK(f.whole(ids[i]).body == sent[i].message.request);
--- a/Tests/Standins/minion.cpp
+++ b/Tests/Standins/minion.cpp
@@ -318,6 +318,7 @@
 {
     std::vector<std::string> words = withUnderscores(argc, argv);
     std::vector<char *> pointers;
+    pointers.reserve(words.size());
     for (auto &word : words)
         pointers.push_back(word.data());
     absl::ParseCommandLine(static_cast<int>(pointers.size()), pointers.data());
