--- a/Source/Entry/entry.cpp
+++ b/Source/Entry/entry.cpp
@@ -2,6 +2,7 @@
 
 #include "Entry/callerdoor.h"
 #include "Entry/configurationtask.h"
+#include "Entry/entrydump.h"
 #include "Entry/operatordoor.h"
 #include "Entry/replicatask.h"
 #include "Entry/routertask.h"
@@ -9,6 +10,7 @@
 #include "Runtime/incarnation.h"
 #include "Runtime/log.h"
 #include "Runtime/messenger.h"
+#include "Runtime/processwatch.h"
 #include "Settings/exitcode.h"
 #include "State/controlstate.h"
 
@@ -88,6 +90,8 @@
         , scheduler_(loop_, messenger_, schedulerOptions())
         , callerDoor_(loop_, router_, callerDoorSettings(settings, gate()))
         , operatorDoor_(loop_, state_, settings.operatorLimits, operatorDoorParts())
+        , dump_(state_)
+        , watch_(loop_)
         , drainTimer_(loop_, [this] { continueDrain(); })
     {}
 
@@ -107,7 +111,7 @@
 private:
     /** Commits a command whose outcome is of type \a Wanted. */
     template<typename Wanted>
-    void commit(State::Command command, std::function<void(Result<Wanted>)> callback)
+    void commit(const State::Command &command, std::function<void(Result<Wanted>)> callback)
     {
         replica_.propose(State::encodeCommand(command),
                          [callback = std::move(callback)](Result<std::string> bytes) {
@@ -232,6 +236,8 @@
     SchedulerTask scheduler_;
     CallerDoor callerDoor_;
     OperatorDoor operatorDoor_;
+    EntryDump dump_;
+    ProcessWatch watch_;
     Timer drainTimer_;
     TimePoint drainStart_{};
     bool draining_ = false;
--- a/Tests/Bench/controlbench.cpp
+++ b/Tests/Bench/controlbench.cpp
@@ -19,6 +19,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <stdexcept>
 
 using namespace Oleander;
 using namespace Oleander::Testing;
@@ -46,10 +47,8 @@
         : messenger(loop, name, incarnation)
     {
         const auto listening = messenger.listen(address);
-        if (!listening) {
-            fmt::print(stderr, "{}\n", listening.error().text());
-            std::exit(1);
-        }
+        if (!listening)
+            throw std::runtime_error(listening.error().text());
         ReplicaTaskOptions options;
         options.name = name;
         options.folder = folder;
@@ -63,10 +62,8 @@
             std::sort(options.replicas.begin(), options.replicas.end());
         }
         task = std::make_unique<ReplicaTask>(loop, messenger, state, options);
-        if (const auto started = task->start(); !started) {
-            fmt::print(stderr, "{}\n", started.error().text());
-            std::exit(1);
-        }
+        if (const auto started = task->start(); !started)
+            throw std::runtime_error(started.error().text());
     }
 
     EventLoop loop;
@@ -78,7 +75,7 @@
 /** Says "ready" once its state is as new as the group's. */
 void sayWhenReady(Process &process)
 {
-    process.task->readBarrier([&process](Result<void> current) {
+    process.task->readBarrier([&process](const Result<void> &current) {
         if (!current) {
             sayWhenReady(process);
             return;
@@ -124,7 +121,7 @@
                                          addresses_[name]};
         for (const auto &[peer, address] : addresses_) {
             if (peer != name)
-                command.push_back(peer + "=" + address);
+                command.push_back(fmt::format("{}={}", peer, address));
         }
         replicas_[name] = std::make_unique<ChildProcess>(command);
     }
@@ -140,13 +137,14 @@
         Timer poll(door_->loop, [&] {
             if (condition())
                 door_->loop.stop();
-            if (now() > begin + Limit) {
-                fmt::print(stderr, "the bench waited too long\n");
-                std::exit(1);
-            }
+            if (now() > begin + Limit)
+                door_->loop.stop();
         });
         poll.startEvery(std::chrono::milliseconds(1));
         door_->loop.run();
+        // Thrown outside of the loop, so that the replicas end with the bench.
+        if (now() > begin + Limit)
+            throw std::runtime_error("the bench waited too long");
         return seconds(now() - begin);
     }
 
@@ -172,21 +170,21 @@
         const std::string killed = leader();
         const TimePoint begin = now();
         replica(killed).kill();
-        std::optional<TimePoint> committed;
+        // Outcomes may come after this function has returned.
+        const auto committed = std::make_shared<std::optional<TimePoint>>();
         Timer proposer(door_->loop, [&] {
-            const TimePoint proposed = now();
-            door_->task->propose(changeOf(++changes_), [&, proposed](Result<std::string> outcome) {
-                if (outcome && !committed)
-                    committed = now();
-                static_cast<void>(proposed);
-            });
+            door_->task->propose(changeOf(++changes_),
+                                 [this, committed](const Result<std::string> &outcome) {
+                                     if (outcome && !*committed)
+                                         *committed = now();
+                                 });
         });
         proposer.startEvery(std::chrono::milliseconds(5));
-        until([&] { return committed.has_value(); });
+        until([&] { return committed->has_value(); });
         proposer.cancel();
         start(killed);
         waitReady(killed);
-        return seconds(*committed - begin);
+        return seconds(**committed - begin);
     }
 
     /** Restarts a follower that missed \a changes; returns the seconds until it is current. */
@@ -249,7 +247,7 @@
     {
         if (next_ == commands_->size())
             return;
-        door_->task->propose((*commands_)[next_++], [this](Result<std::string> outcome) {
+        door_->task->propose((*commands_)[next_++], [this](const Result<std::string> &outcome) {
             ++(outcome ? committed_ : refused_);
             proposeNext();
         });
@@ -345,8 +343,13 @@
 int main(int argc, char **argv)
 {
     const std::vector<std::string> words(argv, argv + argc);
-    if (words.size() > 5 && words[1] == "replica")
-        return runReplica(words);
-    measure();
+    try {
+        if (words.size() > 5 && words[1] == "replica")
+            return runReplica(words);
+        measure();
+    } catch (const std::exception &failure) {
+        fmt::print(stderr, "{}\n", failure.what());
+        return 1;
+    }
     return 0;
 }
--- a/Tests/Support/cluster.h
+++ b/Tests/Support/cluster.h
@@ -5,6 +5,7 @@
 #include "Support/temporaryfolder.h"
 #include "Support/waitfor.h"
 
+#include <cstdint>
 #include <map>
 #include <memory>
 #include <string>
@@ -54,6 +55,8 @@
     void startAgent(std::size_t agent);
     void startWorker(std::size_t agent);
     void startMinion(std::size_t agent);
+    /** Starts a second process with the settings of an entry that runs, and waits for its end. */
+    CommandResult startAnotherEntry(std::size_t entry) const;
     /** Waits until the process has logged that it serves. */
     bool waitStarted(const ChildProcess &process) const;
 
@@ -67,6 +70,8 @@
     {
         return entries_.at(entry).operatorDoor;
     }
+    /** Address at which an entry takes messages. */
+    const std::string &link(std::size_t entry) const { return entries_.at(entry).link; }
     const std::string &minionDoor(std::size_t agent) const { return agents_.at(agent).minionDoor; }
     const std::string &workerAddress(std::size_t agent) const
     {
@@ -86,7 +91,11 @@
     /** Cuts every link from and to the process called \a name, or heals them. */
     void isolate(const std::string &name);
     void heal();
+    /** Bytes on every link from and to the process called \a name. */
+    std::uint64_t linkBytes(const std::string &name) const;
 
+    /** Runs `oleander WORDS`. */
+    CommandResult run(std::vector<std::string> words, const std::string &input = {}) const;
     /** Runs `oleander WORDS --server=...` against one entry, unless \a words name a server. */
     CommandResult operate(std::size_t entry, std::vector<std::string> words,
                           const std::string &input = {}) const;
