--- a/Tests/Routing/routertest.cpp
+++ b/Tests/Routing/routertest.cpp
@@ -195,8 +195,10 @@
     const auto again = f.submit(false);
     auto stale = f.sent.back();
     stale.incarnation += 7;
+    const std::size_t before = f.sent.size();
     f.answer(stale, Outcome::NotRun);
     CHECK_FALSE(f.answers.contains(again));
+    CHECK(f.sent.size() == before);
 }
 
 TEST_CASE("Idempotent requests at a silent agent or a lapsed minion go on elsewhere")
