placement: Follow workers before the tasks on them

Cause: the scheduler follows the task book by a list of what changed and looks at what is true now. A task noted before its worker registered may be on that worker by the time the list is read, and its worker was then unknown: the process ended with a segmentation fault. Conclusion: both passes over the list, workers first.

--- a/Source/Placement/taskscheduler.cpp
+++ b/Source/Placement/taskscheduler.cpp
@@ -127,11 +127,17 @@
             followTask(id, now);
         return;
     }
+    // A change names what changed, and following looks at what is true now: a task that was queued
+    // before a worker registered may be on that worker by now, so workers come first.
+    for (const Change &change : *changes) {
+        const Worker *worker =
+            change.kind == Change::Kind::Worker ? book_.worker(change.name) : nullptr;
+        if (worker)
+            followWorker(*worker, now);
+    }
     for (const Change &change : *changes) {
         if (change.kind == Change::Kind::Task)
             followTask(change.name, now);
-        else if (const Worker *worker = book_.worker(change.name))
-            followWorker(*worker, now);
     }
 }
 
