entry: Tell a recorded service without minions from an unknown one

Cause: nobody told the router which services have a record, so a caller of a service whose minions were all gone read 404, a caller's mistake, in place of 503 with a Retry-After. The new test with real processes fails without the wiring: the door goes on answering 404.

--- a/Source/Entry/entry.cpp
+++ b/Source/Entry/entry.cpp
@@ -45,7 +45,8 @@
 /** Fails while the entry may not take work. */
 using Gate = std::function<Result<void>()>;
 
-RouterSettings routerSettings(const EntrySettings &settings, std::uint64_t incarnation, Gate gate)
+RouterSettings routerSettings(const EntrySettings &settings, std::uint64_t incarnation, Gate gate,
+                              const State::ControlState &state)
 {
     RouterSettings router;
     router.entry = settings.name;
@@ -58,6 +59,10 @@
     router.claims.keepFor = settings.request.keyLifetime;
     router.retryBudget.share = percent(settings.request.retryBudgetPercent);
     router.hedgeBudget.share = percent(settings.request.hedgeBudgetPercent);
+    router.serviceRecorded = [&state](const std::string &service) {
+        const auto *record = state.records().find({Records::RecordKind::Service, service});
+        return record != nullptr && !record->withdrawn;
+    };
     return router;
 }
 
@@ -83,7 +88,8 @@
         , messenger_(loop_, settings.name, newIncarnation(loop_.clock()))
         , replica_(loop_, messenger_, state_, replicaOptions(settings))
         , configuration_(loop_, messenger_, state_, configurationParts(), configurationOptions())
-        , router_(loop_, messenger_, routerSettings(settings, messenger_.incarnation(), gate()),
+        , router_(loop_, messenger_,
+                  routerSettings(settings, messenger_.incarnation(), gate(), state_),
                   [this](ClaimBatch batch, RouterTask::ClaimsCallback callback) {
                       commit<ClaimBatchOutcome>(std::move(batch), std::move(callback));
                   })
--- a/Tests/RequestPath/processfaultstest.cpp
+++ b/Tests/RequestPath/processfaultstest.cpp
@@ -189,3 +189,24 @@
         CHECK(processes.runs(id) == 1);
     }
 }
+
+TEST_CASE("A recorded service without a minion is unavailable, an unknown one is not found")
+{
+    ClusterOptions options;
+    options.agents = 1;
+    options.workers = false;
+    Cluster cluster(std::move(options));
+    REQUIRE(cluster.start());
+    const auto statusOf = [&] {
+        const auto reply = httpCall(cluster.callerDoor(0), {"GET", "/archive/x"});
+        return reply ? reply->status : 0;
+    };
+    REQUIRE(waitFor([&] { return statusOf() == 404; }));
+    const auto submitted =
+        cluster.operate(0, {"submit", "service/archive", "-", "--author=anna"},
+                        R"({"schema":2,"team":"t","resources":{"milli-cores":500,)"
+                        R"("memory-mib":64},"payload":"c"})");
+    INFO(submitted.errors);
+    REQUIRE(submitted.exitCode == 0);
+    CHECK(waitFor([&] { return statusOf() == 503; }));
+}
