--- a/Tests/Bench/agentbench.cpp
+++ b/Tests/Bench/agentbench.cpp
@@ -83,6 +83,7 @@
         return 1;
     }
     std::vector<std::thread> callers;
+    callers.reserve(Slots);
     std::atomic<int> ended = 0;
     for (int i = 0; i < Slots; ++i) {
         callers.emplace_back([&] {
--- a/Tests/RequestPath/processfaultstest.cpp
+++ b/Tests/RequestPath/processfaultstest.cpp
@@ -185,6 +185,7 @@
         const auto reply =
             processes.call(static_cast<std::size_t>(i % 3), "POST", {{"Standin-Request", id}});
         REQUIRE(reply.has_value());
+        INFO(reply->body);
         CHECK(reply->status == 200);
         CHECK(processes.runs(id) == 1);
     }
