routing: Offer no minion while the agent's configuration is not confirmed

Cause: an agent that had just started announced its minions before its configuration was confirmed and then refused their requests. Each refusal was truly not run, but a burst of them used up the entry's retry budget, and callers read 503 though another minion was free. Ruled out: the links' delay (the refusal named step admit and the agent), the entry's own gate. Before: the minion stands as serving. The new check in requestadmissiontest fails without the change.

--- a/Source/Routing/requestadmission.cpp
+++ b/Source/Routing/requestadmission.cpp
@@ -83,13 +83,17 @@
 
 std::vector<MinionStatus> RequestAdmission::minions() const
 {
+    // Work sent here while the gate is closed would only be refused, and each refusal would cost
+    // the entry a retry, so entries are told to send none.
+    const bool isOpen = !settings_.gate || settings_.gate().has_value();
     std::vector<MinionStatus> result;
     result.reserve(minions_.size());
     for (const auto &[name, minion] : minions_) {
         MinionStatus status;
         status.name = name;
         status.service = minion.announcement.service;
-        status.state = minion.state;
+        const bool isHeldBack = !isOpen && minion.state == MinionState::Serving;
+        status.state = isHeldBack ? MinionState::Draining : minion.state;
         status.slots = minion.announcement.capacity.slots;
         status.connections = minion.announcement.capacity.connections;
         status.running = minion.queue.running() + minion.queue.strays();
--- a/Source/Routing/requestadmission.h
+++ b/Source/Routing/requestadmission.h
@@ -80,6 +80,7 @@
     Result<void> withdraw(const std::string &name);
     /** Lets every minion leave, as the agent itself does. */
     void withdrawAll();
+    /** Every minion as entries are to see it; while the gate is closed none is offered. */
     std::vector<MinionStatus> minions() const;
     /** Called when a minion came, left, or lapsed: entries should hear of it at once. */
     void onMinionsChanged(std::function<void()> handler) { minionsChanged_ = std::move(handler); }
--- a/Tests/Routing/requestadmissiontest.cpp
+++ b/Tests/Routing/requestadmissiontest.cpp
@@ -202,7 +202,10 @@
     CHECK(f.runs.empty());
 
     Fixture gated;
-    gated.settings.gate = [] {
+    bool isOpen = false;
+    gated.settings.gate = [&] {
+        if (isOpen)
+            return Result<void>();
         return Result<void>(fail(Failure::StaleConfiguration, Step::Apply, "agent-1", "stale"));
     };
     RequestAdmission admission(gated.clock, gated.settings, gated);
@@ -211,4 +214,8 @@
     admission.dispatch("entry-1", message);
     CHECK(gated.outcome("entry-1/1/900") == Outcome::NotRun);
     CHECK(gated.runs.empty());
+    // Entries are offered the minion only once its requests would be admitted.
+    CHECK(admission.minions().at(0).state == MinionState::Draining);
+    isOpen = true;
+    CHECK(admission.minions().at(0).state == MinionState::Serving);
 }
