--- a/Source/Entry/replicatask.cpp
+++ b/Source/Entry/replicatask.cpp
@@ -1,12 +1,8 @@
 #include "Entry/replicatask.h"
 
-#include "Control/replica.h"
-#include "Entry/pendingproposals.h"
+#include "Entry/replicataskprivate.h"
 #include "Protocol/codec.h"
 #include "Runtime/log.h"
-#include "Runtime/messenger.h"
-#include "Runtime/statedump.h"
-#include "Storage/storagewriter.h"
 
 #include <fmt/format.h>
 
@@ -22,74 +18,6 @@
 
 } // namespace
 
-struct ReplicaTask::Private
-{
-    Private(ReplicaTask &task, EventLoop &eventLoop, Messenger &frames, StateMachine &state,
-            ReplicaTaskOptions taskOptions)
-        : owner(task)
-        , loop(eventLoop)
-        , messenger(frames)
-        , machine(state)
-        , options(std::move(taskOptions))
-        , ticker(loop, [this] { tick(); })
-    {}
-
-    TimePoint now() const { return loop.clock().now(); }
-    Result<DataFolder> openFolder();
-    Result<void> openReplica();
-    void listenToPeers();
-    void tick();
-    void scheduleFlush();
-    void flush();
-    void routeWaiting();
-    void route(Proposal proposal);
-    bool forward(Proposal &proposal);
-    std::string forwardTarget() const;
-    bool carryOut(ReplicaOutput output);
-    void apply(const CommittedEntry &committed);
-    void restore(const Snapshot &snapshot);
-    void finishReads(const std::vector<ReadOutcome> &outcomes);
-    void takeSnapshotWhenDue();
-    void onForwardRequest(const Sender &from, ForwardRequest &&request);
-    void onForwardReply(ForwardReply &&reply);
-    void noteRole();
-    StorageEvents storageEvents();
-    std::string whyNoLeader() const;
-    std::vector<DumpRow> dumpRows() const;
-
-    ReplicaTask &owner;
-    EventLoop &loop;
-    Messenger &messenger;
-    StateMachine &machine;
-    ReplicaTaskOptions options;
-    std::optional<Replica> replica;
-    PendingProposals proposals;
-    struct Read
-    {
-        ReadCallback callback;
-        TimePoint deadline;
-    };
-    std::map<std::uint64_t, Read> reads;
-    std::uint64_t nextRead = 1;
-    std::vector<std::uint64_t> newReads;
-    /** Reads that failed and are tried again at the next tick. */
-    std::vector<std::uint64_t> retriedReads;
-    std::uint64_t appliedIndex = 0;
-    std::uint64_t bytesSinceSnapshot = 0;
-    std::optional<Snapshot> savingSnapshot;
-    std::string storageError;
-    bool failedForGood = false;
-    bool wasLeader = false;
-    bool flushScheduled = false;
-    std::string hintedLeader;
-    std::size_t nextPeer = 0;
-    Timer ticker;
-    std::unique_ptr<StorageWriter> writer;
-    DumpPart dump{"replica", [this] { return dumpRows(); }};
-    /** Posted work finds this gone once the task is. */
-    std::shared_ptr<Private *> alive = std::make_shared<Private *>(this);
-};
-
 Result<DataFolder> ReplicaTask::Private::openFolder()
 {
     auto folder = DataFolder::open(options.folder);
@@ -255,56 +183,6 @@
         noteRole();
 }
 
-void ReplicaTask::Private::routeWaiting()
-{
-    for (Proposal &proposal : proposals.takeWaiting())
-        route(std::move(proposal));
-}
-
-void ReplicaTask::Private::route(Proposal proposal)
-{
-    if (replica && replica->role() == ReplicaRole::Leader) {
-        const auto position = replica->propose(now(), proposal.command);
-        if (position) {
-            proposals.addAppended(*position, std::move(proposal));
-            return;
-        }
-        if (position.error().code != Failure::NotLeader) {
-            proposals.finish(std::move(proposal), tl::make_unexpected(position.error()));
-            return;
-        }
-    }
-    if (!forward(proposal))
-        proposals.wait(std::move(proposal));
-}
-
-bool ReplicaTask::Private::forward(Proposal &proposal)
-{
-    const std::string target = forwardTarget();
-    if (target.empty() || target == options.name)
-        return false;
-    ForwardRequest request;
-    request.bytes = proposal.command;
-    request.id = proposals.addForwarded(std::move(proposal), target);
-    if (messenger.send(target, request))
-        return true;
-    // Not one byte has left, so another try is safe.
-    proposals.takeForwarded(request.id, proposal);
-    hintedLeader.clear();
-    ++nextPeer;
-    return false;
-}
-
-std::string ReplicaTask::Private::forwardTarget() const
-{
-    if (replica && !failedForGood)
-        return replica->leader();
-    if (!hintedLeader.empty())
-        return hintedLeader;
-    return options.replicas.empty() ? std::string()
-                                    : options.replicas[nextPeer % options.replicas.size()];
-}
-
 bool ReplicaTask::Private::carryOut(ReplicaOutput output)
 {
     for (OutgoingReplicaMessage &message : output.messages) {
@@ -380,59 +258,6 @@
     writer->saveSnapshot(*savingSnapshot);
 }
 
-void ReplicaTask::Private::onForwardRequest(const Sender &from, ForwardRequest &&request)
-{
-    ForwardReply reply;
-    reply.id = request.id;
-    reply.leader = replica ? replica->leader() : std::string();
-    if (!replica || replica->role() != ReplicaRole::Leader) {
-        reply.failure = static_cast<std::uint32_t>(Failure::NotLeader);
-        static_cast<void>(messenger.send(from.name, reply, from.incarnation));
-        return;
-    }
-    Proposal proposal;
-    proposal.command = std::move(request.bytes);
-    proposal.deadline = now() + options.proposeTimeout;
-    proposal.callback = [this, reply, from](Result<std::string> outcome) mutable {
-        reply.accepted = outcome.has_value();
-        if (outcome) {
-            reply.bytes = std::move(*outcome);
-        } else {
-            reply.failure = static_cast<std::uint32_t>(outcome.error().code.value());
-            reply.detail = outcome.error().detail;
-        }
-        static_cast<void>(messenger.send(from.name, reply, from.incarnation));
-    };
-    const auto position = replica->propose(now(), proposal.command);
-    if (position)
-        proposals.addAppended(*position, std::move(proposal));
-    else
-        proposals.finish(std::move(proposal), tl::make_unexpected(position.error()));
-    scheduleFlush();
-}
-
-void ReplicaTask::Private::onForwardReply(ForwardReply &&reply)
-{
-    Proposal proposal;
-    if (!proposals.takeForwarded(reply.id, proposal))
-        return;
-    if (reply.accepted) {
-        hintedLeader = reply.leader;
-        proposals.finish(std::move(proposal), std::move(reply.bytes));
-    } else if (reply.failure == static_cast<std::uint32_t>(Failure::NotLeader)) {
-        // Nothing was appended there, so the command waits for the next try.
-        hintedLeader = reply.leader;
-        ++nextPeer;
-        proposals.wait(std::move(proposal));
-        return;
-    } else {
-        proposals.finish(std::move(proposal),
-                         fail(static_cast<Failure>(reply.failure), Step::Commit, reply.leader,
-                              std::move(reply.detail)));
-    }
-    scheduleFlush();
-}
-
 void ReplicaTask::Private::noteRole()
 {
     const bool leads = owner.isLeader();
--- /dev/null
+++ b/Source/Entry/replicataskprivate.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include "Control/replica.h"
+#include "Entry/pendingproposals.h"
+#include "Entry/replicatask.h"
+#include "Runtime/messenger.h"
+#include "Runtime/statedump.h"
+#include "Storage/storagewriter.h"
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Oleander {
+
+/** Insides of a ReplicaTask, shared by the files that implement it. */
+struct ReplicaTask::Private
+{
+    Private(ReplicaTask &task, EventLoop &eventLoop, Messenger &frames, StateMachine &state,
+            ReplicaTaskOptions taskOptions)
+        : owner(task)
+        , loop(eventLoop)
+        , messenger(frames)
+        , machine(state)
+        , options(std::move(taskOptions))
+        , ticker(loop, [this] { tick(); })
+    {}
+
+    TimePoint now() const { return loop.clock().now(); }
+    Result<DataFolder> openFolder();
+    Result<void> openReplica();
+    void listenToPeers();
+    void tick();
+    void scheduleFlush();
+    void flush();
+    void routeWaiting();
+    void route(Proposal proposal);
+    bool forward(Proposal &proposal);
+    std::string forwardTarget() const;
+    bool carryOut(ReplicaOutput output);
+    void apply(const CommittedEntry &committed);
+    void restore(const Snapshot &snapshot);
+    void finishReads(const std::vector<ReadOutcome> &outcomes);
+    void takeSnapshotWhenDue();
+    void onForwardRequest(const Sender &from, ForwardRequest &&request);
+    void onForwardReply(ForwardReply &&reply);
+    void noteRole();
+    StorageEvents storageEvents();
+    std::string whyNoLeader() const;
+    std::vector<DumpRow> dumpRows() const;
+
+    ReplicaTask &owner;
+    EventLoop &loop;
+    Messenger &messenger;
+    StateMachine &machine;
+    ReplicaTaskOptions options;
+    std::optional<Replica> replica;
+    PendingProposals proposals;
+    struct Read
+    {
+        ReadCallback callback;
+        TimePoint deadline;
+    };
+    std::map<std::uint64_t, Read> reads;
+    std::uint64_t nextRead = 1;
+    std::vector<std::uint64_t> newReads;
+    /** Reads that failed and are tried again at the next tick. */
+    std::vector<std::uint64_t> retriedReads;
+    std::uint64_t appliedIndex = 0;
+    std::uint64_t bytesSinceSnapshot = 0;
+    std::optional<Snapshot> savingSnapshot;
+    std::string storageError;
+    bool failedForGood = false;
+    bool wasLeader = false;
+    bool flushScheduled = false;
+    std::string hintedLeader;
+    std::size_t nextPeer = 0;
+    Timer ticker;
+    std::unique_ptr<StorageWriter> writer;
+    DumpPart dump{"replica", [this] { return dumpRows(); }};
+    /** Posted work finds this gone once the task is. */
+    std::shared_ptr<Private *> alive = std::make_shared<Private *>(this);
+};
+
+} // namespace Oleander
--- a/Source/Placement/clusterview.cpp
+++ b/Source/Placement/clusterview.cpp
@@ -1,5 +1,6 @@
 #include "Placement/clusterview.h"
 
+#include "Placement/fitting.h"
 #include "Placement/workerledger.h"
 
 #include <algorithm>
@@ -8,7 +9,6 @@
 
 namespace {
 
-constexpr double MilliCoresPerCore = 1000.0;
 constexpr Duration MostReportAge = std::chrono::seconds(60);
 
 /** Share of the fullest dimension that is committed. */
@@ -55,8 +55,7 @@
     workers_[worker].residents.push_back(&resident);
     count(resident, 1);
     refresh(worker);
-    setUse(resident, traits.declared.milliCores / MilliCoresPerCore,
-           static_cast<double>(traits.declared.memoryMiB));
+    setUse(resident, coresOf(traits.declared), static_cast<double>(traits.declared.memoryMiB));
     return resident;
 }
 
--- a/Source/Placement/fitting.cpp
+++ b/Source/Placement/fitting.cpp
@@ -23,6 +23,12 @@
 
 } // namespace
 
+double coresOf(const Resources &size)
+{
+    constexpr double MilliCoresPerCore = 1000.0;
+    return size.milliCores / MilliCoresPerCore;
+}
+
 std::string describe(const Resources &size)
 {
     std::vector<std::string> parts;
--- a/Source/Placement/fitting.h
+++ b/Source/Placement/fitting.h
@@ -18,6 +18,9 @@
 /** Compares \a size with the whole capacity of every known worker, lost ones included. */
 FitVerdict judgeFit(const Resources &size, const std::map<std::string, Worker> &workers);
 
+/** Processors of a size in whole cores. */
+double coresOf(const Resources &size);
+
 /** Text of a size for people: "2000 millicores, 512 MiB, 1 accelerator". */
 std::string describe(const Resources &size);
 
--- a/Source/Placement/pairwisechooser.cpp
+++ b/Source/Placement/pairwisechooser.cpp
@@ -1,5 +1,6 @@
 #include "Placement/pairwisechooser.h"
 
+#include "Placement/fitting.h"
 #include "Placement/workerledger.h"
 
 #include <algorithm>
@@ -10,7 +11,6 @@
 
 namespace {
 
-constexpr double MilliCoresPerCore = 1000.0;
 /** Share of the processors up to which their use is not felt. */
 constexpr double ComfortableShare = 0.75;
 /** Reports after which a newer one counts no more than this many before it. */
@@ -20,9 +20,9 @@
 constexpr double MostLogSlowdown = 4.0;
 constexpr unsigned ProbesPerCandidate = 2;
 
-double coresOf(const WorkerView &worker)
+double wholeCores(const WorkerView &worker)
 {
-    return std::max(1.0, worker.capacity.milliCores / MilliCoresPerCore);
+    return std::max(1.0, coresOf(worker.capacity));
 }
 
 /** Part of \a share above \a limit, squared. */
@@ -36,14 +36,14 @@
 
 double pressureOf(double coresUsed, const WorkerView &worker)
 {
-    return std::max(0.0, coresUsed / coresOf(worker) - ComfortableShare);
+    return std::max(0.0, coresUsed / wholeCores(worker) - ComfortableShare);
 }
 
 std::pair<double, double> PairwiseChooser::expectedUse(const TaskTraits &traits) const
 {
     const auto found = corrections_.find(traits.kind);
     const Correction correction = found == corrections_.end() ? Correction{} : found->second;
-    return {traits.declared.milliCores / MilliCoresPerCore * correction.cores,
+    return {coresOf(traits.declared) * correction.cores,
             static_cast<double>(traits.declared.memoryMiB) * correction.memory};
 }
 
@@ -57,7 +57,7 @@
 {
     const double added = cautious(model_.effect(victim.traits.kind, traits.kind)) * intensity;
     if (!victim.traits.isService) {
-        return weights_.throughput * (1.0 - std::exp(-added)) * victim.cores / coresOf(worker);
+        return weights_.throughput * (1.0 - std::exp(-added)) * victim.cores / wholeCores(worker);
     }
     const Estimate base = model_.base(victim.traits.kind);
     const bool isKnown = victim.reportedAt != TimePoint();
@@ -86,7 +86,7 @@
                              const ClusterView &view) const
 {
     const auto [cores, memory] = expectedUse(traits);
-    const double total = coresOf(worker);
+    const double total = wholeCores(worker);
     const double intensity = cores / total;
     double cost = spreadCost(traits, worker, view);
     double suffered = 0;
@@ -143,7 +143,7 @@
                             const ClusterView &view)
 {
     const TaskTraits &traits = resident.traits;
-    const double declaredCores = traits.declared.milliCores / MilliCoresPerCore;
+    const double declaredCores = coresOf(traits.declared);
     if (declaredCores > 0 && traits.declared.memoryMiB > 0 && resident.throttlePercent == 100) {
         Correction &correction = corrections_[traits.kind];
         const double share = 1.0 / (correction.weight + 1.0);
@@ -159,7 +159,7 @@
     if ((!saysLatency && !saysProgress) || sample.at < resident.since)
         return;
     const WorkerView &worker = view.worker(resident.worker);
-    const double total = coresOf(worker);
+    const double total = wholeCores(worker);
     std::vector<Neighbour> neighbours;
     double used = 0;
     for (const Resident *other : worker.residents) {
--- a/Source/Placement/taskexecutor.cpp
+++ b/Source/Placement/taskexecutor.cpp
@@ -6,16 +6,6 @@
 
 namespace Oleander::Placement {
 
-namespace {
-
-bool hasEnded(AttemptState state)
-{
-    return state == AttemptState::Stopped || state == AttemptState::Succeeded
-           || state == AttemptState::Failed;
-}
-
-} // namespace
-
 void TaskExecutor::heartbeatMade(std::uint64_t stamp, TimePoint now)
 {
     stamps_[stamp] = now;
--- a/Source/Protocol/messages.h
+++ b/Source/Protocol/messages.h
@@ -73,6 +73,13 @@
     Failed,
 };
 
+/** True for the states after which an attempt never runs again. */
+constexpr bool hasEnded(AttemptState state)
+{
+    return state == AttemptState::Stopped || state == AttemptState::Succeeded
+           || state == AttemptState::Failed;
+}
+
 /** Report of one attempt of one task. */
 struct AttemptReport
 {
