agent: Report between listings only the attempts that changed

Cause: whenever one task took a checkpoint, the report to the leader repeated all attempts of the worker, twice a second with 15 tasks. Ruled out: the questions about the configuration, which go to one entry at a time.

--- a/Source/Agent/workertask.cpp
+++ b/Source/Agent/workertask.cpp
@@ -1,7 +1,6 @@
 #include "Agent/workertask.h"
 
 #include "Agent/workerinterface.h"
-#include "Protocol/codec.h"
 
 namespace Oleander {
 
@@ -154,13 +153,23 @@
 
 void WorkerTask::report()
 {
-    TaskReport news{executor_.reports()};
-    std::string encoded = encode(news);
-    if (encoded == lastReport_ || executor_.leader().empty())
+    const std::string &leader = executor_.leader();
+    if (leader.empty())
         return;
-    // The next heartbeat says the same, so a report that is not sent costs only time.
-    if (messenger_.send(executor_.leader(), std::move(news)))
-        lastReport_ = std::move(encoded);
+    if (leader != toldLeader_)
+        told_.clear();
+    toldLeader_ = leader;
+    std::map<std::string, AttemptReport> known;
+    TaskReport news;
+    for (const AttemptReport &attempt : executor_.reports()) {
+        const auto before = told_.find(attempt.task);
+        if (before == told_.end() || !(before->second == attempt))
+            news.attempts.push_back(attempt);
+        known.emplace(attempt.task, attempt);
+    }
+    // The next listing says the same, so a report that is lost costs only time.
+    if (news.attempts.empty() || messenger_.send(leader, std::move(news)))
+        told_ = std::move(known);
 }
 
 } // namespace Oleander
--- a/Source/Agent/workertask.h
+++ b/Source/Agent/workertask.h
@@ -75,7 +75,9 @@
     bool isSendingLease_ = false;
     std::vector<UsageReport> usage_;
     TimePoint usageReadAt_{};
-    std::string lastReport_;
+    /** What the leader was told last of each attempt, and which leader that was. */
+    std::map<std::string, AttemptReport> told_;
+    std::string toldLeader_;
 };
 
 } // namespace Oleander
--- a/Source/Protocol/messages.h
+++ b/Source/Protocol/messages.h
@@ -89,6 +89,8 @@
     std::string reason;
     /** Number of the last whole checkpoint that the worker holds; 0 means none. */
     std::uint64_t checkpoint = 0;
+
+    bool operator==(const AttemptReport &) const = default;
 };
 
 template<typename F>
