settings: Run both programs' loops by one function

Cause: starting the tasks, logging that the process serves, and turning a failed start into an exit code stood word for word in the entry and in the agent. Weighed: a base class of both processes, against a function that takes the start; the function was taken, since the two share no state. Ruled out: the Runtime package, which knows no exit codes. Before: two copies. Conclusion: no behaviour changes.

--- a/Source/Agent/agentprocess.cpp
+++ b/Source/Agent/agentprocess.cpp
@@ -12,7 +12,7 @@
 #include "Runtime/messenger.h"
 #include "Runtime/processdoor.h"
 #include "Runtime/processwatch.h"
-#include "Settings/exitcode.h"
+#include "Settings/processrun.h"
 
 #include <csignal>
 
@@ -100,15 +100,7 @@
 
     ExitCode run()
     {
-        if (const auto started = start(); !started) {
-            logEvent(LogEvent::StartFailed, started.error());
-            return exitCodeOf(started.error().code);
-        }
-        logEvent(LogEvent::ProcessStarted, Step::None, settings_.name,
-                 {{"incarnation", messenger_.incarnation()}});
-        loop_.run();
-        logEvent(LogEvent::ProcessStopped, Step::None, settings_.name, {});
-        return ExitCode::Success;
+        return runProcess(loop_, messenger_, [this] { return start(); });
     }
 
 private:
--- a/Source/Entry/entry.cpp
+++ b/Source/Entry/entry.cpp
@@ -11,7 +11,7 @@
 #include "Runtime/log.h"
 #include "Runtime/messenger.h"
 #include "Runtime/processwatch.h"
-#include "Settings/exitcode.h"
+#include "Settings/processrun.h"
 #include "State/controlstate.h"
 
 #include <algorithm>
@@ -103,15 +103,7 @@
 
     ExitCode run()
     {
-        if (const auto started = start(); !started) {
-            logEvent(LogEvent::StartFailed, started.error());
-            return exitCodeOf(started.error().code);
-        }
-        logEvent(LogEvent::ProcessStarted, Step::None, settings_.name,
-                 {{"incarnation", messenger_.incarnation()}});
-        loop_.run();
-        logEvent(LogEvent::ProcessStopped, Step::None, settings_.name, {});
-        return ExitCode::Success;
+        return runProcess(loop_, messenger_, [this] { return start(); });
     }
 
 private:
