--- a/Source/Fleet/controlhost.cpp
+++ b/Source/Fleet/controlhost.cpp
@@ -2,14 +2,17 @@
 
 #include "Fleet/jobservice.h"
 #include "Fleet/leaderclient.h"
+#include "Fleet/settingswatch.h"
 #include "Runtime/incarnation.h"
 #include "Runtime/log.h"
 #include "Runtime/processdoor.h"
 #include "Runtime/processwatch.h"
 #include "Settings/processrun.h"
+#include "Settings/settingsfile.h"
 
 #include <algorithm>
 #include <csignal>
+#include <iostream>
 
 namespace Oleander::Fleet {
 
@@ -54,8 +57,9 @@
 class ControlHost
 {
 public:
-    ControlHost(const ControlHostSettings &settings, const FleetWire &wire)
+    ControlHost(const ControlHostSettings &settings, const std::string &path, const FleetWire &wire)
         : settings_(settings)
+        , path_(path)
         , wire_(wire)
         , messenger_(loop_, settings.link, newIncarnation(loop_.clock()))
         , replica_(loop_, messenger_, state_, replicaOptions(settings))
@@ -64,6 +68,7 @@
         , door_(loop_, settings.limits,
                 [this](const std::shared_ptr<HttpExchange> &exchange) { handle(exchange); })
         , watch_(loop_)
+        , settingsWatch_(loop_, path, [this] { reload(); })
         , membershipTimer_(loop_, [this] { followMembership(); })
         , drainTimer_(loop_, [this] { continueDrain(); })
     {}
@@ -74,8 +79,19 @@
     }
 
 private:
+    // Only the seeds may change while the process runs; a file with mistakes changes nothing.
+    void reload()
+    {
+        const auto settings = loadControlHostSettings(path_, std::cerr);
+        if (settings)
+            leader_.setSeeds(settings->group.seeds);
+        logEvent(settings ? LogEvent::SettingsReloaded : LogEvent::SettingsRefused, Step::Settings,
+                 messenger_.name(), {{"file", path_}});
+    }
+
     Result<void> start()
     {
+        settingsWatch_.start();
         for (const int signal : {SIGTERM, SIGINT})
             loop_.onSignal(signal, [this] { drain(); });
         if (auto listening = messenger_.listen(settings_.link); !listening)
@@ -202,6 +218,7 @@
     }
 
     ControlHostSettings settings_;
+    std::string path_;
     const FleetWire &wire_;
     EventLoop loop_;
     Messenger messenger_;
@@ -211,6 +228,7 @@
     LeaderClient leader_;
     HttpServer door_;
     ProcessWatch watch_;
+    SettingsWatch settingsWatch_;
     Timer membershipTimer_;
     Timer drainTimer_;
     /** Processes that asked for the group; they hear of its changes. */
@@ -222,9 +240,10 @@
 
 } // namespace
 
-int runControlHost(const ControlHostSettings &settings, const FleetWire &wire)
+int runControlHost(const ControlHostSettings &settings, const std::string &path,
+                   const FleetWire &wire)
 {
-    ControlHost host(settings, wire);
+    ControlHost host(settings, path, wire);
     return static_cast<int>(host.run());
 }
 
--- a/Source/Fleet/controlhost.h
+++ b/Source/Fleet/controlhost.h
@@ -5,7 +5,11 @@
 
 namespace Oleander::Fleet {
 
-/** Runs a control host until it is told to stop; returns the exit code. */
-int runControlHost(const ControlHostSettings &settings, const FleetWire &wire);
+/**
+ * Runs a control host until it is told to stop; returns the exit code. \a path
+ * is that of the settings file, which is read again when it changes.
+ */
+int runControlHost(const ControlHostSettings &settings, const std::string &path,
+                   const FleetWire &wire);
 
 } // namespace Oleander::Fleet
--- a/Source/Fleet/jobentry.cpp
+++ b/Source/Fleet/jobentry.cpp
@@ -1,12 +1,15 @@
 #include "Fleet/jobentry.h"
 
 #include "Fleet/leaderclient.h"
+#include "Fleet/settingswatch.h"
 #include "Runtime/incarnation.h"
 #include "Runtime/log.h"
 #include "Runtime/processwatch.h"
 #include "Settings/processrun.h"
+#include "Settings/settingsfile.h"
 
 #include <csignal>
+#include <iostream>
 
 namespace Oleander::Fleet {
 
@@ -23,8 +26,9 @@
 class JobEntry
 {
 public:
-    JobEntry(const JobEntrySettings &settings, const FleetWire &wire)
+    JobEntry(const JobEntrySettings &settings, const std::string &path, const FleetWire &wire)
         : settings_(settings)
+        , path_(path)
         , wire_(wire)
         , messenger_(loop_, settings.name, newIncarnation(loop_.clock()))
         , leader_(loop_, messenger_, settings.group.seeds)
@@ -33,6 +37,7 @@
         , healthDoor_(loop_, settings.limits,
                       [this](const std::shared_ptr<HttpExchange> &exchange) { health(exchange); })
         , watch_(loop_)
+        , settingsWatch_(loop_, path, [this] { reload(); })
         , drainTimer_(loop_, [this] { continueDrain(); })
     {}
 
@@ -42,8 +47,19 @@
     }
 
 private:
+    // Only the seeds may change while the process runs; a file with mistakes changes nothing.
+    void reload()
+    {
+        const auto settings = loadJobEntrySettings(path_, std::cerr);
+        if (settings)
+            leader_.setSeeds(settings->group.seeds);
+        logEvent(settings ? LogEvent::SettingsReloaded : LogEvent::SettingsRefused, Step::Settings,
+                 messenger_.name(), {{"file", path_}});
+    }
+
     Result<void> start()
     {
+        settingsWatch_.start();
         for (const int signal : {SIGTERM, SIGINT})
             loop_.onSignal(signal, [this] { drain(); });
         leader_.start();
@@ -110,6 +126,7 @@
     }
 
     JobEntrySettings settings_;
+    std::string path_;
     const FleetWire &wire_;
     EventLoop loop_;
     Messenger messenger_;
@@ -117,6 +134,7 @@
     HttpServer callerDoor_;
     HttpServer healthDoor_;
     ProcessWatch watch_;
+    SettingsWatch settingsWatch_;
     Timer drainTimer_;
     TimePoint drainStart_{};
     bool draining_ = false;
@@ -124,9 +142,10 @@
 
 } // namespace
 
-int runJobEntry(const JobEntrySettings &settings, const FleetWire &wire)
+int runJobEntry(const JobEntrySettings &settings, const std::string &path,
+                const FleetWire &wire)
 {
-    JobEntry entry(settings, wire);
+    JobEntry entry(settings, path, wire);
     return static_cast<int>(entry.run());
 }
 
--- a/Source/Fleet/jobservice.cpp
+++ b/Source/Fleet/jobservice.cpp
@@ -23,6 +23,18 @@
     return path.substr(queue.pathPrefix.size());
 }
 
+/** Steps as "COUNTxMILLICORES@ESTIMATE", with f for filling, l for lasting, s for copies. */
+std::string stepsText(const std::vector<StepSpec> &steps)
+{
+    std::string text;
+    for (const StepSpec &step : steps) {
+        text += fmt::format("{}{}x{}@{}ms{}{}{}", text.empty() ? "" : ",", step.count,
+                            step.milliCores, step.estimateMs, step.filling ? "f" : "",
+                            step.lasting ? "l" : "", step.speculative ? "s" : "");
+    }
+    return text;
+}
+
 } // namespace
 
 JobService::JobService(EventLoop &loop, Messenger &messenger, ReplicaTask &replica,
@@ -97,7 +109,7 @@
     if (jobIdIn(*queue, call.path) != call.job.id)
         return callback(answerOf(JobAnswerKind::NoSuchQueue, "The path is longer than a job's."));
     logEvent(LogEvent::JobReceived, Step::Accept, {},
-             {{"job", call.job.id}, {"queue", queue->name}, {"steps", call.job.steps.size()}});
+             {{"job", call.job.id}, {"queue", queue->name}, {"steps", stepsText(call.job.steps)}});
     calls_.submissions.push_back({queue->name, call.job});
     waiters_.push_back({std::move(callback), answerOf(JobAnswerKind::Accepted)});
     pumpSoon();
--- a/Source/Fleet/machineagent.cpp
+++ b/Source/Fleet/machineagent.cpp
@@ -2,12 +2,15 @@
 
 #include "Fleet/leaderclient.h"
 #include "Fleet/miniontask.h"
+#include "Fleet/settingswatch.h"
 #include "Runtime/incarnation.h"
 #include "Runtime/log.h"
 #include "Runtime/processwatch.h"
 #include "Settings/processrun.h"
+#include "Settings/settingsfile.h"
 
 #include <csignal>
+#include <iostream>
 
 namespace Oleander::Fleet {
 
@@ -24,8 +27,9 @@
 class MachineAgent
 {
 public:
-    MachineAgent(const MachineAgentSettings &settings, const FleetWire &wire)
+    MachineAgent(const MachineAgentSettings &settings, const std::string &path, const FleetWire &wire)
         : settings_(settings)
+        , path_(path)
         , wire_(wire)
         , messenger_(loop_, settings.name, newIncarnation(loop_.clock()))
         , leader_(loop_, messenger_, settings.group.seeds)
@@ -33,6 +37,7 @@
         , door_(loop_, settings.limits,
                 [this](const std::shared_ptr<HttpExchange> &exchange) { handle(exchange); })
         , watch_(loop_)
+        , settingsWatch_(loop_, path, [this] { reload(); })
         , reportTimer_(loop_, [this] { report(); })
     {}
 
@@ -42,8 +47,19 @@
     }
 
 private:
+    // Only the seeds may change while the process runs; a file with mistakes changes nothing.
+    void reload()
+    {
+        const auto settings = loadMachineAgentSettings(path_, std::cerr);
+        if (settings)
+            leader_.setSeeds(settings->group.seeds);
+        logEvent(settings ? LogEvent::SettingsReloaded : LogEvent::SettingsRefused, Step::Settings,
+                 messenger_.name(), {{"file", path_}});
+    }
+
     Result<void> start()
     {
+        settingsWatch_.start();
         for (const int signal : {SIGTERM, SIGINT})
             loop_.onSignal(signal, [this] { stop(); });
         messenger_.on<MachineDirective>([this](const Sender &, MachineDirective &&directive) {
@@ -94,6 +110,7 @@
     }
 
     MachineAgentSettings settings_;
+    std::string path_;
     const FleetWire &wire_;
     EventLoop loop_;
     Messenger messenger_;
@@ -101,6 +118,7 @@
     MinionTask minion_;
     HttpServer door_;
     ProcessWatch watch_;
+    SettingsWatch settingsWatch_;
     Timer reportTimer_;
     std::uint64_t sequence_ = 0;
     bool reportPosted_ = false;
@@ -108,9 +126,10 @@
 
 } // namespace
 
-int runMachineAgent(const MachineAgentSettings &settings, const FleetWire &wire)
+int runMachineAgent(const MachineAgentSettings &settings, const std::string &path,
+                    const FleetWire &wire)
 {
-    MachineAgent agent(settings, wire);
+    MachineAgent agent(settings, path, wire);
     return static_cast<int>(agent.run());
 }
 
--- a/Source/Oleander/main.cpp
+++ b/Source/Oleander/main.cpp
@@ -37,7 +37,7 @@
     const auto settings = loadControlHostSettings(path, std::cerr);
     if (!settings)
         return static_cast<int>(ExitCode::Settings);
-    return Fleet::runControlHost(*settings, Platform::platformWire());
+    return Fleet::runControlHost(*settings, path, Platform::platformWire());
 }
 
 int entryForJobs(const std::string &path)
@@ -45,7 +45,7 @@
     const auto settings = loadJobEntrySettings(path, std::cerr);
     if (!settings)
         return static_cast<int>(ExitCode::Settings);
-    return Fleet::runJobEntry(*settings, Platform::platformWire());
+    return Fleet::runJobEntry(*settings, path, Platform::platformWire());
 }
 
 int checkConfig(const std::string &path)
--- a/Source/OleanderAgent/main.cpp
+++ b/Source/OleanderAgent/main.cpp
@@ -34,7 +34,7 @@
     const auto settings = loadMachineAgentSettings(path, std::cerr);
     if (!settings)
         return static_cast<int>(ExitCode::Settings);
-    return Fleet::runMachineAgent(*settings, Platform::platformWire());
+    return Fleet::runMachineAgent(*settings, path, Platform::platformWire());
 }
 
 } // namespace
--- a/Source/Runtime/link.cpp
+++ b/Source/Runtime/link.cpp
@@ -112,7 +112,9 @@
         const auto named = bySender.find(connection.sender);
         if (named != bySender.end() && named->second == &connection)
             bySender.erase(named);
-        // The stream may be on the stack, so it is freed in a later turn.
+        // The stream may be on the stack, so it is freed in a later turn; nothing may arrive on it
+        // until then.
+        connection.stream->close();
         auto parked = std::make_shared<std::list<Accepted>>();
         const auto found = std::find_if(accepted.begin(), accepted.end(),
                                         [&](const Accepted &item) { return &item == &connection; });
--- a/Source/Runtime/log.h
+++ b/Source/Runtime/log.h
@@ -33,7 +33,7 @@
 /** How many lines of one event a log writes in one window; the rest is counted. */
 struct LogFloodLimit
 {
-    std::uint32_t lines = 50;
+    std::uint32_t lines = 500;
     Duration window = std::chrono::seconds(1);
 };
 
--- a/Source/Runtime/logevent.cpp
+++ b/Source/Runtime/logevent.cpp
@@ -24,6 +24,7 @@
     {LogEvent::StartFailed, LogLevel::Error, "process.start-failed"},
     {LogEvent::LinesLeftOut, LogLevel::Warning, "log.lines-left-out"},
     {LogEvent::StateDump, LogLevel::Info, "process.state"},
+    {LogEvent::SettingsReloaded, LogLevel::Info, "settings.reloaded"},
 
     {LogEvent::RequestFailed, LogLevel::Warning, "request.failed"},
     {LogEvent::RequestRetried, LogLevel::Info, "request.retried"},
--- a/Source/Runtime/logevent.h
+++ b/Source/Runtime/logevent.h
@@ -25,6 +25,7 @@
     StartFailed = 1004,
     LinesLeftOut = 1005,
     StateDump = 1006,
+    SettingsReloaded = 1007,
 
     RequestFailed = 2000,
     RequestRetried = 2001,
