jobs: Place filling tasks by what each pair of images was seen to do

They were placed where the ledger showed room, which was beside lasting tasks that some images disturb at a tenth of their share; the agents then paced everything there down (mean pace 20 to 60 percent, 50 to 230 of about 300 idle cores used).

Ruled out: too little room (cores used fell while pace did); the order of jobs; the delay of starts (half within 71 ms).

Change: the leader learns from all reports what a core of each filling image adds to the pressure on each serving image, and places a filling task only where the predicted pressure stays under the bound; a job with nothing at work is placed after 1.5 s all the same.

--- a/Source/Fleet/miniontask.cpp
+++ b/Source/Fleet/miniontask.cpp
@@ -353,8 +353,9 @@
         const auto order = described_.find(key);
         if (order == described_.end())
             continue;
-        const std::uint32_t target = order->second.targetLatencyMs;
-        runs.push_back({key, order->second.filling, target, target > 0 ? status.figure : 0});
+        const StartOrder &known = order->second;
+        runs.push_back({key, known.filling, known.image, known.milliCores, known.targetLatencyMs,
+                        status.figure});
     }
     for (const Jobs::PaceOrder &order : pace_.update(loop_.clock().now(), runs)) {
         const auto &[task, run] = order.key;
@@ -382,6 +383,7 @@
     report.listed = listed_;
     report.running = running_;
     report.finished = finished_;
+    report.fillingPercent = pace_.percent();
     for (const auto &[key, start] : starts_)
         report.undelivered.push_back(namedRun(key, RunEndKind::Lost));
     for (const auto &[key, refusal] : refusals_) {
--- /dev/null
+++ b/Source/Jobs/interferencetable.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace Oleander::Jobs {
+
+/** A serving task as a report shows it. */
+struct ServingSample
+{
+    std::string image;
+    /** Tail latency in parts of its bound. */
+    double pressure = 0;
+};
+
+/** Cores that filling tasks use or ask for, by image. */
+using FillingCores = std::map<std::string, double>;
+
+/**
+ * \class InterferenceTable
+ * \brief Learns how much a core of each filling image presses on each serving image.
+ *
+ * Load it answers: some pairs of images disturb each other even at a small share, others not at
+ * all; only the reports of minions on which they meet tell which. Older reports count less.
+ */
+class InterferenceTable
+{
+public:
+    /** Takes in one report of a minion. */
+    void observe(const std::vector<ServingSample> &serving, const FillingCores &used);
+    /** Cores of \a image that fit beside \a serving, with \a present already there, until one of
+     * them is near its bound. */
+    double room(const std::string &image, const std::vector<std::string> &serving,
+                const FillingCores &present) const;
+    /** Pressure that a core of \a filling adds to \a serving, in parts of its bound. */
+    double press(const std::string &filling, const std::string &serving) const;
+    /** Pressure of \a serving without filling tasks. */
+    double base(const std::string &serving) const;
+
+private:
+    std::map<std::pair<std::string, std::string>, double> press_;
+    std::map<std::string, double> base_;
+};
+
+} // namespace Oleander::Jobs
--- a/Source/Jobs/jobbook.cpp
+++ b/Source/Jobs/jobbook.cpp
@@ -81,6 +81,7 @@
     job.spec = submission.job.spec;
     job.steps = submission.job.steps;
     job.acceptedAtMs = atMs;
+    job.changedAtMs = atMs;
     job.done.assign(job.steps.size(), 0);
     for (const StepSpec &step : job.steps)
         job.tasks.emplace_back(step.count);
@@ -127,6 +128,7 @@
     if (index->second.empty())
         activeRuns_.erase(index);
     Job &job = jobs_.find(note.end.task.job)->second;
+    job.changedAtMs = atMs;
     if (!note.end.checkpoint.empty())
         task->checkpoint = note.end.checkpoint;
     if (task->done || job.ended())
@@ -168,6 +170,7 @@
     task->active.push_back({start.run, start.minion, atMs});
     activeRuns_[start.minion].insert({start.task, start.run});
     job.state = JobState::Running;
+    job.changedAtMs = atMs;
     return true;
 }
 
--- a/Source/Jobs/jobbook.h
+++ b/Source/Jobs/jobbook.h
@@ -60,6 +60,8 @@
     JobState state = JobState::Queued;
     std::int64_t acceptedAtMs = 0;
     std::int64_t endedAtMs = 0;
+    /** Calendar time of its latest start or end of a run, or of its acceptance. */
+    std::int64_t changedAtMs = 0;
     /** Number of done tasks of each step. */
     std::vector<std::uint32_t> done;
 
@@ -80,6 +82,7 @@
     f(v.acceptedAtMs);
     f(v.endedAtMs);
     f(v.done);
+    f(v.changedAtMs);
 }
 
 /** Key of a run: its task and number. */
--- a/Source/Jobs/jobscheduler.cpp
+++ b/Source/Jobs/jobscheduler.cpp
@@ -37,6 +37,8 @@
 {
     for (EndNote &note : machines_.report(now, agent, report, book_))
         ends_.push_back(std::move(note));
+    if (report.present && report.listed)
+        learn(report);
     Acknowledgement &waiting = waiting_[{agent, report.minion.life}];
     for (const RunEnd &end : report.finished)
         waiting.end = std::max(waiting.end, end.number);
@@ -44,6 +46,24 @@
         waiting.report = std::max(waiting.report, report.sequence);
 }
 
+void JobScheduler::learn(const MachineReport &report)
+{
+    constexpr double MilliCoresPerCore = 1000;
+    std::vector<ServingSample> serving;
+    FillingCores used;
+    for (const RunStatus &status : report.running) {
+        const Job *job = book_.find(status.task.job);
+        if (job == nullptr || status.task.step >= job->steps.size())
+            continue;
+        const StepSpec &step = job->steps[status.task.step];
+        if (step.filling)
+            used[step.image] += status.figure / MilliCoresPerCore;
+        else if (step.targetLatencyMs > 0 && status.figure > 0)
+            serving.push_back({step.image, static_cast<double>(status.figure) / step.targetLatencyMs});
+    }
+    interference_.observe(serving, used);
+}
+
 JobBatch JobScheduler::takeBatch(TimePoint now, std::int64_t nowMs)
 {
     JobBatch batch;
@@ -61,7 +81,7 @@
     batch.atMs = nowMs;
     batch.ends = std::exchange(ends_, {});
     if (batch.ends.empty())
-        batch.starts = TaskPlacer(book_, machines_).place(now, nowMs);
+        batch.starts = TaskPlacer(book_, machines_, interference_).place(now, nowMs);
     inFlight_ = std::exchange(waiting_, {});
     // Acknowledgements of ends that the book holds already wait for no commit.
     if (batch.empty())
@@ -139,7 +159,8 @@
             const StepSpec &step = job->steps[key.first.step];
             directive.starts.push_back({key.first, key.second, job->spec,
                                         job->tasks[key.first.step][key.first.index].checkpoint,
-                                        step.filling, step.targetLatencyMs});
+                                        step.filling, step.targetLatencyMs, step.image,
+                                        step.milliCores});
         }
     }
     for (const auto &[key, view] : machine.running) {
--- a/Source/Jobs/jobscheduler.h
+++ b/Source/Jobs/jobscheduler.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Jobs/interferencetable.h"
 #include "Jobs/jobbook.h"
 #include "Jobs/machinetable.h"
 
@@ -48,9 +49,11 @@
     bool mustStop(const RunKey &key) const;
     bool mustLeave(const Machine &machine, const RunKey &key) const;
     bool orderDue(TimePoint now, const RunKey &key);
+    void learn(const MachineReport &report);
 
     const JobBook &book_;
     MachineTable machines_;
+    InterferenceTable interference_;
     std::uint64_t term_ = 0;
     bool batchInFlight_ = false;
     std::vector<EndNote> ends_;
--- a/Source/Jobs/machinetable.cpp
+++ b/Source/Jobs/machinetable.cpp
@@ -70,6 +70,7 @@
     machine.agent = agent;
     machine.minion = report.minion;
     machine.reportedAt = now;
+    machine.fillingPercent = report.fillingPercent;
     machine.clockMs = std::max(machine.clockMs, report.minionClockMs);
     takeLists(now, machine, report, book);
     for (const auto *list : {&report.finished, &report.refused}) {
@@ -101,7 +102,7 @@
     for (const RunStatus &status : report.running) {
         const RunKey key{status.task, status.run};
         const auto before = machine.running.find(key);
-        RunView view{status.percent, status.checkpoint, now, status.described};
+        RunView view{status.percent, status.checkpoint, status.figure, now, status.described};
         if (before != machine.running.end() && before->second.percent >= status.percent)
             view.progressAt = before->second.progressAt;
         listed.emplace(key, std::move(view));
--- a/Source/Jobs/machinetable.h
+++ b/Source/Jobs/machinetable.h
@@ -30,6 +30,8 @@
 {
     std::uint32_t percent = 0;
     std::string checkpoint;
+    /** See RunStatus. */
+    std::uint32_t figure = 0;
     /** Time at which the percentage last rose. */
     TimePoint progressAt{};
     /** True when the agent knows the order that started it. */
@@ -51,6 +53,8 @@
     /** Highest number of a committed end. */
     std::uint64_t acknowledgedEnd = 0;
     std::map<RunKey, RunView> running;
+    /** Share of their processor time that the filling runs may use, in percent. */
+    std::uint32_t fillingPercent = 100;
     std::set<RunKey> undelivered;
     std::set<RunKey> finishing;
     MinionHealth health;
--- a/Source/Jobs/taskplacer.cpp
+++ b/Source/Jobs/taskplacer.cpp
@@ -1,13 +1,21 @@
 #include "Jobs/taskplacer.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace Oleander::Jobs {
 
 namespace {
 
-/** Weight of one serving task in the choice for a filling one, in milli-cores of free time. */
-constexpr std::int64_t ServingPenaltyMilliCores = 8'000;
+/** Part of its claim that a serving task uses on average, in hundredths. */
+constexpr std::int64_t ServingUseHundredths = 50;
+constexpr double MilliCores = 1000.0;
+/** Bound of a room in cores that nothing limits. */
+constexpr double MostCores = 100'000.0;
+/** A job that has nothing at work gets a filling task placed this long after its turn has come,
+ * however little time is left for it. */
+constexpr std::int64_t StarvedMs = 1'500;
+constexpr std::int64_t Hundred = 100;
 /** Weight of a minion that is not on the rack of the data, in milli-cores of free time. */
 constexpr std::int64_t FarPenaltyMilliCores = 1'000'000;
 
@@ -15,11 +23,28 @@
 {
     use.memoryMiB += step.memoryMiB;
     use.accelerators += step.accelerators;
-    if (step.filling)
+    if (step.filling) {
         use.fillingMilliCores += step.milliCores;
-    else
+        use.filling[step.image] += step.milliCores / MilliCores;
+    } else {
         use.milliCores += step.milliCores;
-    use.serving += step.targetLatencyMs > 0 ? 1 : 0;
+    }
+    if (step.targetLatencyMs > 0) {
+        use.servingMilliCores += step.milliCores;
+        use.serving.push_back(step.image);
+    }
+}
+
+/** True when nothing of \a job is at work and nothing of it was decided lately. */
+bool isStarved(const Job &job, std::int64_t nowMs)
+{
+    for (const auto &step : job.tasks) {
+        for (const Task &task : step) {
+            if (!task.active.empty())
+                return false;
+        }
+    }
+    return nowMs > job.changedAtMs + StarvedMs;
 }
 
 bool hasLabel(const MinionReport &minion, const std::string &label)
@@ -43,6 +68,7 @@
 std::vector<RunStart> TaskPlacer::place(TimePoint now, std::int64_t nowMs)
 {
     candidates_.clear();
+    nowMs_ = nowMs;
     const auto use = minionUse(book_);
     for (const auto &[life, machine] : machines_.machines()) {
         if (!machines_.takesTasks(now, machine))
@@ -75,11 +101,13 @@
         for (const ActiveRun &run : task.active)
             ++spread[run.minion];
     }
+    bool urgent = isStarved(*ranked.job, nowMs_);
     for (std::uint32_t index = 0; index < tasks.size(); ++index) {
         const Task &task = tasks[index];
         if (task.done || !task.active.empty())
             continue;
-        Candidate *best = choose(spec, queue->service, task, queue->maxAttempts, spread);
+        Candidate *best = choose(spec, queue->service, task, queue->maxAttempts,
+                                 std::exchange(urgent, false), spread);
         // The tasks of a step are alike but for their attempts, so one that fits nowhere ends it.
         if (best == nullptr)
             return;
@@ -98,8 +126,20 @@
            && candidate.use.accelerators + step.accelerators <= minion.accelerators;
 }
 
+std::int64_t TaskPlacer::fillingRoom(const Candidate &candidate, const std::string &image) const
+{
+    const MinionUse &use = candidate.use;
+    const auto claimed = static_cast<std::int64_t>(use.milliCores);
+    const auto serving = static_cast<std::int64_t>(use.servingMilliCores);
+    const std::int64_t idle = candidate.machine->minion.milliCores - claimed
+                              + serving * (Hundred - ServingUseHundredths) / Hundred
+                              - static_cast<std::int64_t>(use.fillingMilliCores);
+    const double beside = interference_.room(image, use.serving, use.filling);
+    return std::min(idle, static_cast<std::int64_t>(std::min(beside, MostCores) * MilliCores));
+}
+
 TaskPlacer::Candidate *TaskPlacer::choose(const StepSpec &step, const std::string &service,
-                                          const Task &task, std::uint32_t maxAttempts,
+                                          const Task &task, std::uint32_t maxAttempts, bool urgent,
                                           const std::map<MinionLife, std::uint32_t> &spread)
 {
     const bool lastAttempt = !step.lasting && task.failures + 1 >= maxAttempts;
@@ -119,10 +159,10 @@
                           - static_cast<std::int64_t>(candidate.use.milliCores);
         // Filling tasks go where most time is left; others go where least is, so that room for
         // wide tasks stays together.
-        std::int64_t score =
-            step.filling ? free - static_cast<std::int64_t>(candidate.use.fillingMilliCores)
-                               - ServingPenaltyMilliCores * candidate.use.serving
-                         : -free;
+        const std::int64_t room = step.filling ? fillingRoom(candidate, step.image) : 0;
+        if (step.filling && !urgent && room < static_cast<std::int64_t>(step.milliCores))
+            continue;
+        std::int64_t score = step.filling ? room : -free;
         if (!step.affinity.empty() && !hasLabel(minion, step.affinity))
             score -= FarPenaltyMilliCores;
         if (best == nullptr || score > bestScore) {
--- a/Source/Jobs/taskplacer.h
+++ b/Source/Jobs/taskplacer.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Jobs/interferencetable.h"
 #include "Jobs/joborder.h"
 #include "Jobs/machinetable.h"
 
@@ -13,12 +14,16 @@
 struct MinionUse
 {
     std::uint64_t milliCores = 0;
+    /** Part of milliCores that serving tasks claim. */
+    std::uint64_t servingMilliCores = 0;
     std::uint64_t memoryMiB = 0;
     std::uint64_t accelerators = 0;
     /** Processor time that filling tasks ask for, which is not claimed. */
     std::uint64_t fillingMilliCores = 0;
-    /** Tasks with a bound of their tail latency. */
-    std::uint32_t serving = 0;
+    /** The same by image, in cores. */
+    FillingCores filling;
+    /** Images of the tasks with a bound of their tail latency. */
+    std::vector<std::string> serving;
 };
 
 /** Sums what the active runs of \a book claim of each life of a minion. */
@@ -34,7 +39,9 @@
 class TaskPlacer
 {
 public:
-    TaskPlacer(const JobBook &book, const MachineTable &machines) : book_(book), machines_(machines)
+    TaskPlacer(const JobBook &book, const MachineTable &machines,
+               const InterferenceTable &interference)
+        : book_(book), machines_(machines), interference_(interference)
     {}
 
     /** Returns the starts for the calendar time \a nowMs, which is \a now on the loop's clock. */
@@ -50,12 +57,17 @@
 
     void placeStep(const RankedJob &ranked, std::uint32_t step, std::vector<RunStart> &starts);
     Candidate *choose(const StepSpec &step, const std::string &service, const Task &task,
-                      std::uint32_t maxAttempts, const std::map<MinionLife, std::uint32_t> &spread);
+                      std::uint32_t maxAttempts, bool urgent,
+                      const std::map<MinionLife, std::uint32_t> &spread);
     bool fits(const Candidate &candidate, const StepSpec &step) const;
+    /** Milli-cores that more tasks of \a image can expect on \a candidate. */
+    std::int64_t fillingRoom(const Candidate &candidate, const std::string &image) const;
 
     const JobBook &book_;
     const MachineTable &machines_;
+    const InterferenceTable &interference_;
     std::vector<Candidate> candidates_;
+    std::int64_t nowMs_ = 0;
 };
 
 } // namespace Oleander::Jobs
--- a/Source/Protocol/jobmessages.h
+++ b/Source/Protocol/jobmessages.h
@@ -215,6 +215,8 @@
     std::vector<RunEnd> undelivered;
     /** Starts that the minion refused and never ran. */
     std::vector<RunEnd> refused;
+    /** Share of their processor time that the filling runs may use, in percent. */
+    std::uint32_t fillingPercent = 100;
 };
 
 template<typename F>
@@ -230,6 +232,7 @@
     f(v.finished);
     f(v.undelivered);
     f(v.refused);
+    f(v.fillingPercent);
 }
 
 /** One run that the minion shall start, with what its agent needs to know for pacing. */
@@ -241,6 +244,8 @@
     std::string checkpoint;
     bool filling = false;
     std::uint32_t targetLatencyMs = 0;
+    std::string image;
+    std::uint32_t milliCores = 0;
 };
 
 template<typename F>
@@ -252,6 +257,8 @@
     f(v.checkpoint);
     f(v.filling);
     f(v.targetLatencyMs);
+    f(v.image);
+    f(v.milliCores);
 }
 
 /** One run that the minion shall stop. */
