jobs: Let the share of filling tasks rise past what is known of the pairs while services have slack

Work that can still be in time now goes before lasting tasks in the order of placing.

Failed trial, taken back: a tenth of each minion kept from lasting tasks.

--- a/Source/Jobs/joborder.h
+++ b/Source/Jobs/joborder.h
@@ -10,10 +10,11 @@
 
 /** How much a job can still earn; lower ones come first. */
 enum class JobRank {
-    /** Its tasks last, and each second without them counts. */
-    Lasting,
     /** It can still meet its objective. */
     WithinObjective,
+    /** Its tasks last, and each second without them counts; for each core-second they earn less than
+     * what can still be in time. */
+    Lasting,
     /** It can still end before the objective is passed three times over. */
     Late,
     /** Nobody waits for it any more; it fills gaps. */
--- a/Source/Jobs/pacecontroller.cpp
+++ b/Source/Jobs/pacecontroller.cpp
@@ -19,6 +19,8 @@
 /** Smallest share that is worth a call; below it a run stands. */
 constexpr double LeastShare = 0.04;
 constexpr double Cut = 0.5;
+/** Gain up to which the shares may pass what is known of the pairs while the services have slack. */
+constexpr double MostGain = 8.0;
 constexpr double RaiseFactor = 1.5;
 constexpr double RaiseStep = 0.1;
 /** Time for a change to show in the reports, which cover half a second. */
@@ -63,7 +65,7 @@
     if (pressure > SlowAbove) {
         gain_ = gain_ * Cut < LeastShare ? 0 : gain_ * Cut;
     } else if (pressure < RaiseBelow) {
-        gain_ = std::min(1.0, gain_ * RaiseFactor + RaiseStep);
+        gain_ = std::min(MostGain, gain_ * RaiseFactor + RaiseStep);
     }
     if (gain_ != before)
         changedAt_ = now;
@@ -130,7 +132,7 @@
     for (const PacedRun &run : runs) {
         if (!run.filling)
             continue;
-        const double modelled = gain_ * shares.at(run.image);
+        const double modelled = std::min(1.0, gain_ * shares.at(run.image));
         const double share = modelled < LeastShare ? 0 : modelled;
         const auto wanted = static_cast<std::uint32_t>(std::lround(FullPercent * share));
         asked += run.milliCores;
@@ -146,7 +148,7 @@
         ordered[run.key] = current;
     }
     ordered_ = std::move(ordered);
-    percent_ = static_cast<std::uint32_t>(FullPercent * (asked > 0 ? allowed / asked : gain_));
+    percent_ = static_cast<std::uint32_t>(FullPercent * (asked > 0 ? allowed / asked : 1.0));
     return orders;
 }
 
