jobs, fleet: Share what was learned of images; leave slow minions alone; bound the drain of an entry

Changes: the leader sends its table to the control hosts every 2 s; reports of a minion whose services are over their bound with no filling task at work teach nothing, saved work leaves it and no task comes to it; an agent lets filling tasks go on beside a service that is over its bound without them, and looks again every 2 s; an entry ends 2 s after its drain delay at the latest.

Ruled out: the length of the failover (jobs were accepted throughout).

--- a/Source/Fleet/jobentry.cpp
+++ b/Source/Fleet/jobentry.cpp
@@ -16,6 +16,9 @@
 namespace {
 
 constexpr Duration DrainPoll = std::chrono::milliseconds(20);
+/** Longest wait after the drain delay for calls in flight; with the delay it is under the time after
+ * which the platform kills. */
+constexpr Duration DrainPatience = std::chrono::seconds(2);
 constexpr unsigned Ready = 200;
 constexpr unsigned NotReady = 503;
 
@@ -114,14 +117,14 @@
         drainTimer_.startEvery(DrainPoll);
     }
 
-    // The balancer needs the drain delay to see the health change; what is in flight then ends by
-    // itself, since every call has a deadline.
+    // The balancer needs the drain delay to see the health change.
     void continueDrain()
     {
-        if (loop_.clock().now() - drainStart_ < settings_.drainDelay)
+        const Duration drained = loop_.clock().now() - drainStart_;
+        if (drained < settings_.drainDelay)
             return;
         callerDoor_.closeListener();
-        if (callerDoor_.inFlight() == 0)
+        if (callerDoor_.inFlight() == 0 || drained > settings_.drainDelay + DrainPatience)
             loop_.stop();
     }
 
--- a/Source/Fleet/jobservice.cpp
+++ b/Source/Fleet/jobservice.cpp
@@ -9,6 +9,8 @@
 
 /** Time between two looks at what nobody reported; reports and calls are handled at once. */
 constexpr Duration PumpInterval = std::chrono::milliseconds(100);
+/** Time between two copies of what was learned to the other control hosts. */
+constexpr Duration ShareInterval = std::chrono::seconds(2);
 
 JobAnswer answerOf(JobAnswerKind kind, std::string detail = {})
 {
@@ -45,6 +47,7 @@
     , state_(state)
     , scheduler_(state.jobs(), hold)
     , pumpTimer_(loop, [this] { pump(); })
+    , shareTimer_(loop, [this] { shareLearning(); })
 {}
 
 void JobService::start()
@@ -64,7 +67,12 @@
         scheduler_.report(loop_.clock().now(), from.name, report);
         pumpSoon();
     });
+    messenger_.on<LearnedImages>([this](const Sender &, LearnedImages &&learned) {
+        if (!leading_)
+            scheduler_.interference().take(learned);
+    });
     pumpTimer_.startEvery(PumpInterval);
+    shareTimer_.startEvery(ShareInterval);
 }
 
 void JobService::roleChanged()
@@ -257,6 +265,19 @@
     }
 }
 
+void JobService::shareLearning()
+{
+    if (!leading_)
+        return;
+    const ReplicaStatus status = replica_.status();
+    const LearnedImages learned = scheduler_.interference().learned();
+    for (const std::string &host : status.voters) {
+        // A host that misses a copy gets the next one.
+        if (host != messenger_.name())
+            static_cast<void>(messenger_.send(host, learned));
+    }
+}
+
 void JobService::commit(Jobs::JobCommand command,
                         std::function<void(Result<Jobs::JobOutcome>)> callback)
 {
--- a/Source/Fleet/jobservice.h
+++ b/Source/Fleet/jobservice.h
@@ -54,6 +54,7 @@
     void commitCalls();
     void commitDecisions();
     void sendDirectives();
+    void shareLearning();
     void commit(Jobs::JobCommand command, std::function<void(Result<Jobs::JobOutcome>)> callback);
     std::int64_t nowMs() const;
     const Jobs::JobBook &book() const { return state_.jobs(); }
@@ -64,6 +65,7 @@
     const State::ControlState &state_;
     Jobs::JobScheduler scheduler_;
     Timer pumpTimer_;
+    Timer shareTimer_;
     bool leading_ = false;
     bool pumpPosted_ = false;
     /** Counts the terms of this leader, so that outcomes of an earlier one are told apart. */
--- a/Source/Jobs/interferencetable.cpp
+++ b/Source/Jobs/interferencetable.cpp
@@ -54,6 +54,24 @@
     }
 }
 
+LearnedImages InterferenceTable::learned() const
+{
+    LearnedImages all;
+    for (const auto &[pair, press] : press_)
+        all.presses.push_back({pair.first, pair.second, press});
+    for (const auto &[image, pressure] : base_)
+        all.bases.push_back({image, pressure});
+    return all;
+}
+
+void InterferenceTable::take(const LearnedImages &learned)
+{
+    for (const ImagePress &pair : learned.presses)
+        press_[{pair.filling, pair.serving}] = std::max(LeastPress, pair.press);
+    for (const ImageBase &image : learned.bases)
+        base_[image.serving] = image.pressure;
+}
+
 double InterferenceTable::room(const std::string &image, const std::vector<std::string> &serving,
                                const FillingCores &present) const
 {
--- a/Source/Jobs/interferencetable.h
+++ b/Source/Jobs/interferencetable.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "Protocol/jobmessages.h"
+
 #include <map>
 #include <string>
 #include <utility>
@@ -38,6 +40,10 @@
     double press(const std::string &filling, const std::string &serving) const;
     /** Pressure of \a serving without filling tasks. */
     double base(const std::string &serving) const;
+    /** All that was learned, for another table. */
+    LearnedImages learned() const;
+    /** Takes what another table learned in the place of what this one holds. */
+    void take(const LearnedImages &learned);
 
 private:
     std::map<std::pair<std::string, std::string>, double> press_;
--- a/Source/Jobs/jobscheduler.cpp
+++ b/Source/Jobs/jobscheduler.cpp
@@ -14,6 +14,12 @@
 constexpr Duration SweepInterval = std::chrono::milliseconds(250);
 /** Ended jobs are known for this long, in milliseconds; clients may ask for two minutes. */
 constexpr std::int64_t KeepEndedMs = 180'000;
+/** Pressure of serving tasks that their own load does not explain. */
+constexpr double OwnPressure = 1.2;
+/** Filling tasks that use less than this press on nothing. */
+constexpr double IdleCores = 1.0;
+/** Time for which a minion has to be disturbed before saved work leaves it. */
+constexpr Duration LeaveDisturbedAfter = std::chrono::milliseconds(800);
 
 } // namespace
 
@@ -38,7 +44,7 @@
     for (EndNote &note : machines_.report(now, agent, report, book_))
         ends_.push_back(std::move(note));
     if (report.present && report.listed)
-        learn(report);
+        learn(now, report);
     Acknowledgement &waiting = waiting_[{agent, report.minion.life}];
     for (const RunEnd &end : report.finished)
         waiting.end = std::max(waiting.end, end.number);
@@ -46,7 +52,7 @@
         waiting.report = std::max(waiting.report, report.sequence);
 }
 
-void JobScheduler::learn(const MachineReport &report)
+void JobScheduler::learn(TimePoint now, const MachineReport &report)
 {
     constexpr double MilliCoresPerCore = 1000;
     std::vector<ServingSample> serving;
@@ -61,6 +67,15 @@
         else if (step.targetLatencyMs > 0 && status.figure > 0)
             serving.push_back({step.image, static_cast<double>(status.figure) / step.targetLatencyMs});
     }
+    double cores = 0;
+    for (const auto &[image, amount] : used)
+        cores += amount;
+    const auto over = std::ranges::count_if(
+        serving, [](const ServingSample &sample) { return sample.pressure > OwnPressure; });
+    Machine *machine = machines_.find(report.minion.life);
+    // A slow minion presses on what serves there by itself, which teaches nothing of the images.
+    if (cores < IdleCores && 2 * over > std::ssize(serving) && machine != nullptr)
+        return machines_.noteDisturbed(now, *machine);
     interference_.observe(serving, used);
 }
 
@@ -153,7 +168,7 @@
         const bool described = view != machine.running.end() && view->second.described;
         if (machine.finishing.contains(key))
             continue;
-        if (mustStop(key) || mustLeave(machine, key)) {
+        if (mustStop(key) || mustLeave(now, machine, key)) {
             if (orderDue(now, key))
                 directive.stops.push_back({key.first, key.second});
         } else if (!described && !machine.undelivered.contains(key) && orderDue(now, key)) {
@@ -206,14 +221,15 @@
     return job->ended() || job->tasks[key.first.step][key.first.index].done;
 }
 
-bool JobScheduler::mustLeave(const Machine &machine, const RunKey &key) const
+bool JobScheduler::mustLeave(TimePoint now, const Machine &machine, const RunKey &key) const
 {
-    if (!machine.minion.draining)
-        return false;
+    const StepSpec &step = book_.find(key.first.job)->steps[key.first.step];
     // What runs on a leaving minion ends with it; only work that is saved, or that has no end of
     // its own, gains by going at once.
-    const StepSpec &step = book_.find(key.first.job)->steps[key.first.step];
-    return step.lasting || step.checkpointing;
+    if (machine.minion.draining)
+        return step.lasting || step.checkpointing;
+    return step.checkpointing && !step.lasting && machines_.disturbed(now, machine)
+           && machine.disturbedAt > machine.disturbedSince + LeaveDisturbedAfter;
 }
 
 } // namespace Oleander::Jobs
--- a/Source/Jobs/jobscheduler.h
+++ b/Source/Jobs/jobscheduler.h
@@ -42,6 +42,7 @@
     std::vector<AddressedDirective> takeDirectives(TimePoint now);
 
     const MachineTable &machines() const { return machines_; }
+    InterferenceTable &interference() { return interference_; }
 
 private:
     void addOrders(TimePoint now, const MinionLife &life, const Machine &machine,
@@ -49,9 +50,9 @@
     /** Adds what is known of the images that meet on the minion \a life. */
     void addPresses(const MinionLife &life, MachineDirective &directive) const;
     bool mustStop(const RunKey &key) const;
-    bool mustLeave(const Machine &machine, const RunKey &key) const;
+    bool mustLeave(TimePoint now, const Machine &machine, const RunKey &key) const;
     bool orderDue(TimePoint now, const RunKey &key);
-    void learn(const MachineReport &report);
+    void learn(TimePoint now, const MachineReport &report);
 
     const JobBook &book_;
     MachineTable machines_;
--- a/Source/Jobs/machinetable.cpp
+++ b/Source/Jobs/machinetable.cpp
@@ -149,11 +149,24 @@
     return true;
 }
 
+void MachineTable::noteDisturbed(TimePoint now, Machine &machine) const
+{
+    if (!disturbed(now, machine))
+        machine.disturbedSince = now;
+    machine.disturbedAt = now;
+}
+
+bool MachineTable::disturbed(TimePoint now, const Machine &machine) const
+{
+    return machine.disturbedAt != TimePoint{}
+           && now < machine.disturbedAt + options_.disturbedFor;
+}
+
 bool MachineTable::takesTasks(TimePoint now, const Machine &machine) const
 {
     return !machine.minion.draining && machine.minion.reachable
            && now < machine.reportedAt + options_.freshFor && machine.holdUntilMs > 0
-           && !machine.health.suspended(now);
+           && !machine.health.suspended(now) && !disturbed(now, machine);
 }
 
 } // namespace Oleander::Jobs
--- a/Source/Jobs/machinetable.h
+++ b/Source/Jobs/machinetable.h
@@ -21,6 +21,8 @@
     Duration margin = std::chrono::milliseconds(400);
     /** Age of a lease at which the leader renews it. */
     Duration renewAfter = std::chrono::milliseconds(700);
+    /** Time after which a minion that was seen disturbed counts as sound again. */
+    Duration disturbedFor = std::chrono::milliseconds(1'500);
     /** Age of a report from which on its machine gets no new task. */
     Duration freshFor = std::chrono::milliseconds(1'600);
 };
@@ -58,6 +60,9 @@
     std::set<RunKey> undelivered;
     std::set<RunKey> finishing;
     MinionHealth health;
+    /** When serving tasks were first and last seen over their bound with no filling task at work. */
+    TimePoint disturbedSince{};
+    TimePoint disturbedAt{};
 };
 
 /**
@@ -80,6 +85,9 @@
     std::vector<EndNote> lapse(TimePoint now, const JobBook &book);
     /** Extends the lease of \a machine by its latest report; returns false when none is due. */
     bool renew(TimePoint now, Machine &machine) const;
+    /** Its serving tasks are over their bound, and no filling task is the cause. */
+    void noteDisturbed(TimePoint now, Machine &machine) const;
+    bool disturbed(TimePoint now, const Machine &machine) const;
     /** True when \a machine may get new tasks. */
     bool takesTasks(TimePoint now, const Machine &machine) const;
 
--- a/Source/Jobs/pacecontroller.cpp
+++ b/Source/Jobs/pacecontroller.cpp
@@ -16,6 +16,13 @@
 constexpr double SlowAbove = 0.95;
 /** Pressure under which the share of all rises. */
 constexpr double RaiseBelow = 0.85;
+/** Pressure of a serving run that its own load or a slow minion explains. */
+constexpr double OwnPressure = 1.2;
+/** Filling runs that use less than this press on nothing. */
+constexpr double IdleCores = 0.5;
+/** Time for which such a run does not count; half of what the platform minds, so that the filling
+ * runs stand again and show whether they are the cause by then. */
+constexpr Duration OwnLoadFor = std::chrono::seconds(2);
 /** Smallest share that is worth a call; below it a run stands. */
 constexpr double LeastShare = 0.04;
 constexpr double Cut = 0.5;
@@ -39,17 +46,43 @@
     return static_cast<double>(run.figure) / run.targetLatencyMs;
 }
 
-double worstPressure(const std::vector<PacedRun> &runs)
+} // namespace
+
+double PaceController::worstPressure(TimePoint now, const std::vector<PacedRun> &runs) const
 {
     double worst = 0;
     for (const PacedRun &run : runs) {
-        if (run.targetLatencyMs > 0)
+        if (counts(now, run))
             worst = std::max(worst, pressureOf(run));
     }
     return worst;
 }
 
-} // namespace
+bool PaceController::counts(TimePoint now, const PacedRun &run) const
+{
+    const auto own = ownLoadUntil_.find(run.key);
+    return run.targetLatencyMs > 0 && (own == ownLoadUntil_.end() || now >= own->second);
+}
+
+void PaceController::findOwnLoad(TimePoint now, const std::vector<PacedRun> &runs)
+{
+    double cores = 0;
+    std::map<RunKey, TimePoint> kept;
+    for (const PacedRun &run : runs) {
+        if (run.filling)
+            cores += run.figure / MilliCoresPerCore;
+    }
+    for (const PacedRun &run : runs) {
+        const auto own = ownLoadUntil_.find(run.key);
+        if (run.targetLatencyMs == 0)
+            continue;
+        if (cores < IdleCores && pressureOf(run) > OwnPressure)
+            kept[run.key] = now + OwnLoadFor;
+        else if (own != ownLoadUntil_.end() && now < own->second && pressureOf(run) > RaiseBelow)
+            kept[run.key] = own->second;
+    }
+    ownLoadUntil_ = std::move(kept);
+}
 
 double PaceController::press(const std::string &filling, const std::string &serving) const
 {
@@ -72,7 +105,7 @@
 }
 
 std::map<std::string, double>
-PaceController::allowedCores(const std::vector<PacedRun> &runs) const
+PaceController::allowedCores(TimePoint now, const std::vector<PacedRun> &runs) const
 {
     std::map<std::string, double> asked;
     std::map<std::string, double> used;
@@ -87,7 +120,7 @@
     // well: then they are slowed by steps only.
     std::vector<std::pair<std::string, double>> rooms;
     for (const PacedRun &run : runs) {
-        if (run.targetLatencyMs == 0)
+        if (!counts(now, run))
             continue;
         double pressed = 0;
         for (const auto &[image, cores] : used)
@@ -120,11 +153,12 @@
 {
     const bool serves = std::ranges::any_of(
         runs, [](const PacedRun &run) { return run.targetLatencyMs > 0; });
+    findOwnLoad(now, runs);
     if (serves)
-        adjust(now, worstPressure(runs));
+        adjust(now, worstPressure(now, runs));
     else
         gain_ = 1.0;
-    const auto shares = allowedCores(runs);
+    const auto shares = allowedCores(now, runs);
     std::map<RunKey, std::uint32_t> ordered;
     std::vector<PaceOrder> orders;
     double asked = 0;
--- a/Source/Jobs/pacecontroller.h
+++ b/Source/Jobs/pacecontroller.h
@@ -55,15 +55,22 @@
     void learn(const ImagePress &press) { press_[{press.filling, press.serving}] = press.press; }
 
 private:
+    /** Serving runs that are over their bound although the filling ones stand. */
+    void findOwnLoad(TimePoint now, const std::vector<PacedRun> &runs);
+    bool counts(TimePoint now, const PacedRun &run) const;
+    double worstPressure(TimePoint now, const std::vector<PacedRun> &runs) const;
     void adjust(TimePoint now, double pressure);
     /** Cores that each filling image may use by what is known of the pairs. */
-    std::map<std::string, double> allowedCores(const std::vector<PacedRun> &runs) const;
+    std::map<std::string, double> allowedCores(TimePoint now,
+                                               const std::vector<PacedRun> &runs) const;
     double press(const std::string &filling, const std::string &serving) const;
 
     std::map<std::pair<std::string, std::string>, double> press_;
     /** Share that every image gets of what the pairs allow. */
     double gain_ = 1.0;
     TimePoint changedAt_{};
+    /** Until when each of these does not count. */
+    std::map<RunKey, TimePoint> ownLoadUntil_;
     std::uint32_t percent_ = 100;
     /** Share last ordered for each run; a run works at its full share when it starts. */
     std::map<RunKey, std::uint32_t> ordered_;
--- a/Source/Protocol/jobmessages.h
+++ b/Source/Protocol/jobmessages.h
@@ -291,6 +291,34 @@
     f(v.press);
 }
 
+/** Pressure of a serving image without filling tasks, in parts of its bound. */
+struct ImageBase
+{
+    std::string serving;
+    double pressure = 0;
+};
+
+template<typename F>
+void visitFields(F &&f, Fields<ImageBase> auto &&v)
+{
+    f(v.serving);
+    f(v.pressure);
+}
+
+/** Leader to control hosts: what it learned, so that the next leader need not learn it again. */
+struct LearnedImages
+{
+    std::vector<ImagePress> presses;
+    std::vector<ImageBase> bases;
+};
+
+template<typename F>
+void visitFields(F &&f, Fields<LearnedImages> auto &&v)
+{
+    f(v.presses);
+    f(v.bases);
+}
+
 /** Leader to agent: orders and the lease for one life of the minion. */
 struct MachineDirective
 {
--- a/Source/Protocol/messages.h
+++ b/Source/Protocol/messages.h
@@ -407,7 +407,8 @@
 using Message = std::variant<Heartbeat, HeartbeatReply, RequestDispatch, RequestCancel,
                              RequestAnswer, TaskOrder, TaskReport, ConfigurationPull,
                              ConfigurationPush, ReplicaFrame, ForwardRequest, ForwardReply, JobCall,
-                             JobAnswer, MachineReport, MachineDirective, GroupQuery, GroupView>;
+                             JobAnswer, MachineReport, MachineDirective, GroupQuery, GroupView,
+                             LearnedImages>;
 
 /**
  * \struct Frame
--- a/Tests/Jobs/interferencetest.cpp
+++ b/Tests/Jobs/interferencetest.cpp
@@ -55,6 +55,16 @@
     CHECK(table.room("quiet", {"web"}, {{"loud", 9.0}}) < table.room("quiet", {"web"}, {}));
 }
 
+TEST_CASE("A table that takes what another learned judges alike")
+{
+    InterferenceTable table;
+    teach(table, 400);
+    InterferenceTable next;
+    next.take(table.learned());
+    for (const char *image : {"loud", "quiet", "unknown"})
+        CHECK(next.room(image, {"web"}, {{"loud", 1.0}}) == table.room(image, {"web"}, {{"loud", 1.0}}));
+}
+
 TEST_CASE("A filling task goes where no service is disturbed by it, although less time is left")
 {
     SchedulerFixture leader;
@@ -147,6 +157,26 @@
     CHECK_FALSE(percents.contains(1));
 }
 
+TEST_CASE("Filling runs go on beside a service that is over its bound without them")
+{
+    ManualClock clock;
+    PaceController pace;
+    // A slow minion: the service is over its bound whatever the filling runs do.
+    std::uint32_t percent = 100;
+    std::uint32_t atWork = 0;
+    Duration overInARow{};
+    for (int i = 0; i < 50; ++i) {
+        clock.advance(400ms);
+        percent = lastPercent(
+            pace.update(clock.now(), {servingRun(4'000), fillingRun(0, 80 * percent)}), percent);
+        atWork += percent > 50 ? 1 : 0;
+        // They stand still again and again, to find out whether they are the cause by now.
+        overInARow = percent > 10 ? overInARow + 400ms : 0ms;
+        CHECK(overInARow < 4s);
+    }
+    CHECK(atWork > 15);
+}
+
 TEST_CASE("A share whose order did not arrive is ordered again")
 {
     ManualClock clock;
--- a/Tests/Jobs/jobschedulertest.cpp
+++ b/Tests/Jobs/jobschedulertest.cpp
@@ -273,6 +273,37 @@
     CHECK_FALSE(leader.decide().starts.empty());
 }
 
+TEST_CASE("Saved work leaves a slow minion, and nothing new comes to it")
+{
+    SchedulerFixture leader;
+    introduce(leader, "agent-a", LifeA, 20'000);
+    StepSpec serving = step(1, 6'000);
+    serving.lasting = true;
+    serving.targetLatencyMs = 100;
+    serving.image = "web";
+    StepSpec filling = step(1, 2'000);
+    filling.filling = true;
+    filling.checkpointing = true;
+    leader.submit("s", {serving});
+    leader.submit("f", {filling});
+    REQUIRE(leader.decide().starts.size() == 2);
+    leader.directive("agent-a");
+    std::vector<StopOrder> stops;
+    for (std::uint64_t clockMs = 1'400; clockMs < 4'000; clockMs += 400) {
+        leader.advance(400ms);
+        MachineReport report = reportOf(LifeA, clockMs, 20'000);
+        report.running = {runningRow({"s", 0, 0}, 1), runningRow({"f", 0, 0}, 1)};
+        report.running[0].figure = 900;
+        leader.report("agent-a", report);
+        for (const StopOrder &order : leader.directive("agent-a").stops)
+            stops.push_back(order);
+    }
+    REQUIRE_FALSE(stops.empty());
+    CHECK(stops.at(0).task.job == "f");
+    leader.submit("j", {step(1)});
+    CHECK(leader.decide().starts.empty());
+}
+
 TEST_CASE("No sequence of reports takes a minion over its capacity or runs a task twice")
 {
     // A linear congruence picks the steps, so that the test is the same everywhere.
