--- a/Source/Fleet/controlhost.cpp
+++ b/Source/Fleet/controlhost.cpp
@@ -156,8 +156,8 @@
         std::set<std::string> greeted;
         for (const std::string &peer : messenger_.peers())
             greeted.insert(peer);
-        const bool outsider =
-            !view.hosts.empty() && std::ranges::find(view.hosts, settings_.link) == view.hosts.end();
+        const bool outsider = !view.hosts.empty()
+                              && std::ranges::find(view.hosts, settings_.link) == view.hosts.end();
         replica_.setGreeted(std::move(greeted), outsider);
         if (view.leader != toldLeader_) {
             toldLeader_ = view.leader;
@@ -193,9 +193,10 @@
             logEvent(LogEvent::ConfigurationRefused, call.error());
             return exchange->respond(wire_.operatorAnswer(answer));
         }
-        leader_.call(std::move(call->body), call->patience, [this, exchange](const JobAnswer &answer) {
-            exchange->respond(wire_.operatorAnswer(answer));
-        });
+        leader_.call(std::move(call->body), call->patience,
+                     [this, exchange](const JobAnswer &answer) {
+                         exchange->respond(wire_.operatorAnswer(answer));
+                     });
     }
 
     void drain()
--- a/Source/Fleet/jobentry.cpp
+++ b/Source/Fleet/jobentry.cpp
@@ -16,8 +16,8 @@
 namespace {
 
 constexpr Duration DrainPoll = std::chrono::milliseconds(20);
-/** Longest wait after the drain delay for calls in flight; with the delay it is under the time after
- * which the platform kills. */
+/** Longest wait after the drain delay for calls in flight; with the delay it is under the time
+ * after which the platform kills. */
 constexpr Duration DrainPatience = std::chrono::seconds(2);
 constexpr unsigned Ready = 200;
 constexpr unsigned NotReady = 503;
@@ -145,8 +145,7 @@
 
 } // namespace
 
-int runJobEntry(const JobEntrySettings &settings, const std::string &path,
-                const FleetWire &wire)
+int runJobEntry(const JobEntrySettings &settings, const std::string &path, const FleetWire &wire)
 {
     JobEntry entry(settings, path, wire);
     return static_cast<int>(entry.run());
--- a/Source/Fleet/jobservice.cpp
+++ b/Source/Fleet/jobservice.cpp
@@ -163,22 +163,21 @@
 {
     const std::uint64_t version = call.configuration.version;
     ++committing_;
-    commit(Jobs::Configure{call.configuration},
-           [this, version, callback = std::move(callback)](Result<Jobs::JobOutcome> outcome) {
-               --committing_;
-               if (!outcome) {
-                   const bool unknown = outcome.error().code == Failure::Unknown;
-                   return callback(
-                       answerOf(unknown ? JobAnswerKind::Unknown : JobAnswerKind::NotLeader));
-               }
-               const bool conflict = outcome->configure == Jobs::ConfigureResult::Conflict;
-               logEvent(conflict ? LogEvent::ConfigurationRefused : LogEvent::ConfigurationApplied,
-                        Step::Apply, {},
-                        {{"version", version}, {"in_force", book().configuration().version}});
-               callback(conflict ? answerOf(JobAnswerKind::Conflict,
-                                            "Other content is in force under this version.")
-                                 : answerOf(JobAnswerKind::Accepted));
-           });
+    commit(Jobs::Configure{call.configuration}, [this, version, callback = std::move(callback)](
+                                                    Result<Jobs::JobOutcome> outcome) {
+        --committing_;
+        if (!outcome) {
+            const bool unknown = outcome.error().code == Failure::Unknown;
+            return callback(answerOf(unknown ? JobAnswerKind::Unknown : JobAnswerKind::NotLeader));
+        }
+        const bool conflict = outcome->configure == Jobs::ConfigureResult::Conflict;
+        logEvent(conflict ? LogEvent::ConfigurationRefused : LogEvent::ConfigurationApplied,
+                 Step::Apply, {},
+                 {{"version", version}, {"in_force", book().configuration().version}});
+        callback(conflict ? answerOf(JobAnswerKind::Conflict,
+                                     "Other content is in force under this version.")
+                          : answerOf(JobAnswerKind::Accepted));
+    });
 }
 
 void JobService::answer(const ReadConfigurationCall &, Callback callback)
--- a/Source/Fleet/leaderclient.cpp
+++ b/Source/Fleet/leaderclient.cpp
@@ -23,7 +23,10 @@
 } // namespace
 
 LeaderClient::LeaderClient(EventLoop &loop, Messenger &messenger, std::vector<std::string> seeds)
-    : loop_(loop), messenger_(messenger), seeds_(std::move(seeds)), ticker_(loop, [this] { tick(); })
+    : loop_(loop)
+    , messenger_(messenger)
+    , seeds_(std::move(seeds))
+    , ticker_(loop, [this] { tick(); })
 {
     messenger_.on<GroupView>(
         [this](const Sender &from, GroupView &&view) { onView(from.name, view); });
--- a/Source/Fleet/machineagent.cpp
+++ b/Source/Fleet/machineagent.cpp
@@ -27,7 +27,8 @@
 class MachineAgent
 {
 public:
-    MachineAgent(const MachineAgentSettings &settings, const std::string &path, const FleetWire &wire)
+    MachineAgent(const MachineAgentSettings &settings, const std::string &path,
+                 const FleetWire &wire)
         : settings_(settings)
         , path_(path)
         , wire_(wire)
@@ -62,9 +63,8 @@
         settingsWatch_.start();
         for (const int signal : {SIGTERM, SIGINT})
             loop_.onSignal(signal, [this] { stop(); });
-        messenger_.on<MachineDirective>([this](const Sender &, MachineDirective &&directive) {
-            minion_.direct(directive);
-        });
+        messenger_.on<MachineDirective>(
+            [this](const Sender &, MachineDirective &&directive) { minion_.direct(directive); });
         minion_.changed.connect([this] { reportSoon(); });
         leader_.leaderChanged.connect([this] { reportSoon(); });
         leader_.start();
--- a/Source/Fleet/miniontask.cpp
+++ b/Source/Fleet/miniontask.cpp
@@ -57,7 +57,8 @@
 void MinionTask::announce(const MinionAnnouncement &announcement)
 {
     const MinionLife &life = announcement.minion.life;
-    const bool later = life.bornMs > std::max(present_ ? minion_.life.bornMs : 0, latestEnded_.bornMs);
+    const bool later =
+        life.bornMs > std::max(present_ ? minion_.life.bornMs : 0, latestEnded_.bornMs);
     if (present_ && life == minion_.life) {
         // A delayed announcement of this life tells nothing new.
         if (announcement.sequence <= announcementSequence_)
@@ -168,7 +169,8 @@
 void MinionTask::deliver(const Jobs::RunKey &key)
 {
     Start &start = starts_.at(key);
-    if (start.calling || loop_.clock().now() < start.retryAt || holdUntilMs_ < clockMs_ + LeastLeaseMs)
+    if (start.calling || loop_.clock().now() < start.retryAt
+        || holdUntilMs_ < clockMs_ + LeastLeaseMs)
         return;
     start.calling = true;
     orders_->call(wire_.startRequest(minion_.life.name, start.order, term_, holdUntilMs_),
--- a/Source/Fleet/settingswatch.cpp
+++ b/Source/Fleet/settingswatch.cpp
@@ -15,9 +15,10 @@
 } // namespace
 
 SettingsWatch::SettingsWatch(EventLoop &loop, std::string path, std::function<void()> changed)
-    : loop_(loop), path_(std::move(path)), changed_(std::move(changed)), timer_(loop, [this] {
-        look();
-    })
+    : loop_(loop)
+    , path_(std::move(path))
+    , changed_(std::move(changed))
+    , timer_(loop, [this] { look(); })
 {}
 
 void SettingsWatch::start()
@@ -46,7 +47,8 @@
         return 0;
     const auto seconds = static_cast<std::uint64_t>(status.st_mtim.tv_sec);
     const auto nanoseconds = static_cast<std::uint64_t>(status.st_mtim.tv_nsec);
-    return seconds * NanosecondsPerSecond + nanoseconds + static_cast<std::uint64_t>(status.st_size);
+    return seconds * NanosecondsPerSecond + nanoseconds
+           + static_cast<std::uint64_t>(status.st_size);
 }
 
 } // namespace Oleander::Fleet
--- a/Source/Jobs/interferencetable.cpp
+++ b/Source/Jobs/interferencetable.cpp
@@ -46,8 +46,7 @@
             expected += press(image, sample.image) * cores;
         const double error = std::min(sample.pressure, HighestPressure) - expected;
         for (const auto &[image, cores] : used) {
-            const double learned =
-                press(image, sample.image) + LearnRate * error * cores / squares;
+            const double learned = press(image, sample.image) + LearnRate * error * cores / squares;
             press_[{image, sample.image}] = std::max(LeastPress, learned);
         }
         base_[sample.image] = std::max(0.0, base(sample.image) + BaseRate * error);
--- a/Source/Jobs/joborder.h
+++ b/Source/Jobs/joborder.h
@@ -12,8 +12,8 @@
 enum class JobRank {
     /** It can still meet its objective. */
     WithinObjective,
-    /** Its tasks last, and each second without them counts; for each core-second they earn less than
-     * what can still be in time. */
+    /** Its tasks last, and each second without them counts; for each core-second they earn less
+     * than what can still be in time. */
     Lasting,
     /** It can still end before the objective is passed three times over. */
     Late,
--- a/Source/Jobs/jobscheduler.cpp
+++ b/Source/Jobs/jobscheduler.cpp
@@ -65,7 +65,8 @@
         if (step.filling)
             used[step.image] += status.figure / MilliCoresPerCore;
         else if (step.targetLatencyMs > 0 && status.figure > 0)
-            serving.push_back({step.image, static_cast<double>(status.figure) / step.targetLatencyMs});
+            serving.push_back(
+                {step.image, static_cast<double>(status.figure) / step.targetLatencyMs});
     }
     double cores = 0;
     for (const auto &[image, amount] : used)
--- a/Source/Jobs/machinetable.cpp
+++ b/Source/Jobs/machinetable.cpp
@@ -38,8 +38,7 @@
     return note;
 }
 
-void MachineTable::endLife(const MinionLife &life, const JobBook &book,
-                           std::vector<EndNote> &notes)
+void MachineTable::endLife(const MinionLife &life, const JobBook &book, std::vector<EndNote> &notes)
 {
     const auto runs = book.activeRuns().find(life);
     if (runs != book.activeRuns().end()) {
@@ -158,8 +157,7 @@
 
 bool MachineTable::disturbed(TimePoint now, const Machine &machine) const
 {
-    return machine.disturbedAt != TimePoint{}
-           && now < machine.disturbedAt + options_.disturbedFor;
+    return machine.disturbedAt != TimePoint{} && now < machine.disturbedAt + options_.disturbedFor;
 }
 
 bool MachineTable::takesTasks(TimePoint now, const Machine &machine) const
--- a/Source/Jobs/machinetable.h
+++ b/Source/Jobs/machinetable.h
@@ -60,7 +60,8 @@
     std::set<RunKey> undelivered;
     std::set<RunKey> finishing;
     MinionHealth health;
-    /** When serving tasks were first and last seen over their bound with no filling task at work. */
+    /** When serving tasks were first and last seen over their bound with no filling task at work.
+     */
     TimePoint disturbedSince{};
     TimePoint disturbedAt{};
 };
--- a/Source/Jobs/pacecontroller.cpp
+++ b/Source/Jobs/pacecontroller.cpp
@@ -26,8 +26,12 @@
 /** Smallest share that is worth a call; below it a run stands. */
 constexpr double LeastShare = 0.04;
 constexpr double Cut = 0.5;
-/** Gain up to which the shares may pass what is known of the pairs while the services have slack. */
+/** Gain up to which the shares may pass what is known of the pairs while the services have slack.
+ */
 constexpr double MostGain = 8.0;
+/** Time over the bound after which all filling runs stand; with half a second that a reading covers
+ * and the way of the order it stays under the 4 s that the platform minds. */
+constexpr Duration LongestOver = std::chrono::milliseconds(1'600);
 constexpr double RaiseFactor = 1.5;
 constexpr double RaiseStep = 0.1;
 /** Time for a change to show in the reports, which cover half a second. */
@@ -90,13 +94,24 @@
     return known == press_.end() ? UnknownPress : known->second;
 }
 
-void PaceController::adjust(TimePoint now, double pressure)
+void PaceController::adjust(TimePoint now, double pressure, double smallestShare)
 {
+    if (pressure <= 1.0)
+        overSince_.reset();
+    else if (!overSince_)
+        overSince_ = now;
+    if (overSince_ && now > *overSince_ + LongestOver) {
+        gain_ = 0;
+        changedAt_ = now;
+        return;
+    }
     if (now < changedAt_ + SettleTime)
         return;
     const double before = gain_;
     if (pressure > SlowAbove) {
-        gain_ = gain_ * Cut < LeastShare ? 0 : gain_ * Cut;
+        // A gain beyond this one would have no effect on any run.
+        const double effective = std::min(gain_, 1.0 / std::max(smallestShare, LeastShare));
+        gain_ = effective * Cut < LeastShare ? 0 : effective * Cut;
     } else if (pressure < RaiseBelow) {
         gain_ = std::min(MostGain, gain_ * RaiseFactor + RaiseStep);
     }
@@ -104,8 +119,8 @@
         changedAt_ = now;
 }
 
-std::map<std::string, double>
-PaceController::allowedCores(TimePoint now, const std::vector<PacedRun> &runs) const
+std::map<std::string, double> PaceController::allowedCores(TimePoint now,
+                                                           const std::vector<PacedRun> &runs) const
 {
     std::map<std::string, double> asked;
     std::map<std::string, double> used;
@@ -126,8 +141,7 @@
         for (const auto &[image, cores] : used)
             pressed += press(image, run.image) * cores;
         const double base = std::max(LeastBase, pressureOf(run) - pressed);
-        rooms.emplace_back(run.image,
-                           std::max({AimedPressure - base, Cut * pressed, LeastRoom}));
+        rooms.emplace_back(run.image, std::max({AimedPressure - base, Cut * pressed, LeastRoom}));
     }
     std::vector<std::pair<double, std::string>> lightFirst;
     for (const auto &[image, cores] : asked) {
@@ -151,14 +165,17 @@
 
 std::vector<PaceOrder> PaceController::update(TimePoint now, const std::vector<PacedRun> &runs)
 {
-    const bool serves = std::ranges::any_of(
-        runs, [](const PacedRun &run) { return run.targetLatencyMs > 0; });
     findOwnLoad(now, runs);
+    const bool serves =
+        std::ranges::any_of(runs, [&](const PacedRun &run) { return counts(now, run); });
+    const auto shares = allowedCores(now, runs);
+    double smallest = 1.0;
+    for (const auto &[image, share] : shares)
+        smallest = std::min(smallest, share);
     if (serves)
-        adjust(now, worstPressure(now, runs));
+        adjust(now, worstPressure(now, runs), smallest);
     else
         gain_ = 1.0;
-    const auto shares = allowedCores(now, runs);
     std::map<RunKey, std::uint32_t> ordered;
     std::vector<PaceOrder> orders;
     double asked = 0;
@@ -172,8 +189,8 @@
         asked += run.milliCores;
         allowed += run.milliCores * share;
         const auto known = ordered_.find(run.key);
-        std::uint32_t current = known == ordered_.end() ? static_cast<std::uint32_t>(FullPercent)
-                                                        : known->second;
+        std::uint32_t current =
+            known == ordered_.end() ? static_cast<std::uint32_t>(FullPercent) : known->second;
         const std::uint32_t change = std::max(current, wanted) - std::min(current, wanted);
         if (change >= LeastChangePercent || (change > 0 && (wanted == 0 || wanted == 100))) {
             orders.push_back({run.key, wanted});
--- a/Source/Jobs/pacecontroller.h
+++ b/Source/Jobs/pacecontroller.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -59,7 +60,7 @@
     void findOwnLoad(TimePoint now, const std::vector<PacedRun> &runs);
     bool counts(TimePoint now, const PacedRun &run) const;
     double worstPressure(TimePoint now, const std::vector<PacedRun> &runs) const;
-    void adjust(TimePoint now, double pressure);
+    void adjust(TimePoint now, double pressure, double smallestShare);
     /** Cores that each filling image may use by what is known of the pairs. */
     std::map<std::string, double> allowedCores(TimePoint now,
                                                const std::vector<PacedRun> &runs) const;
@@ -69,6 +70,8 @@
     /** Share that every image gets of what the pairs allow. */
     double gain_ = 1.0;
     TimePoint changedAt_{};
+    /** Since when a serving run is over its bound without a break. */
+    std::optional<TimePoint> overSince_;
     /** Until when each of these does not count. */
     std::map<RunKey, TimePoint> ownLoadUntil_;
     std::uint32_t percent_ = 100;
--- a/Source/Oleander/main.cpp
+++ b/Source/Oleander/main.cpp
@@ -2,10 +2,10 @@
 #include "Entry/entry.h"
 #include "Fleet/controlhost.h"
 #include "Fleet/jobentry.h"
+#include "platformwire.h"
 #include "Settings/commandline.h"
 #include "Settings/exitcode.h"
 #include "Settings/settingsfile.h"
-#include "platformwire.h"
 
 #include <fmt/format.h>
 
--- a/Source/OleanderAgent/main.cpp
+++ b/Source/OleanderAgent/main.cpp
@@ -1,9 +1,9 @@
 #include "Agent/agentprocess.h"
 #include "Fleet/machineagent.h"
+#include "platformwire.h"
 #include "Settings/commandline.h"
 #include "Settings/exitcode.h"
 #include "Settings/settingsfile.h"
-#include "platformwire.h"
 
 #include <fmt/format.h>
 
--- a/Source/Protocol/jobmessages.h
+++ b/Source/Protocol/jobmessages.h
@@ -31,7 +31,8 @@
     bool filling = false;
     /** Most tasks of the step on one minion; 0 for no limit. */
     std::uint32_t maxPerMinion = 0;
-    /** Most tasks of a lasting step that the system may take away at the same time; 0 for no limit. */
+    /** Most tasks of a lasting step that the system may take away at the same time; 0 for no limit.
+     */
     std::uint32_t maxUnavailable = 0;
     /** Bound of the tail latency of a lasting task; 0 for none. */
     std::uint32_t targetLatencyMs = 0;
--- a/Source/Protocol/messages.h
+++ b/Source/Protocol/messages.h
@@ -404,11 +404,11 @@
 }
 
 /** Every message between the system's processes; new alternatives go last. */
-using Message = std::variant<Heartbeat, HeartbeatReply, RequestDispatch, RequestCancel,
-                             RequestAnswer, TaskOrder, TaskReport, ConfigurationPull,
-                             ConfigurationPush, ReplicaFrame, ForwardRequest, ForwardReply, JobCall,
-                             JobAnswer, MachineReport, MachineDirective, GroupQuery, GroupView,
-                             LearnedImages>;
+using Message =
+    std::variant<Heartbeat, HeartbeatReply, RequestDispatch, RequestCancel, RequestAnswer,
+                 TaskOrder, TaskReport, ConfigurationPull, ConfigurationPush, ReplicaFrame,
+                 ForwardRequest, ForwardReply, JobCall, JobAnswer, MachineReport, MachineDirective,
+                 GroupQuery, GroupView, LearnedImages>;
 
 /**
  * \struct Frame
--- a/Source/Runtime/eventloop.cpp
+++ b/Source/Runtime/eventloop.cpp
@@ -7,6 +7,7 @@
 #include <ctime>
 #include <list>
 #include <mutex>
+#include <utility>
 #include <vector>
 
 namespace Oleander {
@@ -100,6 +101,9 @@
 
 EventLoop::~EventLoop()
 {
+    // Work that never ran may own sockets of this loop.
+    while (!private_->posted.empty())
+        std::exchange(private_->posted, {}).clear();
     for (auto &watch : private_->signals)
         event_free(watch.watch);
     event_free(private_->wake);
--- a/Source/Runtime/log.cpp
+++ b/Source/Runtime/log.cpp
@@ -1,10 +1,9 @@
 #include "Runtime/log.h"
 
-#include <poll.h>
-#include <unistd.h>
-
 #include <fmt/chrono.h>
 #include <fmt/format.h>
+#include <poll.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <atomic>
--- a/Source/Settings/settingsfile.h
+++ b/Source/Settings/settingsfile.h
@@ -19,8 +19,7 @@
 /** Read the settings of the processes for jobs; list every mistake on \a errors. */
 std::optional<ControlHostSettings> loadControlHostSettings(const std::string &path,
                                                            std::ostream &errors);
-std::optional<JobEntrySettings> loadJobEntrySettings(const std::string &path,
-                                                     std::ostream &errors);
+std::optional<JobEntrySettings> loadJobEntrySettings(const std::string &path, std::ostream &errors);
 std::optional<MachineAgentSettings> loadMachineAgentSettings(const std::string &path,
                                                              std::ostream &errors);
 
--- a/Tests/Fleet/fleetcluster.cpp
+++ b/Tests/Fleet/fleetcluster.cpp
@@ -29,8 +29,7 @@
     }
     for (std::size_t i = 0; i < Entries; ++i) {
         const std::string host = Loopback::nextHost();
-        entries_.push_back(
-            {Loopback::freeAddress(host), Loopback::freeAddress(host), nullptr});
+        entries_.push_back({Loopback::freeAddress(host), Loopback::freeAddress(host), nullptr});
     }
     for (std::size_t i = 0; i < Machines; ++i) {
         const std::string host = Loopback::nextHost();
@@ -62,8 +61,8 @@
             + "\ndata-folder = " + dataFolder(control) + "\nmay-form = "
             + (mayForm ? "true" : "false") + "\ntolerated-losses = 1\n" + groupLines());
     host.process.reset();
-    host.process = std::make_unique<ChildProcess>(
-        std::vector<std::string>{OLEANDER_PROGRAM, "control", path});
+    host.process =
+        std::make_unique<ChildProcess>(std::vector<std::string>{OLEANDER_PROGRAM, "control", path});
 }
 
 void FleetCluster::startEntry(std::size_t entry)
@@ -75,18 +74,17 @@
                                          + host.callerDoor + "\nhealth-door = " + host.healthDoor
                                          + "\ndrain-delay = 100ms\n" + groupLines());
     host.process.reset();
-    host.process = std::make_unique<ChildProcess>(
-        std::vector<std::string>{OLEANDER_PROGRAM, "entry", path});
+    host.process =
+        std::make_unique<ChildProcess>(std::vector<std::string>{OLEANDER_PROGRAM, "entry", path});
 }
 
 void FleetCluster::startAgent(std::size_t machine)
 {
     Machine &host = machines_.at(machine);
     const std::string name = "agent-" + std::to_string(machine);
-    const std::string path =
-        folder_.write(name + ".ini", "[machine-agent]\nname = " + name + "\nminion-door = "
-                                         + host.minionDoor + "\nminion = " + host.minionAt + '\n'
-                                         + groupLines());
+    const std::string path = folder_.write(
+        name + ".ini", "[machine-agent]\nname = " + name + "\nminion-door = " + host.minionDoor
+                           + "\nminion = " + host.minionAt + '\n' + groupLines());
     host.agent.reset();
     host.agent = std::make_unique<ChildProcess>(
         std::vector<std::string>{OLEANDER_AGENT_PROGRAM, "machine", path});
@@ -180,7 +178,8 @@
 {
     std::vector<std::string> all;
     for (const Machine &machine : machines_) {
-        const auto reply = httpCall(machine.minionAt, {"GET", "/standin/starts", {}, {}}, CallLimit);
+        const auto reply =
+            httpCall(machine.minionAt, {"GET", "/standin/starts", {}, {}}, CallLimit);
         std::istringstream lines(reply ? reply->body : std::string());
         for (std::string line; std::getline(lines, line);)
             all.push_back(line);
--- a/Tests/Fleet/jobstest.cpp
+++ b/Tests/Fleet/jobstest.cpp
@@ -122,8 +122,7 @@
     for (std::size_t i = 0; i < FleetCluster::Controls; ++i)
         fleet.startControl(i, false);
     CHECK(fleet.reaches(FirstId, "completed"));
-    CHECK(waitFor(
-        [&] { return fleet.readConfiguration(1) == FleetCluster::configuration(4); }));
+    CHECK(waitFor([&] { return fleet.readConfiguration(1) == FleetCluster::configuration(4); }));
 }
 
 TEST_CASE("A control host whose disk was emptied joins again and makes the quorum")
--- a/Tests/Jobs/interferencetest.cpp
+++ b/Tests/Jobs/interferencetest.cpp
@@ -1,5 +1,4 @@
 #include "jobfixture.h"
-
 #include "Jobs/interferencetable.h"
 #include "Jobs/pacecontroller.h"
 
@@ -62,7 +61,8 @@
     InterferenceTable next;
     next.take(table.learned());
     for (const char *image : {"loud", "quiet", "unknown"})
-        CHECK(next.room(image, {"web"}, {{"loud", 1.0}}) == table.room(image, {"web"}, {{"loud", 1.0}}));
+        CHECK(next.room(image, {"web"}, {{"loud", 1.0}})
+              == table.room(image, {"web"}, {{"loud", 1.0}}));
 }
 
 TEST_CASE("A filling task goes where no service is disturbed by it, although less time is left")
@@ -108,6 +108,11 @@
     ManualClock clock;
     PaceController pace;
     std::uint32_t percent = 100;
+    // Slack for a long time before takes the share as far up as it goes.
+    for (int i = 0; i < 50; ++i) {
+        clock.advance(400ms);
+        pace.update(clock.now(), {servingRun(10), fillingRun(0, 8'000)});
+    }
     // The tail follows the share at which the run works, one report later.
     std::uint32_t seen = percent;
     Duration over{};
--- a/Tests/Jobs/jobbooktest.cpp
+++ b/Tests/Jobs/jobbooktest.cpp
@@ -72,8 +72,8 @@
     REQUIRE(book.start(First, 1, LifeA));
     book.end(First, 1, LifeA, RunEndKind::Failed);
     CHECK(book.state("j") == JobState::Running);
-    for (const RunEndKind kind : {RunEndKind::Stopped, RunEndKind::Lapsed, RunEndKind::Lost,
-                                  RunEndKind::Refused}) {
+    for (const RunEndKind kind :
+         {RunEndKind::Stopped, RunEndKind::Lapsed, RunEndKind::Lost, RunEndKind::Refused}) {
         const std::uint32_t run = book.book.find("j")->tasks.at(0).at(0).lastRun + 1;
         REQUIRE(book.start(First, run, LifeA));
         book.end(First, run, LifeA, kind);
--- a/Tests/Jobs/jobschedulertest.cpp
+++ b/Tests/Jobs/jobschedulertest.cpp
@@ -150,8 +150,8 @@
     while (!moved && waited < 20s) {
         leader.advance(step);
         waited += step;
-        leader.report("agent-b", reportOf(LifeB, 1'000 + static_cast<std::uint64_t>(
-                                                             waited.count() / 1000)));
+        leader.report("agent-b",
+                      reportOf(LifeB, 1'000 + static_cast<std::uint64_t>(waited.count() / 1000)));
         leader.directive("agent-b");
         moved = !leader.decide().starts.empty();
     }
--- a/Tests/Platform/platformwiretest.cpp
+++ b/Tests/Platform/platformwiretest.cpp
@@ -74,7 +74,8 @@
           == "step 0: the field \"count\" is no whole number in its range.");
     CHECK(problem(R"([{"count":1,"dependsOn":[0]}])")
           == "step 0: the field \"dependsOn\" names a step that is not an earlier one.");
-    CHECK(problem(R"([{"count":1,"fills":1}])") == "step 0: the field \"fills\" is no truth value.");
+    CHECK(problem(R"([{"count":1,"fills":1}])")
+          == "step 0: the field \"fills\" is no truth value.");
     CHECK(problem("[]") == "the job: the field \"steps\" is empty.");
     CHECK(problem("[7]") == "step 0 is no object.");
 }
@@ -91,8 +92,9 @@
     CHECK(accepted(route, R"({"name":"s"})"));
     CHECK_FALSE(accepted(route, R"({"name":"other"})"));
     CHECK_FALSE(accepted(route + "," + route, R"({"name":"s"})"));
-    CHECK_FALSE(accepted(R"({"name":"r","host":"h","pathPrefix":"/p/","service":"s","timeoutMs":0})",
-                         R"({"name":"s"})"));
+    CHECK_FALSE(
+        accepted(R"({"name":"r","host":"h","pathPrefix":"/p/","service":"s","timeoutMs":0})",
+                 R"({"name":"s"})"));
     CHECK_FALSE(accepted(route, "7"));
     CHECK_FALSE(parseConfiguration(R"({"version":7,"routes":[])").has_value());
     CHECK_FALSE(parseConfiguration(R"({"version":"7","routes":[],"services":[]})").has_value());
@@ -106,17 +108,20 @@
 TEST_CASE("A report of a minion that lacks a field or holds another type names no minion")
 {
     const std::string path = "/oleanderusher/instances/i-7f3a91c2";
-    const auto good = Wire.minionCall(request("PUT", path, announcement(R"(,"born":1700000000000)")));
+    const auto good =
+        Wire.minionCall(request("PUT", path, announcement(R"(,"born":1700000000000)")));
     REQUIRE(good.has_value());
     const auto &minion = std::get<Fleet::MinionAnnouncement>(*good).minion;
     CHECK(minion.life == MinionLife{"i-7f3a91c2", 1'700'000'000'000});
     CHECK(minion.milliCores == 16'000);
     CHECK(minion.labels == std::vector<std::string>{"a", "r1-3"});
     CHECK_FALSE(Wire.minionCall(request("PUT", path, announcement(""))).has_value());
-    CHECK_FALSE(Wire.minionCall(request("PUT", path, announcement(R"(,"born":"now")"))).has_value());
+    CHECK_FALSE(
+        Wire.minionCall(request("PUT", path, announcement(R"(,"born":"now")"))).has_value());
     CHECK_FALSE(Wire.minionCall(request("PUT", path, "\xff\xfe")).has_value());
     CHECK_FALSE(Wire.minionCall(request("PUT", path, "[]")).has_value());
-    CHECK(std::holds_alternative<Fleet::MinionDeparture>(*Wire.minionCall(request("DELETE", path))));
+    CHECK(
+        std::holds_alternative<Fleet::MinionDeparture>(*Wire.minionCall(request("DELETE", path))));
 }
 
 TEST_CASE("The lists of a minion are read whole or not at all")
@@ -136,9 +141,8 @@
     CHECK(lists->finished.at(1).kind == RunEndKind::Stopped);
     CHECK(lists->finished.at(1).checkpoint == "ab");
     CHECK_FALSE(Wire.lists({200, {}, R"({"clockMs":1,"running":[],"finished":[]})"}).has_value());
-    CHECK_FALSE(
-        Wire.lists({200, {}, R"({"clockMs":1,"born":5,"running":[["x",1]],"finished":[]})"})
-            .has_value());
+    CHECK_FALSE(Wire.lists({200, {}, R"({"clockMs":1,"born":5,"running":[["x",1]],"finished":[]})"})
+                    .has_value());
     CHECK_FALSE(Wire.lists({503, {}, "{}"}).has_value());
 }
 
--- a/Tests/Standins/jobminion.cpp
+++ b/Tests/Standins/jobminion.cpp
@@ -42,8 +42,7 @@
         , client_(loop_, absl::GetFlag(FLAGS_agent), 1)
         , work_(loop_, [this] { work(); })
         , beat_(loop_, [this] { announce(); })
-        , born_(static_cast<std::uint64_t>(
-              loop_.clock().wallNow().time_since_epoch().count()))
+        , born_(static_cast<std::uint64_t>(loop_.clock().wallNow().time_since_epoch().count()))
         , start_(loop_.clock().now())
     {}
 
@@ -78,21 +77,21 @@
         HttpRequest request;
         request.method = "PUT";
         request.path = "/oleanderusher/instances/" + absl::GetFlag(FLAGS_name);
-        request.body = Json{{"service", absl::GetFlag(FLAGS_service)},
-                            {"address", absl::GetFlag(FLAGS_listen)},
-                            {"zone", "a"},
-                            {"version", "v1"},
-                            {"slots", 8},
-                            {"state", "ready"},
-                            {"coldRemainingMs", 0},
-                            {"capacity", {{"cpu", absl::GetFlag(FLAGS_milli_cores)},
-                                          {"memMb", MemoryMb},
-                                          {"gpu", 0}}},
-                            {"labels", Json::array({"a", "r1"})},
-                            {"clockMs", clockMs()},
-                            {"born", born_},
-                            {"sequence", ++sequence_}}
-                           .dump();
+        request.body = Json{
+            {"service", absl::GetFlag(FLAGS_service)},
+            {"address", absl::GetFlag(FLAGS_listen)},
+            {"zone", "a"},
+            {"version", "v1"},
+            {"slots", 8},
+            {"state", "ready"},
+            {"coldRemainingMs", 0},
+            {"capacity",
+             {{"cpu", absl::GetFlag(FLAGS_milli_cores)}, {"memMb", MemoryMb}, {"gpu", 0}}},
+            {"labels", Json::array({"a", "r1"})},
+            {"clockMs", clockMs()},
+            {"born", born_},
+            {"sequence",
+             ++sequence_}}.dump();
         client_.call(std::move(request), CallTimeout, [](const HttpCallResult &) {});
     }
 
@@ -124,10 +123,8 @@
         Json running = Json::array();
         for (const Run &run : running_)
             running.push_back(Json::array({run.task, run.run, "", 50, 0}));
-        return {{"clockMs", clockMs()},
-                {"born", born_},
-                {"running", running},
-                {"finished", finished_}};
+        return {
+            {"clockMs", clockMs()}, {"born", born_}, {"running", running}, {"finished", finished_}};
     }
 
     HttpResponse answer(unsigned status, Json body) const
--- a/Utilities/format.sh
+++ b/Utilities/format.sh
@@ -7,4 +7,4 @@
 if [ "${1:-}" = "--check" ]; then
     mode=(--dry-run --Werror)
 fi
-find Source Tests -name '*.h' -o -name '*.cpp' | xargs --no-run-if-empty -P 8 -n 16 clang-format "${mode[@]}"
+find Source Tests platform -name '*.h' -o -name '*.cpp' | xargs --no-run-if-empty -P 8 -n 16 clang-format "${mode[@]}"
