--- a/Source/Fleet/jobservice.cpp
+++ b/Source/Fleet/jobservice.cpp
@@ -93,7 +93,7 @@
 {
     if (!leading_ || !replica_.isLeader())
         return false;
-    std::visit([&](const auto &call) { answer(call, std::move(callback)); }, body);
+    std::visit([&](const auto &call) { answer(call, callback); }, body);
     return true;
 }
 
@@ -126,7 +126,7 @@
     pumpSoon();
 }
 
-void JobService::answer(const StateCall &call, Callback callback)
+void JobService::answer(const StateCall &call, const Callback &callback)
 {
     const QueueSpec *queue = routeOrAnswer(call.host, call.path, callback);
     if (queue == nullptr)
@@ -183,7 +183,7 @@
     });
 }
 
-void JobService::answer(const ReadConfigurationCall &, Callback callback)
+void JobService::answer(const ReadConfigurationCall &, const Callback &callback)
 {
     if (book().configuration().version == 0)
         return callback(answerOf(JobAnswerKind::NoConfiguration));
--- a/Source/Fleet/jobservice.h
+++ b/Source/Fleet/jobservice.h
@@ -42,10 +42,10 @@
     };
 
     void answer(const SubmitCall &call, Callback callback);
-    void answer(const StateCall &call, Callback callback);
+    void answer(const StateCall &call, const Callback &callback);
     void answer(const CancelCall &call, Callback callback);
     void answer(const ConfigureCall &call, Callback callback);
-    void answer(const ReadConfigurationCall &call, Callback callback);
+    void answer(const ReadConfigurationCall &call, const Callback &callback);
     /** Finds the queue and job that a host and path name; answers and returns null otherwise. */
     const QueueSpec *routeOrAnswer(const std::string &host, const std::string &path,
                                    const Callback &callback) const;
--- a/Source/Fleet/leaderclient.cpp
+++ b/Source/Fleet/leaderclient.cpp
@@ -180,7 +180,8 @@
         return;
     }
     confirmedAt_ = loop_.clock().now();
-    finish(answer.id, std::move(answer));
+    const std::uint64_t id = answer.id;
+    finish(id, std::move(answer));
 }
 
 void LeaderClient::finish(std::uint64_t id, JobAnswer answer)
--- a/Tests/Jobs/jobschedulertest.cpp
+++ b/Tests/Jobs/jobschedulertest.cpp
@@ -323,7 +323,7 @@
 TEST_CASE("No sequence of reports takes a minion over its capacity or runs a task twice")
 {
     // A linear congruence picks the steps, so that the test is the same everywhere.
-    std::uint64_t state = GENERATE(range(1, 21));
+    std::uint64_t state = GENERATE(range<std::uint64_t>(1, 21));
     const auto pick = [&](std::uint64_t bound) {
         state = state * 6364136223846793005ULL + 1442695040888963407ULL;
         return (state >> 33U) % bound;
