jobs: Finish what has begun before new jobs of the same rank

Cause of late licence decisions and press runs at a burst: by urgency alone the first steps of all jobs went before the second steps of any, so every job ended late together.

Ruled out: estimates (the order is wrong with exact ones too, as the test shows: one job of twelve in time, two with the change, which is all the room allows).

Every job is still done in the end (test).

--- a/Source/Jobs/joborder.cpp
+++ b/Source/Jobs/joborder.cpp
@@ -60,7 +60,10 @@
         ordered.push_back(rankJob(id, *job, book.queue(job->queue), nowMs));
     }
     std::ranges::sort(ordered, [](const RankedJob &a, const RankedJob &b) {
-        return std::tie(a.rank, a.latestStartMs, a.id) < std::tie(b.rank, b.latestStartMs, b.id);
+        const bool freshA = a.job->state == JobState::Queued;
+        const bool freshB = b.job->state == JobState::Queued;
+        return std::tie(a.rank, freshA, a.latestStartMs, a.id)
+               < std::tie(b.rank, freshB, b.latestStartMs, b.id);
     });
     return ordered;
 }
--- a/Source/Jobs/joborder.h
+++ b/Source/Jobs/joborder.h
@@ -39,7 +39,8 @@
  * Orders the open jobs of \a book at the calendar time \a nowMs.
  *
  * Load it answers: at a peak more work is ready than fits. Jobs that can still be in time go before
- * those that cannot, the most urgent first, and no job is dropped.
+ * those that cannot; among equals those that have begun go first, since spreading the room over all
+ * makes every one of them late, and then the most urgent. No job is dropped.
  */
 std::vector<RankedJob> orderJobs(const JobBook &book, std::int64_t nowMs);
 
--- /dev/null
+++ b/Tests/Jobs/jobordertest.cpp
@@ -0,0 +1,81 @@
+#include "Jobs/joborder.h"
+
+#include "jobfixture.h"
+
+using namespace Oleander;
+using namespace Oleander::Testing;
+
+namespace {
+
+/** Plays \a jobs of two steps that fill one minion for a second each, all handed in at once, and
+ * returns how many were done within \a objective. */
+std::size_t doneInTime(int jobs, Duration objective)
+{
+    SchedulerFixture leader;
+    leader.report("agent-a", reportOf(LifeA, 1'000, 4'000));
+    leader.directive("agent-a");
+    for (int i = 0; i < jobs; ++i)
+        leader.submit("job-" + std::to_string(i), {step(4), step(4, 1'000, {0})});
+    const std::int64_t begin = leader.nowMs;
+    std::uint64_t clockMs = 1'000;
+    std::uint64_t number = 0;
+    for (Duration passed{}; passed < 60s; passed += 1s) {
+        const JobBatch batch = leader.decide();
+        leader.advance(1s);
+        clockMs += 1'000;
+        MachineReport report = reportOf(LifeA, clockMs, 4'000);
+        for (const RunStart &start : batch.starts)
+            report.finished.push_back({++number, start.task, start.run, RunEndKind::Done, {}});
+        leader.report("agent-a", report);
+        leader.directive("agent-a");
+        leader.decide();
+    }
+    return static_cast<std::size_t>(
+        std::count_if(leader.book.jobs().begin(), leader.book.jobs().end(), [&](const auto &job) {
+            const auto limit = std::chrono::duration_cast<std::chrono::milliseconds>(objective);
+            return job.second.state == JobState::Completed
+                   && job.second.endedAtMs - begin <= limit.count();
+        }));
+}
+
+} // namespace
+
+TEST_CASE("More jobs come than can be in time: those that have begun are finished first")
+{
+    // The objective of two seconds of work is 4.5 s, and the minion does one step a second.
+    CHECK(doneInTime(12, 4'500ms) == 2);
+}
+
+TEST_CASE("Every job is done in the end, however late")
+{
+    CHECK(doneInTime(12, 60s) == 12);
+}
+
+TEST_CASE("What can still be in time goes before what is late, and lasting work between them")
+{
+    BookFixture book;
+    book.submit("overdue", {step(1)});
+    book.nowMs += 5'000;
+    book.submit("late", {step(1)});
+    book.nowMs += 4'000;
+    StepSpec lasting = step(1);
+    lasting.lasting = true;
+    book.submit("lasting", {lasting});
+    book.submit("fresh", {step(1)});
+    const auto ordered = orderJobs(book.book, book.nowMs);
+    REQUIRE(ordered.size() == 4);
+    CHECK(ordered[0].id == "fresh");
+    CHECK(ordered[1].id == "lasting");
+    CHECK(ordered[2].id == "late");
+    CHECK(ordered[3].id == "overdue");
+}
+
+TEST_CASE("The rest of a chain counts the steps that are not done")
+{
+    BookFixture book;
+    book.submit("j", {step(1), step(1, 1'000, {0}), step(1)});
+    CHECK(chainMs(*book.book.find("j"), false) == 2'000);
+    REQUIRE(book.start({"j", 0, 0}, 1, LifeA));
+    book.end({"j", 0, 0}, 1, LifeA, RunEndKind::Done);
+    CHECK(chainMs(*book.book.find("j"), true) == 1'000);
+}
