--- a/Source/Fleet/leaderclient.h
+++ b/Source/Fleet/leaderclient.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Protocol/jobcalls.h"
 #include "Protocol/jobmessages.h"
 #include "Runtime/eventloop.h"
 #include "Runtime/messenger.h"
--- a/Source/Protocol/messages.h
+++ b/Source/Protocol/messages.h
@@ -4,6 +4,7 @@
 #include "Base/error.h"
 #include "Base/location.h"
 #include "Protocol/fields.h"
+#include "Protocol/jobcalls.h"
 #include "Protocol/jobmessages.h"
 
 #include <cstdint>
