jobs: Forget orders, silent minions and queues that nothing needs any more

Cause: reading the change as a newcomer: the times of orders, lives of minions that never report again, and queues that left the configuration were kept for ever, so a long-lived leader would grow.

Test for the queues: A queue that left the configuration is forgotten with its last job.

--- a/Source/Fleet/miniontask.cpp
+++ b/Source/Fleet/miniontask.cpp
@@ -47,7 +47,7 @@
 } // namespace
 
 MinionTask::MinionTask(EventLoop &loop, const FleetWire &wire, const std::string &address)
-    : loop_(loop), wire_(wire), address_(address), ticker_(loop, [this] { tick(); })
+    : loop_(loop), wire_(wire), ticker_(loop, [this] { tick(); })
 {
     looks_ = std::make_unique<HttpClient>(loop, address, LookConnections);
     orders_ = std::make_unique<HttpClient>(loop, address, OrderConnections);
@@ -103,7 +103,6 @@
     departedAt_.reset();
     clockMs_ = 0;
     holdUntilMs_ = 0;
-    sentHoldMs_ = 0;
     acknowledgedEnd_ = 0;
     listed_ = false;
     refusedLooks_ = 0;
@@ -257,7 +256,6 @@
     order.acknowledgedEnd = acknowledgedEnd_;
     order.holdUntilMs = holdUntilMs_;
     order.wait = listed_ ? LookWait : Duration{};
-    sentHoldMs_ = holdUntilMs_;
     const std::uint64_t number = ++lookNumber_;
     looks_->call(wire_.lookRequest(minion_.life.name, order, term_), order.wait + CallTimeout,
                  [this, number, life = lifeNumber_](const HttpCallResult &result) {
--- a/Source/Fleet/miniontask.h
+++ b/Source/Fleet/miniontask.h
@@ -70,7 +70,6 @@
 
     EventLoop &loop_;
     const FleetWire &wire_;
-    std::string address_;
     std::unique_ptr<HttpClient> looks_;
     std::unique_ptr<HttpClient> orders_;
 
@@ -87,7 +86,6 @@
 
     std::uint64_t term_ = 0;
     std::uint64_t holdUntilMs_ = 0;
-    std::uint64_t sentHoldMs_ = 0;
     std::uint64_t acknowledgedEnd_ = 0;
 
     bool listed_ = false;
--- a/Source/Jobs/jobbook.cpp
+++ b/Source/Jobs/jobbook.cpp
@@ -47,6 +47,10 @@
         return {same ? ConfigureResult::InForce : ConfigureResult::Conflict, {}};
     }
     configuration_ = next;
+    std::set<std::string> needed;
+    for (const auto &[id, job] : jobs_)
+        needed.insert(job.queue);
+    std::erase_if(queues_, [&](const auto &item) { return !needed.contains(item.first); });
     for (const QueueSpec &queue : next.queues)
         queues_[queue.name] = queue;
     return {};
--- a/Source/Jobs/jobbook.h
+++ b/Source/Jobs/jobbook.h
@@ -133,7 +133,7 @@
     void rebuildIndexes();
 
     QueueConfiguration configuration_;
-    /** Queues by name, with those that left the configuration while jobs of theirs were open. */
+    /** Queues by name, with those that left the configuration while a job of theirs is known. */
     std::map<std::string, QueueSpec> queues_;
     std::map<std::string, Job> jobs_;
     std::set<std::string> open_;
--- a/Source/Jobs/jobscheduler.cpp
+++ b/Source/Jobs/jobscheduler.cpp
@@ -10,6 +10,8 @@
 
 /** Time after which an order that shows no effect is sent again; well over a round trip. */
 constexpr Duration OrderRetry = std::chrono::milliseconds(400);
+/** Time after which the sending of an order matters no more; many times the retry. */
+constexpr Duration ForgetOrdersAfter = std::chrono::seconds(10);
 /** Time between two looks for leases that have ended and jobs to forget. */
 constexpr Duration SweepInterval = std::chrono::milliseconds(250);
 /** Ended jobs are known for this long, in milliseconds; clients may ask for two minutes. */
@@ -86,6 +88,8 @@
         nextSweep_ = now + SweepInterval;
         for (EndNote &note : machines_.lapse(now, book_))
             ends_.push_back(std::move(note));
+        std::erase_if(orderedAt_,
+                      [&](const auto &item) { return now > item.second + ForgetOrdersAfter; });
         for (const auto &[id, job] : book_.jobs()) {
             if (job.ended() && nowMs > job.endedAtMs + KeepEndedMs)
                 taken.batch.forgotten.push_back(id);
--- a/Source/Jobs/jobscheduler.h
+++ b/Source/Jobs/jobscheduler.h
@@ -61,7 +61,6 @@
     /** Returns what the agents shall hear now. */
     std::vector<AddressedDirective> takeDirectives(TimePoint now);
 
-    const MachineTable &machines() const { return machines_; }
     InterferenceTable &interference() { return interference_; }
 
 private:
--- a/Source/Jobs/machinetable.cpp
+++ b/Source/Jobs/machinetable.cpp
@@ -11,6 +11,9 @@
 /** A minion's clock may be this many hundredths slow. */
 constexpr int SlowClockHundredths = 4;
 constexpr int Hundred = 100;
+/** A minion that holds nothing is forgotten after this silence; it reports itself when it is back.
+ */
+constexpr Duration ForgetSilentAfter = std::chrono::seconds(60);
 
 } // namespace
 
@@ -115,6 +118,10 @@
 std::vector<EndNote> MachineTable::lapse(TimePoint now, const JobBook &book)
 {
     std::vector<EndNote> notes;
+    std::erase_if(machines_, [&](const auto &item) {
+        return now > item.second.reportedAt + ForgetSilentAfter
+               && !book.activeRuns().contains(item.first);
+    });
     const Duration full =
         options_.length * (Hundred + SlowClockHundredths) / Hundred + options_.margin;
     for (const auto &[life, runs] : book.activeRuns()) {
--- a/Tests/Jobs/jobbooktest.cpp
+++ b/Tests/Jobs/jobbooktest.cpp
@@ -167,6 +167,24 @@
     CHECK(book.start(First, 1, LifeA));
 }
 
+TEST_CASE("A queue that left the configuration is forgotten with its last job")
+{
+    BookFixture book;
+    book.submit("j", {step(1)});
+    book.cancel("j");
+    QueueConfiguration other = oneQueue(2);
+    other.queues.front().name = "other";
+    book.book.apply(Configure{other});
+    CHECK(book.book.queue("press") != nullptr);
+    JobBatch batch;
+    batch.forgotten = {"j"};
+    book.apply(batch);
+    other.version = 3;
+    book.book.apply(Configure{other});
+    CHECK(book.book.queue("press") == nullptr);
+    CHECK(book.book.queue("other") != nullptr);
+}
+
 TEST_CASE("A restored book goes on as the one it came from")
 {
     BookFixture book;
