jobs, fleet: Never order a run whose end is being committed

The agent's first report came at 27.55 s, after the lease had lapsed: one pass of the leader noted the run as lost, renewed the lease by that report, and ordered the run again, as the book still held it. Run 2 was decided 30 ms later. The same reading showed two more ways to a second run at the agent: a start that it had not delivered was sent under a later lease, and a refusal counted at once although an earlier call had no answer.

Change: runs with an end on its way into the book are not ordered; ends whose commit fails are taken again; a start is sent with the end of the lease that it was ordered under and given up after that; a start with an unanswered call is stopped before it counts as refused.

The three new tests failed before (the test of the scheduler with its check taken out).

--- a/Source/Fleet/jobservice.cpp
+++ b/Source/Fleet/jobservice.cpp
@@ -245,12 +245,15 @@
                   {"run", note.end.run},
                   {"how", static_cast<unsigned>(note.end.kind)}});
     }
+    const std::vector<Jobs::EndNote> notes = taken.batch.ends;
     commit(std::move(taken.batch),
-           [this, round = round_, acknowledgements = std::move(taken.acknowledgements)](
+           [this, round = round_, notes, acknowledgements = std::move(taken.acknowledgements)](
                const Result<Jobs::JobOutcome> &outcome) {
-               // Agents report again what is not acknowledged.
-               if (round != round_ || !outcome)
+               if (round != round_)
                    return;
+               // The agents' reports do not repeat ends that the leader found by itself.
+               if (!outcome)
+                   return scheduler_.endsFailed(notes);
                scheduler_.endsCommitted(acknowledgements);
                pumpSoon();
            });
--- a/Source/Fleet/miniontask.cpp
+++ b/Source/Fleet/miniontask.cpp
@@ -111,6 +111,7 @@
     finished_.clear();
     described_.clear();
     starts_.clear();
+    unanswered_.clear();
     stopping_.clear();
     refusals_.clear();
     pace_ = {};
@@ -153,13 +154,15 @@
         const bool known = std::ranges::any_of(running_, [&](const RunStatus &status) {
             return status.task == order.task && status.run == order.run;
         });
-        if (known || starts_.contains(key) || refusals_.contains(key) || stopping_.contains(key))
+        if (known || refusals_.contains(key) || stopping_.contains(key))
             continue;
-        if (minion_.draining) {
+        if (minion_.draining && !starts_.contains(key)) {
             refusals_[key] = {lookNumber_, false};
             continue;
         }
-        starts_[key] = {order, false, {}};
+        Start &start = starts_[key];
+        start.order = order;
+        start.validUntilMs = std::max(start.validUntilMs, directive.holdUntilMs);
         deliver(key);
     }
     tick();
@@ -168,11 +171,12 @@
 void MinionTask::deliver(const Jobs::RunKey &key)
 {
     Start &start = starts_.at(key);
-    if (start.calling || loop_.clock().now() < start.retryAt
-        || holdUntilMs_ < clockMs_ + LeastLeaseMs)
+    if (start.calling || loop_.clock().now() < start.retryAt)
         return;
+    if (start.validUntilMs < clockMs_ + LeastLeaseMs)
+        return giveUpStart(key);
     start.calling = true;
-    orders_->call(wire_.startRequest(minion_.life.name, start.order, term_, holdUntilMs_),
+    orders_->call(wire_.startRequest(minion_.life.name, start.order, term_, start.validUntilMs),
                   CallTimeout, [this, key, life = lifeNumber_](const HttpCallResult &result) {
                       onStartAnswer(key, life, result);
                   });
@@ -187,11 +191,15 @@
     found->second.calling = false;
     found->second.retryAt = loop_.clock().now() + StartRetry;
     // Without an answer the order may have been carried out; the same again is safe.
-    if (!result)
+    if (!result) {
+        if (result.error().mayHaveBeenSent)
+            unanswered_[key] = found->second.validUntilMs;
         return;
+    }
     switch (wire_.orderResult(*result)) {
     case OrderResult::Done:
         starts_.erase(found);
+        unanswered_.erase(key);
         break;
     case OrderResult::Refused:
     case OrderResult::Busy:
@@ -202,14 +210,22 @@
                   {"run", key.second},
                   {"status", result->status},
                   {"answer", result->body}});
-        starts_.erase(found);
-        refusals_[key] = {lookNumber_, false};
+        giveUpStart(key);
         break;
     case OrderResult::Unclear:
         break;
     }
 }
 
+void MinionTask::giveUpStart(const Jobs::RunKey &key)
+{
+    starts_.erase(key);
+    // A minion never begins a run after it has stopped it.
+    if (unanswered_.contains(key))
+        return stop({key.first, key.second});
+    refusals_[key] = {lookNumber_, false};
+}
+
 void MinionTask::stop(const StopOrder &order)
 {
     const Jobs::RunKey key{order.task, order.run};
@@ -229,6 +245,7 @@
     if (!result || wire_.orderResult(*result) != OrderResult::Done)
         return;
     starts_.erase(key);
+    unanswered_.erase(key);
     refusals_[key] = {lookNumber_, false};
 }
 
@@ -322,6 +339,9 @@
         present.insert({end.task, end.run});
     for (const Jobs::RunKey &key : present)
         starts_.erase(key);
+    std::erase_if(unanswered_, [this](const auto &item) {
+        return item.second < clockMs_ && !starts_.contains(item.first);
+    });
     for (auto it = refusals_.begin(); it != refusals_.end();) {
         auto &[key, refusal] = *it;
         if (present.contains(key)) {
--- a/Source/Fleet/miniontask.h
+++ b/Source/Fleet/miniontask.h
@@ -43,6 +43,9 @@
     struct Start
     {
         StartOrder order;
+        /** End, on the minion's clock, of the lease under which the leader gave the order; later it
+         * may have started the task elsewhere. */
+        std::uint64_t validUntilMs = 0;
         bool calling = false;
         TimePoint retryAt{};
     };
@@ -64,6 +67,8 @@
     void pace();
     void deliver(const Jobs::RunKey &key);
     void onStartAnswer(const Jobs::RunKey &key, std::uint64_t life, const HttpCallResult &result);
+    /** The minion does not carry out the start of \a key; it is refused once that is sure. */
+    void giveUpStart(const Jobs::RunKey &key);
     void stop(const StopOrder &order);
     void onStopAnswer(const Jobs::RunKey &key, const HttpCallResult &result);
     bool alive(std::uint64_t life) const { return present_ && life == lifeNumber_; }
@@ -100,6 +105,9 @@
     /** What the orders told of the runs that may be at work. */
     std::map<Jobs::RunKey, StartOrder> described_;
     std::map<Jobs::RunKey, Start> starts_;
+    /** Starts of which a call got no answer, so that the minion may yet carry it out, and the time
+     * on its clock from which on it will not. */
+    std::map<Jobs::RunKey, std::uint64_t> unanswered_;
     std::set<Jobs::RunKey> stopping_;
     std::map<Jobs::RunKey, Refusal> refusals_;
     /** Number of the latest report that told of the refusals and ended lives. */
--- a/Source/Jobs/jobscheduler.cpp
+++ b/Source/Jobs/jobscheduler.cpp
@@ -35,6 +35,7 @@
     machines_.startTerm(now);
     startsInFlight_ = false;
     ends_.clear();
+    ending_.clear();
     waiting_.clear();
     due_.clear();
     orderedAt_.clear();
@@ -90,6 +91,8 @@
             ends_.push_back(std::move(note));
         std::erase_if(orderedAt_,
                       [&](const auto &item) { return now > item.second + ForgetOrdersAfter; });
+        std::erase_if(ending_,
+                      [&](const RunKey &key) { return book_.activeRun(key) == nullptr; });
         for (const auto &[id, job] : book_.jobs()) {
             if (job.ended() && nowMs > job.endedAtMs + KeepEndedMs)
                 taken.batch.forgotten.push_back(id);
@@ -97,6 +100,8 @@
     }
     taken.batch.atMs = nowMs;
     taken.batch.ends = std::exchange(ends_, {});
+    for (const EndNote &note : taken.batch.ends)
+        ending_.insert({note.end.task, note.end.run});
     taken.acknowledgements = std::exchange(waiting_, {});
     // What the book holds already waits for no commit.
     if (taken.batch.empty())
@@ -113,6 +118,11 @@
     }
 }
 
+void JobScheduler::endsFailed(const std::vector<EndNote> &notes)
+{
+    ends_.insert(ends_.end(), notes.begin(), notes.end());
+}
+
 JobBatch JobScheduler::takeStarts(TimePoint now, std::int64_t nowMs)
 {
     JobBatch batch;
@@ -172,10 +182,14 @@
         const bool described = view != machine.running.end() && view->second.described;
         if (machine.finishing.contains(key))
             continue;
+        // Another run of the task may be decided as soon as the end is committed.
+        if (ending_.contains(key))
+            continue;
         if (mustStop(key) || mustLeave(now, machine, key)) {
             if (orderDue(now, key))
                 directive.stops.push_back({key.first, key.second});
-        } else if (!described && !machine.undelivered.contains(key) && orderDue(now, key)) {
+        } else if (machine.holdUntilMs > 0 && !described && !machine.undelivered.contains(key)
+                   && orderDue(now, key)) {
             const Job *job = book_.find(key.first.job);
             const StepSpec &step = job->steps[key.first.step];
             directive.starts.push_back({key.first, key.second, job->spec,
--- a/Source/Jobs/jobscheduler.h
+++ b/Source/Jobs/jobscheduler.h
@@ -54,6 +54,8 @@
     EndBatch takeEnds(TimePoint now, std::int64_t nowMs);
     /** The ends behind \a acknowledgements are committed. */
     void endsCommitted(const std::map<Reporter, Acknowledgement> &acknowledgements);
+    /** The commit of \a notes failed; they are due again. */
+    void endsFailed(const std::vector<EndNote> &notes);
     /** Returns the starts that shall be committed now; empty while others are on their way. */
     JobBatch takeStarts(TimePoint now, std::int64_t nowMs);
     /** The batch of the latest takeStarts() has taken effect or surely will not. */
@@ -79,6 +81,8 @@
     std::uint64_t term_ = 0;
     bool startsInFlight_ = false;
     std::vector<EndNote> ends_;
+    /** Runs whose end is on its way into the book; they must not be ordered any more. */
+    std::set<RunKey> ending_;
     std::map<Reporter, Acknowledgement> waiting_;
     std::map<Reporter, Acknowledgement> due_;
     /** When each run was last ordered to start or stop. */
--- /dev/null
+++ b/Tests/Fleet/miniontasktest.cpp
@@ -0,0 +1,143 @@
+#include "Fleet/miniontask.h"
+#include "Support/loopback.h"
+#include "platformwire.h"
+
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+using namespace Oleander;
+using namespace Oleander::Fleet;
+using Oleander::Testing::Loopback;
+using Json = nlohmann::json;
+
+namespace {
+
+constexpr Duration Patience = std::chrono::seconds(20);
+constexpr std::uint64_t Born = 100;
+const TaskRef First{"5c0e7a21d94b36f8", 0, 0};
+
+/** A minion that answers by script, and the task that follows it. */
+struct Fixture
+{
+    EventLoop loop;
+    std::string address = Loopback::freeAddress(Loopback::nextHost());
+    HttpServer server{loop, HttpLimits{},
+                      [this](const std::shared_ptr<HttpExchange> &exchange) { handle(exchange); }};
+    MinionTask task{loop, Platform::platformWire(), address};
+    std::uint64_t clockMs = 1'000;
+    /** Answer to starts; 0 leaves them without one. */
+    unsigned startStatus = 200;
+    bool answersStops = true;
+    std::vector<Json> starts;
+    std::size_t stops = 0;
+    std::vector<std::shared_ptr<HttpExchange>> held;
+    std::uint64_t reports = 0;
+
+    Fixture()
+    {
+        REQUIRE(server.listen(address));
+        MinionAnnouncement announcement;
+        announcement.minion.life = {"i-1", Born};
+        announcement.minion.milliCores = 1'000;
+        announcement.sequence = 1;
+        announcement.clockMs = clockMs;
+        task.announce(announcement);
+    }
+
+    void handle(const std::shared_ptr<HttpExchange> &exchange)
+    {
+        const std::string &path = exchange->request().path;
+        Json body = {{"clockMs", clockMs}};
+        if (path.ends_with("hold")) {
+            body["born"] = Born;
+            body["running"] = Json::array();
+            body["finished"] = Json::array();
+            return exchange->respond({200, {}, body.dump()});
+        }
+        if (path.ends_with("run-stop")) {
+            ++stops;
+            if (answersStops)
+                return exchange->respond({200, {}, body.dump()});
+        } else if (path.ends_with("run-start")) {
+            starts.push_back(Json::parse(exchange->request().body));
+            if (startStatus != 0)
+                return exchange->respond({startStatus, {}, body.dump()});
+        }
+        held.push_back(exchange);
+    }
+
+    void order(std::uint64_t holdUntilMs, bool start)
+    {
+        MachineDirective directive;
+        directive.term = 1;
+        directive.life = {"i-1", Born};
+        directive.holdUntilMs = holdUntilMs;
+        if (start) {
+            StartOrder order;
+            order.task = First;
+            order.run = 1;
+            directive.starts.push_back(order);
+        }
+        task.direct(directive);
+    }
+
+    bool refused() { return !task.report(++reports).refused.empty(); }
+
+    void runUntil(const std::function<bool()> &done)
+    {
+        const TimePoint start = loop.clock().now();
+        Timer poll(loop, [&] {
+            if (done() || loop.clock().now() - start > Patience)
+                loop.stop();
+        });
+        poll.startEvery(std::chrono::milliseconds(1));
+        loop.run();
+        REQUIRE(done());
+    }
+};
+
+} // namespace
+
+TEST_CASE("A start is not sent again once the lease that it was ordered under has ended")
+{
+    // The leader may have given the run up by then and started the task elsewhere.
+    Fixture minion;
+    minion.startStatus = 0;
+    minion.order(6'000, true);
+    minion.runUntil([&] { return minion.starts.size() == 2; });
+    minion.order(12'000, false);
+    minion.clockMs = 7'000;
+    minion.runUntil([&] { return minion.stops > 0 && minion.refused(); });
+    for (const Json &start : minion.starts)
+        CHECK(start.at("deadlineMs") == 6'000);
+}
+
+TEST_CASE("A start that got no answer counts as refused only after the minion has stopped it")
+{
+    // A call without an answer may be carried out after later ones.
+    Fixture minion;
+    minion.startStatus = 0;
+    minion.answersStops = false;
+    minion.order(6'000, true);
+    minion.runUntil([&] { return minion.starts.size() == 1; });
+    minion.startStatus = 503;
+    minion.runUntil([&] { return minion.stops == 1; });
+    CHECK_FALSE(minion.refused());
+    minion.answersStops = true;
+    minion.runUntil([&] {
+        minion.order(6'000, true);
+        return minion.stops > 1 && minion.refused();
+    });
+}
+
+TEST_CASE("A start that every call was refused counts as refused without a stop")
+{
+    Fixture minion;
+    minion.startStatus = 503;
+    minion.order(6'000, true);
+    minion.runUntil([&] { return minion.refused(); });
+    CHECK(minion.starts.size() == 1);
+    CHECK(minion.stops == 0);
+}
--- a/Tests/Jobs/jobschedulertest.cpp
+++ b/Tests/Jobs/jobschedulertest.cpp
@@ -402,3 +402,24 @@
         }
     }
 }
+
+TEST_CASE("A run whose lease has lapsed is not ordered while that is committed")
+{
+    // The agent is cut off when the start is committed and comes back as the lease ends.
+    SchedulerFixture leader;
+    introduce(leader, "agent-a", LifeA);
+    leader.submit("j", {step(1)});
+    REQUIRE(leader.decide().starts.size() == 1);
+    REQUIRE(leader.directive("agent-a").starts.size() == 1);
+    leader.advance(6s);
+    leader.report("agent-a", reportOf(LifeA, 7'000));
+    const auto ends = leader.scheduler.takeEnds(leader.clock.now(), leader.nowMs);
+    REQUIRE(ends.batch.ends.size() == 1);
+    REQUIRE(ends.batch.ends.at(0).end.kind == RunEndKind::Lost);
+    const MachineDirective directive = leader.directive("agent-a");
+    CHECK(directive.holdUntilMs == 12'000);
+    CHECK(directive.starts.empty());
+    leader.scheduler.endsFailed(ends.batch.ends);
+    CHECK(leader.decide().ends.size() == 1);
+    CHECK(leader.book.activeRuns().empty());
+}
