entry: Claim no configuration in force everywhere before all processes were heard

In the first moments after its start an agent that it has not heard yet is in no list, so the answer was "in force everywhere" although that agent could hold an older version under a lease that another entry had confirmed.

Ruled out: the new links (the list was that of the entry, which had simply not heard the agent yet; the lists of known processes were right).

Change: until an entry has run for one configuration lease, with its drift, it does not say so and the answer names the reason. Whoever has a lease renews it within that time and is heard, or is cut off.

Tests: Entry.An entry that has just started does not take a configuration for in force everywhere failed before (the condition taken out) and passes.

--- a/Source/Entry/configurationspread.h
+++ b/Source/Entry/configurationspread.h
@@ -19,9 +19,11 @@
     std::vector<std::string> waitingFor;
     /** Processes not heard from for so long that they refuse work until they have the version. */
     std::vector<std::string> cutOff;
+    /** False while processes that this entry has not heard yet may admit work. */
+    bool knowsEveryone = true;
 
     /** True when no process admits work under an older version. */
-    bool inForceEverywhere() const { return confirmedHere && waitingFor.empty(); }
+    bool inForceEverywhere() const { return confirmedHere && knowsEveryone && waitingFor.empty(); }
 };
 
 } // namespace Oleander
--- a/Source/Entry/configurationtask.cpp
+++ b/Source/Entry/configurationtask.cpp
@@ -33,6 +33,7 @@
     , follower_(loop, messenger, gate_,
                 {without(options_.peers, options_.name), options_.lease / TriesPerLease})
     , timer_(loop, [this] { tick(); })
+    , startedAt_(loop.clock().now())
     , inForceSince_(loop.clock().now())
     , alive_(std::make_shared<ConfigurationTask *>(this))
 {
@@ -149,7 +150,10 @@
     spread.inForce.push_back(options_.name);
     // A process with an older version cannot have confirmed it after this one was accepted, so its
     // lease ends at the latest one lease, and the drift of its clock, after that.
-    const auto lastLeaseEnd = inForceSince_ + options_.lease + options_.lease / DriftShare;
+    const auto longestLease = options_.lease + options_.lease / DriftShare;
+    const auto lastLeaseEnd = inForceSince_ + longestLease;
+    // Whoever has a lease renews it within its length, and is heard here then or is cut off.
+    spread.knowsEveryone = now >= startedAt_ + longestLease;
     for (const auto &[name, peer] : peers_) {
         if (peer.version >= spread.version)
             spread.inForce.push_back(name);
--- a/Source/Entry/configurationtask.h
+++ b/Source/Entry/configurationtask.h
@@ -93,6 +93,7 @@
     ConfigurationFollower follower_;
     Timer timer_;
     std::map<std::string, Peer> peers_;
+    TimePoint startedAt_{};
     /** Since when the version is in force here. */
     TimePoint inForceSince_{};
     bool isConfirming_ = false;
--- a/Source/Entry/recordoutcome.cpp
+++ b/Source/Entry/recordoutcome.cpp
@@ -118,10 +118,17 @@
         return fmt::format("This entry has configuration {} and waits for {}.", spread.version,
                            version);
     }
-    auto text = spread.waitingFor.empty()
-                    ? fmt::format("Configuration {} is in force everywhere.", spread.version)
-                    : fmt::format("Configuration {} waits for {}.", spread.version,
-                                  fmt::join(spread.waitingFor, ", "));
+    std::string text;
+    if (!spread.waitingFor.empty()) {
+        text = fmt::format("Configuration {} waits for {}.", spread.version,
+                           fmt::join(spread.waitingFor, ", "));
+    } else if (!spread.knowsEveryone) {
+        text = fmt::format("Configuration {} waits for processes that this entry, which has just "
+                           "started, may not have heard yet.",
+                           spread.version);
+    } else {
+        text = fmt::format("Configuration {} is in force everywhere.", spread.version);
+    }
     if (!spread.cutOff.empty()) {
         text += fmt::format(" Not heard from, and refusing work until they have it: {}.",
                             fmt::join(spread.cutOff, ", "));
--- a/Source/Jobs/jobscheduler.cpp
+++ b/Source/Jobs/jobscheduler.cpp
@@ -91,8 +91,7 @@
             ends_.push_back(std::move(note));
         std::erase_if(orderedAt_,
                       [&](const auto &item) { return now > item.second + ForgetOrdersAfter; });
-        std::erase_if(ending_,
-                      [&](const RunKey &key) { return book_.activeRun(key) == nullptr; });
+        std::erase_if(ending_, [&](const RunKey &key) { return book_.activeRun(key) == nullptr; });
         for (const auto &[id, job] : book_.jobs()) {
             if (job.ended() && nowMs > job.endedAtMs + KeepEndedMs)
                 taken.batch.forgotten.push_back(id);
--- /dev/null
+++ b/Tests/Entry/configurationtasktest.cpp
@@ -0,0 +1,52 @@
+#include "Entry/configurationtask.h"
+
+#include <catch2/catch.hpp>
+
+using namespace Oleander;
+
+namespace {
+
+constexpr Duration Patience = std::chrono::seconds(20);
+
+/** The configuration task of an entry without peers, whose reads always succeed. */
+struct Fixture
+{
+    EventLoop loop;
+    Messenger messenger{loop, "entry-1", 1};
+    State::ControlState state;
+    ConfigurationTask task;
+
+    explicit Fixture(Duration lease)
+        : task(loop, messenger, state,
+               {[](const ReplicaTask::ReadCallback &read) { read({}); },
+                [](const std::string &, const ReplicaTask::ProposeCallback &) {},
+                [] { return false; }},
+               {"entry-1", {"entry-1"}, lease})
+    {
+        task.start();
+    }
+};
+
+} // namespace
+
+TEST_CASE("An entry that has just started does not take a configuration for in force everywhere")
+{
+    // An agent that it has not heard yet may hold an older version under a lease.
+    Fixture entry(std::chrono::hours(1));
+    REQUIRE(entry.task.spread().confirmedHere);
+    CHECK(entry.task.spread().waitingFor.empty());
+    CHECK_FALSE(entry.task.spread().inForceEverywhere());
+}
+
+TEST_CASE("After one lease an entry has heard of everyone who may admit work")
+{
+    Fixture entry(std::chrono::milliseconds(100));
+    const TimePoint start = entry.loop.clock().now();
+    Timer poll(entry.loop, [&] {
+        if (entry.task.spread().inForceEverywhere() || entry.loop.clock().now() > start + Patience)
+            entry.loop.stop();
+    });
+    poll.startEvery(std::chrono::milliseconds(1));
+    entry.loop.run();
+    CHECK(entry.task.spread().inForceEverywhere());
+}
--- a/Tests/Fleet/miniontasktest.cpp
+++ b/Tests/Fleet/miniontasktest.cpp
@@ -1,6 +1,7 @@
 #include "Fleet/miniontask.h"
-#include "Support/loopback.h"
+
 #include "platformwire.h"
+#include "Support/loopback.h"
 
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
