fleet: Tell metrics at a door of each process, with histograms of the jobs' way

Only the control hosts had one, at the operators' door, and nothing recorded how long calls, commits and starts take.

Ruled out: the operators' door of the other roles (entries and agents have none, and clients and minions must not see the state).

Change: setting metrics-door of control hosts, entries and agents; oleander_call_seconds, oleander_commit_seconds, oleander_job_start_wait_seconds, oleander_runs_ended_total.

Test: Fleet.Each process tells its metrics at a door of its own.

--- a/Source/Fleet/controlhost.cpp
+++ b/Source/Fleet/controlhost.cpp
@@ -70,6 +70,7 @@
         , leader_(loop_, messenger_, settings.group.seeds)
         , door_(loop_, settings.limits,
                 [this](const std::shared_ptr<HttpExchange> &exchange) { handle(exchange); })
+        , processDoor_(loop_)
         , watch_(loop_)
         , settingsWatch_(loop_, path, [this] { reload(); })
         , membershipTimer_(loop_, [this] { followMembership(); })
@@ -94,6 +95,8 @@
 
     Result<void> start()
     {
+        if (auto listening = processDoor_.listen(settings_.metricsDoor); !listening)
+            return listening;
         settingsWatch_.start();
         for (const int signal : {SIGTERM, SIGINT})
             loop_.onSignal(signal, [this] { drain(); });
@@ -236,6 +239,7 @@
     JobService jobs_;
     LeaderClient leader_;
     HttpServer door_;
+    ProcessDoor processDoor_;
     ProcessWatch watch_;
     SettingsWatch settingsWatch_;
     Timer membershipTimer_;
--- a/Source/Fleet/jobentry.cpp
+++ b/Source/Fleet/jobentry.cpp
@@ -4,6 +4,8 @@
 #include "Fleet/settingswatch.h"
 #include "Runtime/incarnation.h"
 #include "Runtime/log.h"
+#include "Runtime/metrics.h"
+#include "Runtime/processdoor.h"
 #include "Runtime/processwatch.h"
 #include "Settings/processrun.h"
 #include "Settings/settingsfile.h"
@@ -39,6 +41,7 @@
                       [this](const std::shared_ptr<HttpExchange> &exchange) { handle(exchange); })
         , healthDoor_(loop_, settings.limits,
                       [this](const std::shared_ptr<HttpExchange> &exchange) { health(exchange); })
+        , processDoor_(loop_)
         , watch_(loop_)
         , settingsWatch_(loop_, path, [this] { reload(); })
         , drainTimer_(loop_, [this] { continueDrain(); })
@@ -62,6 +65,8 @@
 
     Result<void> start()
     {
+        if (auto listening = processDoor_.listen(settings_.metricsDoor); !listening)
+            return listening;
         settingsWatch_.start();
         for (const int signal : {SIGTERM, SIGINT})
             loop_.onSignal(signal, [this] { drain(); });
@@ -90,8 +95,17 @@
             logEvent(LogEvent::RequestFailed, call.error());
             return exchange->respond(wire_.clientAnswer(answer));
         }
+        const TimePoint begun = loop_.clock().now();
+        const bool submits = std::holds_alternative<SubmitCall>(call->body);
         leader_.call(std::move(call->body), call->patience,
-                     [this, exchange](const JobAnswer &answer) { respond(exchange, answer); });
+                     [this, exchange, begun, submits](const JobAnswer &answer) {
+                         processMetrics()
+                             .histogram("oleander_call_seconds",
+                                        "Time from a whole call of a client to its answer.",
+                                        {{"call", submits ? "submit" : "other"}})
+                             .record(loop_.clock().now() - begun);
+                         respond(exchange, answer);
+                     });
     }
 
     void respond(const std::shared_ptr<HttpExchange> &exchange, const JobAnswer &answer)
@@ -136,6 +150,7 @@
     LeaderClient leader_;
     HttpServer callerDoor_;
     HttpServer healthDoor_;
+    ProcessDoor processDoor_;
     ProcessWatch watch_;
     SettingsWatch settingsWatch_;
     Timer drainTimer_;
--- a/Source/Fleet/jobservice.cpp
+++ b/Source/Fleet/jobservice.cpp
@@ -3,6 +3,9 @@
 #include "Runtime/log.h"
 #include "Runtime/metrics.h"
 
+#include <algorithm>
+#include <set>
+
 namespace Oleander::Fleet {
 
 namespace {
@@ -244,6 +247,10 @@
                   {"index", note.end.task.index},
                   {"run", note.end.run},
                   {"how", static_cast<unsigned>(note.end.kind)}});
+        processMetrics()
+            .counter("oleander_runs_ended_total", "Ends of runs by how, as in run.ended.",
+                     {{"how", std::to_string(static_cast<unsigned>(note.end.kind))}})
+            .add();
     }
     const std::vector<Jobs::EndNote> notes = taken.batch.ends;
     commit(std::move(taken.batch),
@@ -268,6 +275,7 @@
     Jobs::JobBatch batch = scheduler_.takeStarts(now, nowMs());
     if (batch.empty())
         return;
+    noteWaits(batch);
     for (const Jobs::RunStart &start : batch.starts) {
         logEvent(LogEvent::RunDecided, Step::Place, start.minion.name,
                  {{"job", start.task.job},
@@ -283,6 +291,25 @@
     });
 }
 
+void JobService::noteWaits(const Jobs::JobBatch &batch) const
+{
+    std::set<std::string> seen;
+    for (const Jobs::RunStart &start : batch.starts) {
+        if (!seen.insert(start.task.job).second)
+            continue;
+        const Jobs::Job &job = *book().find(start.task.job);
+        const bool first = job.state == JobState::Queued;
+        processMetrics()
+            .histogram(
+                "oleander_job_start_wait_seconds",
+                "Time from the latest change of a job, its acceptance or the start or end of "
+                "a run, to its next starts.",
+                {{"after", first ? "acceptance" : "run"}})
+            .record(
+                std::chrono::milliseconds(std::max<std::int64_t>(0, batch.atMs - job.changedAtMs)));
+    }
+}
+
 void JobService::sendDirectives()
 {
     for (Jobs::AddressedDirective &addressed : scheduler_.takeDirectives(loop_.clock().now())) {
@@ -307,10 +334,15 @@
 void JobService::commit(Jobs::JobCommand command,
                         std::function<void(Result<Jobs::JobOutcome>)> callback)
 {
+    const TimePoint begun = loop_.clock().now();
     replica_.proposeHere(State::encodeCommand(std::move(command)),
-                         [callback = std::move(callback)](Result<std::string> bytes) {
+                         [this, begun, callback = std::move(callback)](Result<std::string> bytes) {
                              if (!bytes)
                                  return callback(tl::make_unexpected(bytes.error()));
+                             processMetrics()
+                                 .histogram("oleander_commit_seconds",
+                                            "Time from a proposal to its commit.")
+                                 .record(loop_.clock().now() - begun);
                              callback(State::outcomeOf<Jobs::JobOutcome>(*bytes));
                          });
 }
--- a/Source/Fleet/jobservice.h
+++ b/Source/Fleet/jobservice.h
@@ -55,6 +55,8 @@
     void commitEnds();
     void commitStarts();
     void sendDirectives();
+    /** Records how long the jobs of \a batch waited for their starts. */
+    void noteWaits(const Jobs::JobBatch &batch) const;
     void shareLearning();
     void commit(Jobs::JobCommand command, std::function<void(Result<Jobs::JobOutcome>)> callback);
     std::int64_t nowMs() const;
--- a/Source/Fleet/machineagent.cpp
+++ b/Source/Fleet/machineagent.cpp
@@ -5,6 +5,7 @@
 #include "Fleet/settingswatch.h"
 #include "Runtime/incarnation.h"
 #include "Runtime/log.h"
+#include "Runtime/processdoor.h"
 #include "Runtime/processwatch.h"
 #include "Settings/processrun.h"
 #include "Settings/settingsfile.h"
@@ -37,6 +38,7 @@
         , minion_(loop_, wire, settings.minion)
         , door_(loop_, settings.limits,
                 [this](const std::shared_ptr<HttpExchange> &exchange) { handle(exchange); })
+        , processDoor_(loop_)
         , watch_(loop_)
         , settingsWatch_(loop_, path, [this] { reload(); })
         , reportTimer_(loop_, [this] { report(); })
@@ -60,6 +62,8 @@
 
     Result<void> start()
     {
+        if (auto listening = processDoor_.listen(settings_.metricsDoor); !listening)
+            return listening;
         settingsWatch_.start();
         for (const int signal : {SIGTERM, SIGINT})
             loop_.onSignal(signal, [this] { stop(); });
@@ -117,6 +121,7 @@
     LeaderClient leader_;
     MinionTask minion_;
     HttpServer door_;
+    ProcessDoor processDoor_;
     ProcessWatch watch_;
     SettingsWatch settingsWatch_;
     Timer reportTimer_;
--- a/Source/Runtime/processdoor.cpp
+++ b/Source/Runtime/processdoor.cpp
@@ -7,6 +7,8 @@
 
 namespace {
 
+constexpr unsigned NotFound = 404;
+
 HttpResponse textAnswer(std::string contentType, std::string body)
 {
     return {200, {{"Content-Type", std::move(contentType)}}, std::move(body)};
@@ -32,4 +34,20 @@
     return true;
 }
 
+ProcessDoor::ProcessDoor(EventLoop &loop)
+    : server_(loop, HttpLimits{}, [](const std::shared_ptr<HttpExchange> &exchange) {
+        if (!answerProcessRequest(*exchange))
+            exchange->respond({NotFound, {}, {}});
+    })
+{}
+
+Result<void> ProcessDoor::listen(const std::string &address)
+{
+    if (address.empty())
+        return {};
+    if (auto listening = server_.listen(address); !listening)
+        return tl::make_unexpected(listening.error());
+    return {};
+}
+
 } // namespace Oleander
--- a/Source/Runtime/processdoor.h
+++ b/Source/Runtime/processdoor.h
@@ -10,4 +10,20 @@
  */
 bool answerProcessRequest(HttpExchange &exchange);
 
+/**
+ * \class ProcessDoor
+ * \brief Door at which a process tells its metrics and its state, and nothing else.
+ */
+class ProcessDoor
+{
+public:
+    explicit ProcessDoor(EventLoop &loop);
+
+    /** Listens at \a address; an empty one opens no door. */
+    Result<void> listen(const std::string &address);
+
+private:
+    HttpServer server_;
+};
+
 } // namespace Oleander
--- a/Source/Settings/fleetsettings.cpp
+++ b/Source/Settings/fleetsettings.cpp
@@ -23,6 +23,11 @@
         seed = seed.substr(0, seed.find(':') + 1) + std::to_string(linkPort);
 }
 
+void bindMetricsDoor(SettingsBinder &binder, const char *section, std::string &door)
+{
+    binder.address(section, "metrics-door", door, Presence::Optional, PortRule::OrPickedBySystem);
+}
+
 template<typename Settings>
 CheckedSettings<Settings> finish(SettingsBinder &binder, Settings settings)
 {
@@ -48,6 +53,7 @@
     binder.number(ControlSection, "tolerated-losses", settings.toleratedLosses, 0, 16);
     binder.duration(ControlSection, "longest-lease", settings.longestLease, seconds(1),
                     seconds(60));
+    bindMetricsDoor(binder, ControlSection, settings.metricsDoor);
     bindGroup(binder, settings.group);
     bindLimits(binder, "operator-limits", settings.limits);
     return finish(binder, std::move(settings));
@@ -63,6 +69,7 @@
     binder.address(EntrySection, "health-door", settings.healthDoor, Presence::Required,
                    PortRule::OrPickedBySystem);
     binder.duration(EntrySection, "drain-delay", settings.drainDelay, milliseconds(0), seconds(60));
+    bindMetricsDoor(binder, EntrySection, settings.metricsDoor);
     bindGroup(binder, settings.group);
     bindLimits(binder, "caller-limits", settings.limits);
     return finish(binder, std::move(settings));
@@ -76,6 +83,7 @@
     binder.address(AgentSection, "minion-door", settings.minionDoor, Presence::Required,
                    PortRule::OrPickedBySystem);
     binder.address(AgentSection, "minion", settings.minion, Presence::Required, PortRule::Fixed);
+    bindMetricsDoor(binder, AgentSection, settings.metricsDoor);
     bindGroup(binder, settings.group);
     bindLimits(binder, "minion-limits", settings.limits);
     return finish(binder, std::move(settings));
--- a/Source/Settings/fleetsettings.h
+++ b/Source/Settings/fleetsettings.h
@@ -34,6 +34,8 @@
     std::uint64_t toleratedLosses = 1;
     /** Longest lease that a minion takes. */
     Duration longestLease = std::chrono::seconds(10);
+    /** Door of the metrics; empty for none. */
+    std::string metricsDoor;
     GroupSettings group;
     HttpLimits limits;
 };
@@ -49,6 +51,8 @@
     std::string healthDoor;
     /** Time after SIGTERM in which requests are still taken, so that the balancer can leave. */
     Duration drainDelay = std::chrono::milliseconds(3'200);
+    /** Door of the metrics; empty for none. */
+    std::string metricsDoor;
     GroupSettings group;
     HttpLimits limits;
 };
@@ -64,6 +68,8 @@
     std::string minionDoor;
     /** Address at which the minion takes calls. */
     std::string minion;
+    /** Door of the metrics; empty for none. */
+    std::string metricsDoor;
     GroupSettings group;
     HttpLimits limits;
 };
--- a/Tests/Fleet/fleetcluster.cpp
+++ b/Tests/Fleet/fleetcluster.cpp
@@ -25,16 +25,18 @@
             const std::string free = Loopback::freeAddress(host);
             linkPort_ = free.substr(free.find(':') + 1);
         }
-        controls_.push_back({host + ':' + linkPort_, Loopback::freeAddress(host), nullptr});
+        controls_.push_back({host + ':' + linkPort_, Loopback::freeAddress(host),
+                             Loopback::freeAddress(host), nullptr});
     }
     for (std::size_t i = 0; i < Entries; ++i) {
         const std::string host = Loopback::nextHost();
-        entries_.push_back({Loopback::freeAddress(host), Loopback::freeAddress(host), nullptr});
+        entries_.push_back({Loopback::freeAddress(host), Loopback::freeAddress(host),
+                            Loopback::freeAddress(host), nullptr});
     }
     for (std::size_t i = 0; i < Machines; ++i) {
         const std::string host = Loopback::nextHost();
-        machines_.push_back(
-            {Loopback::freeAddress(host), Loopback::freeAddress(host), nullptr, nullptr});
+        machines_.push_back({Loopback::freeAddress(host), Loopback::freeAddress(host),
+                             Loopback::freeAddress(host), nullptr, nullptr});
     }
 }
 
@@ -55,11 +57,12 @@
 {
     Control &host = controls_.at(control);
     std::filesystem::create_directories(dataFolder(control));
-    const std::string path = folder_.write(
-        "control-" + std::to_string(control) + ".ini",
-        "[control-host]\nlink = " + host.link + "\noperator-door = " + host.door
-            + "\ndata-folder = " + dataFolder(control) + "\nmay-form = "
-            + (mayForm ? "true" : "false") + "\ntolerated-losses = 1\n" + groupLines());
+    const std::string path =
+        folder_.write("control-" + std::to_string(control) + ".ini",
+                      "[control-host]\nlink = " + host.link + "\noperator-door = " + host.door
+                          + "\nmetrics-door = " + host.metricsDoor + "\ndata-folder = "
+                          + dataFolder(control) + "\nmay-form = " + (mayForm ? "true" : "false")
+                          + "\ntolerated-losses = 1\n" + groupLines());
     host.process.reset();
     host.process =
         std::make_unique<ChildProcess>(std::vector<std::string>{OLEANDER_PROGRAM, "control", path});
@@ -69,10 +72,10 @@
 {
     Entry &host = entries_.at(entry);
     const std::string name = "entry-" + std::to_string(entry);
-    const std::string path =
-        folder_.write(name + ".ini", "[job-entry]\nname = " + name + "\ncaller-door = "
-                                         + host.callerDoor + "\nhealth-door = " + host.healthDoor
-                                         + "\ndrain-delay = 100ms\n" + groupLines());
+    const std::string path = folder_.write(
+        name + ".ini", "[job-entry]\nname = " + name + "\ncaller-door = " + host.callerDoor
+                           + "\nhealth-door = " + host.healthDoor + "\nmetrics-door = "
+                           + host.metricsDoor + "\ndrain-delay = 100ms\n" + groupLines());
     host.process.reset();
     host.process =
         std::make_unique<ChildProcess>(std::vector<std::string>{OLEANDER_PROGRAM, "entry", path});
@@ -84,7 +87,8 @@
     const std::string name = "agent-" + std::to_string(machine);
     const std::string path = folder_.write(
         name + ".ini", "[machine-agent]\nname = " + name + "\nminion-door = " + host.minionDoor
-                           + "\nminion = " + host.minionAt + '\n' + groupLines());
+                           + "\nminion = " + host.minionAt + "\nmetrics-door = " + host.metricsDoor
+                           + '\n' + groupLines());
     host.agent.reset();
     host.agent = std::make_unique<ChildProcess>(
         std::vector<std::string>{OLEANDER_AGENT_PROGRAM, "machine", path});
@@ -121,6 +125,22 @@
            + std::to_string(attempts) + R"(}],"services":[{"name":"notices"}],"limits":{}})";
 }
 
+std::string FleetCluster::metrics() const
+{
+    std::string all;
+    const auto add = [&](const std::string &door) {
+        const auto reply = httpCall(door, {"GET", "/metrics", {}, {}}, CallLimit);
+        all += reply && reply->status == 200 ? reply->body : "no metrics at " + door + '\n';
+    };
+    for (const Control &control : controls_)
+        add(control.metricsDoor);
+    for (const Entry &entry : entries_)
+        add(entry.metricsDoor);
+    for (const Machine &machine : machines_)
+        add(machine.metricsDoor);
+    return all;
+}
+
 int FleetCluster::configure(std::size_t control, const std::string &body)
 {
     HttpCall put{"PUT", "/oleanderusher/config", {{"Content-Type", "application/json"}}, body};
--- a/Tests/Fleet/fleetcluster.h
+++ b/Tests/Fleet/fleetcluster.h
@@ -53,6 +53,8 @@
     std::vector<std::string> starts();
     /** Number of the control host that leads, or Controls. */
     std::size_t leader();
+    /** Metrics of every process in the text exposition format. */
+    std::string metrics() const;
     /** Voters of the group as the log of \a control lists them; 0 for an empty log. */
     std::size_t votersSeenBy(std::size_t control);
 
@@ -61,18 +63,21 @@
     {
         std::string link;
         std::string door;
+        std::string metricsDoor;
         std::unique_ptr<ChildProcess> process;
     };
     struct Entry
     {
         std::string callerDoor;
         std::string healthDoor;
+        std::string metricsDoor;
         std::unique_ptr<ChildProcess> process;
     };
     struct Machine
     {
         std::string minionDoor;
         std::string minionAt;
+        std::string metricsDoor;
         std::unique_ptr<ChildProcess> agent;
         std::unique_ptr<ChildProcess> minion;
     };
--- a/Tests/Fleet/jobstest.cpp
+++ b/Tests/Fleet/jobstest.cpp
@@ -43,6 +43,22 @@
     CHECK(fleet.call(0, "GET", "/other/").status == 404);
 }
 
+TEST_CASE("Each process tells its metrics at a door of its own")
+{
+    using Catch::Matchers::Contains;
+    FleetCluster fleet;
+    REQUIRE(fleet.start());
+    REQUIRE(fleet.submit(0, FirstId, TwoSteps) == 200);
+    REQUIRE(fleet.reaches(FirstId, "completed"));
+    const std::string metrics = fleet.metrics();
+    CHECK_THAT(metrics, !Contains("no metrics at"));
+    for (const char *line :
+         {"oleander_call_seconds_count{call=\"submit\"} 1\n",
+          "oleander_job_start_wait_seconds_count{after=\"acceptance\"} 1\n",
+          "oleander_runs_ended_total{how=\"0\"} 5\n", "# TYPE oleander_commit_seconds histogram"})
+        CHECK_THAT(metrics, Contains(line));
+}
+
 TEST_CASE("A job that always fails is tried as often as its queue allows")
 {
     FleetCluster fleet;
