fleet: Log what lasting jobs are short of, and count their tasks by state

The leader's lines tell when runs start and end, but neither why a lasting task waits (no room, or room in pieces) nor whether one that is at work is over its bound of tail latency, and beside what. The new event job.service-level tells both, every 2 s for each lasting job that is short of something; oleander_lasting_tasks{state} sums them up; job.received shows maxUnavailable.

What the runs on a minion claim moves into files of its own, as two readers need it now. No decision changes.

--- a/Source/Fleet/jobservice.cpp
+++ b/Source/Fleet/jobservice.cpp
@@ -1,5 +1,6 @@
 #include "Fleet/jobservice.h"
 
+#include "Jobs/servicelevel.h"
 #include "Runtime/log.h"
 #include "Runtime/metrics.h"
 
@@ -16,6 +17,8 @@
 constexpr Duration PlacingInterval = std::chrono::milliseconds(5);
 /** Time between two copies of what was learned to the other control hosts. */
 constexpr Duration ShareInterval = std::chrono::seconds(2);
+/** Time between two looks at what the lasting jobs have; callers measure them as often. */
+constexpr Duration ServiceLevelInterval = std::chrono::seconds(2);
 
 JobAnswer answerOf(JobAnswerKind kind, std::string detail = {})
 {
@@ -30,7 +33,8 @@
     return path.substr(queue.pathPrefix.size());
 }
 
-/** Steps as "COUNTxMILLICORES@ESTIMATE", with f for filling, l for lasting, s for copies. */
+/** Steps as "COUNTxMILLICORES@ESTIMATE", with f for filling, l for lasting, s for copies and uN
+ * for the most tasks that may be taken away at a time. */
 std::string stepsText(const std::vector<StepSpec> &steps)
 {
     std::string text;
@@ -38,6 +42,8 @@
         text += fmt::format("{}{}x{}@{}ms{}{}{}", text.empty() ? "" : ",", step.count,
                             step.milliCores, step.estimateMs, step.filling ? "f" : "",
                             step.lasting ? "l" : "", step.speculative ? "s" : "");
+        if (step.maxUnavailable > 0)
+            text += fmt::format("u{}", step.maxUnavailable);
     }
     return text;
 }
@@ -54,6 +60,7 @@
     , pumpTimer_(loop, [this] { pump(); })
     , placeTimer_(loop, [this] { pump(); })
     , shareTimer_(loop, [this] { shareLearning(); })
+    , serviceLevelTimer_(loop, [this] { noteServiceLevels(); })
 {}
 
 void JobService::start()
@@ -79,6 +86,7 @@
     });
     pumpTimer_.startEvery(PumpInterval);
     shareTimer_.startEvery(ShareInterval);
+    serviceLevelTimer_.startEvery(ServiceLevelInterval);
 }
 
 void JobService::roleChanged()
@@ -331,6 +339,45 @@
     }
 }
 
+void JobService::noteServiceLevels() const
+{
+    if (!leading_)
+        return;
+    Jobs::ServiceLevel sum;
+    for (const Jobs::ServiceLevel &level :
+         Jobs::serviceLevels(book(), scheduler_.machines(), loop_.clock().now())) {
+        sum.atWork += level.atWork;
+        sum.starting += level.starting;
+        sum.waiting += level.waiting;
+        sum.overBound += level.overBound;
+        if (level.whole())
+            continue;
+        logEvent(LogEvent::JobServiceLevel, Step::Place, {},
+                 {{"job", level.job},
+                  {"tasks", level.tasks},
+                  {"at_work", level.atWork},
+                  {"starting", level.starting},
+                  {"waiting", level.waiting},
+                  {"over_bound", level.overBound},
+                  {"beside_filling", level.overBoundBesideFilling},
+                  {"waiting_millicores", level.waitingMilliCores},
+                  {"free_millicores", level.freeMilliCores},
+                  {"largest_free_millicores", level.largestFreeMilliCores},
+                  {"minions_out", level.minionsOut}});
+    }
+    const auto show = [](const char *state, std::uint32_t tasks) {
+        processMetrics()
+            .gauge("oleander_lasting_tasks",
+                   "Tasks of lasting jobs by state; those over their bound are at work too.",
+                   {{"state", state}})
+            .set(tasks);
+    };
+    show("at-work", sum.atWork);
+    show("starting", sum.starting);
+    show("waiting", sum.waiting);
+    show("over-bound", sum.overBound);
+}
+
 void JobService::commit(Jobs::JobCommand command,
                         std::function<void(Result<Jobs::JobOutcome>)> callback)
 {
--- a/Source/Fleet/jobservice.h
+++ b/Source/Fleet/jobservice.h
@@ -58,6 +58,8 @@
     /** Records how long the jobs of \a batch waited for their starts. */
     void noteWaits(const Jobs::JobBatch &batch) const;
     void shareLearning();
+    /** Logs the lasting jobs that are short of something, and sets their gauges. */
+    void noteServiceLevels() const;
     void commit(Jobs::JobCommand command, std::function<void(Result<Jobs::JobOutcome>)> callback);
     std::int64_t nowMs() const;
     const Jobs::JobBook &book() const { return state_.jobs(); }
@@ -71,6 +73,7 @@
     Timer placeTimer_;
     TimePoint nextPlacing_{};
     Timer shareTimer_;
+    Timer serviceLevelTimer_;
     bool leading_ = false;
     bool pumpPosted_ = false;
     /** Counts the terms of this leader, so that outcomes of an earlier one are told apart. */
--- a/Source/Jobs/jobbook.cpp
+++ b/Source/Jobs/jobbook.cpp
@@ -26,6 +26,11 @@
 
 } // namespace
 
+bool Job::lasting() const
+{
+    return std::ranges::any_of(steps, &StepSpec::lasting);
+}
+
 bool Job::stepReady(std::uint32_t step) const
 {
     return std::ranges::all_of(steps[step].dependsOn,
--- a/Source/Jobs/jobbook.h
+++ b/Source/Jobs/jobbook.h
@@ -65,6 +65,8 @@
     /** Number of done tasks of each step. */
     std::vector<std::uint32_t> done;
 
+    /** True when a step of it lasts until the job is cancelled. */
+    bool lasting() const;
     bool ended() const { return state != JobState::Queued && state != JobState::Running; }
     bool stepDone(std::uint32_t step) const { return done[step] == steps[step].count; }
     /** True when every step that \a step depends on is done. */
--- a/Source/Jobs/joborder.cpp
+++ b/Source/Jobs/joborder.cpp
@@ -11,15 +11,10 @@
 /** A job earns less than in time until this many times its objective. */
 constexpr std::int64_t LateFactor = 3;
 
-bool isLasting(const Job &job)
-{
-    return std::ranges::any_of(job.steps, &StepSpec::lasting);
-}
-
 RankedJob rankJob(const std::string &id, const Job &job, const QueueSpec *queue, std::int64_t nowMs)
 {
     RankedJob ranked{id, &job, JobRank::Lasting, job.acceptedAtMs};
-    if (isLasting(job) || queue == nullptr)
+    if (job.lasting() || queue == nullptr)
         return ranked;
     const std::int64_t objective =
         chainMs(job, false) * queue->stretchThousandths / Thousandths + queue->targetCompletionMs;
--- a/Source/Jobs/jobscheduler.h
+++ b/Source/Jobs/jobscheduler.h
@@ -64,6 +64,7 @@
     std::vector<AddressedDirective> takeDirectives(TimePoint now);
 
     InterferenceTable &interference() { return interference_; }
+    const MachineTable &machines() const { return machines_; }
 
 private:
     void addOrders(TimePoint now, const MinionLife &life, const Machine &machine,
--- /dev/null
+++ b/Source/Jobs/servicelevel.cpp
@@ -0,0 +1,114 @@
+#include "Jobs/servicelevel.h"
+
+#include "Jobs/minionuse.h"
+
+#include <algorithm>
+#include <map>
+
+namespace Oleander::Jobs {
+
+namespace {
+
+/** Progress at which a lasting task is past its startup. */
+constexpr std::uint32_t AtWorkPercent = 100;
+
+/** Room of the minions of one service. */
+struct ServiceRoom
+{
+    std::uint64_t freeMilliCores = 0;
+    std::uint64_t largestFreeMilliCores = 0;
+    std::uint32_t minionsOut = 0;
+};
+
+std::map<std::string, ServiceRoom> roomByService(const JobBook &book, const MachineTable &machines,
+                                                 TimePoint now)
+{
+    std::map<std::string, ServiceRoom> rooms;
+    const auto uses = minionUse(book);
+    for (const auto &[life, machine] : machines.machines()) {
+        ServiceRoom &room = rooms[machine.minion.service];
+        if (!machines.takesTasks(now, machine)) {
+            ++room.minionsOut;
+            continue;
+        }
+        const auto use = uses.find(life);
+        const std::uint64_t claimed = use == uses.end() ? 0 : use->second.milliCores;
+        const std::uint64_t whole = machine.minion.milliCores;
+        const std::uint64_t free = whole - std::min(whole, claimed);
+        room.freeMilliCores += free;
+        room.largestFreeMilliCores = std::max(room.largestFreeMilliCores, free);
+    }
+    return rooms;
+}
+
+bool fillingAtWork(const JobBook &book, const Machine &machine)
+{
+    return std::ranges::any_of(machine.running, [&](const auto &item) {
+        const auto &[key, view] = item;
+        const Job *job = book.find(key.first.job);
+        return job != nullptr && job->steps[key.first.step].filling && view.figure > 0;
+    });
+}
+
+void countTask(const JobBook &book, const MachineTable &machines, const StepSpec &step,
+               const Task &task, const RunKey &key, ServiceLevel &level)
+{
+    ++level.tasks;
+    if (task.active.empty()) {
+        ++level.waiting;
+        level.waitingMilliCores = std::max(level.waitingMilliCores, step.milliCores);
+        return;
+    }
+    const auto machine = machines.machines().find(task.active.back().minion);
+    if (machine == machines.machines().end()) {
+        ++level.starting;
+        return;
+    }
+    const auto view = machine->second.running.find(key);
+    if (view == machine->second.running.end() || view->second.percent < AtWorkPercent) {
+        ++level.starting;
+        return;
+    }
+    ++level.atWork;
+    if (step.targetLatencyMs == 0 || view->second.figure <= step.targetLatencyMs)
+        return;
+    ++level.overBound;
+    if (fillingAtWork(book, machine->second))
+        ++level.overBoundBesideFilling;
+}
+
+} // namespace
+
+std::vector<ServiceLevel> serviceLevels(const JobBook &book, const MachineTable &machines,
+                                        TimePoint now)
+{
+    std::vector<ServiceLevel> levels;
+    const auto rooms = roomByService(book, machines, now);
+    for (const std::string &id : book.openJobs()) {
+        const Job &job = *book.find(id);
+        if (!job.lasting())
+            continue;
+        ServiceLevel level;
+        level.job = id;
+        for (std::uint32_t step = 0; step < job.steps.size(); ++step) {
+            if (!job.steps[step].lasting)
+                continue;
+            for (std::uint32_t index = 0; index < job.tasks[step].size(); ++index) {
+                const Task &task = job.tasks[step][index];
+                countTask(book, machines, job.steps[step], task, {{id, step, index}, task.lastRun},
+                          level);
+            }
+        }
+        const QueueSpec *queue = book.queue(job.queue);
+        const auto room = queue == nullptr ? rooms.end() : rooms.find(queue->service);
+        if (room != rooms.end()) {
+            level.freeMilliCores = room->second.freeMilliCores;
+            level.largestFreeMilliCores = room->second.largestFreeMilliCores;
+            level.minionsOut = room->second.minionsOut;
+        }
+        levels.push_back(std::move(level));
+    }
+    return levels;
+}
+
+} // namespace Oleander::Jobs
--- /dev/null
+++ b/Source/Jobs/servicelevel.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "Jobs/jobbook.h"
+#include "Jobs/machinetable.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace Oleander::Jobs {
+
+/** What a lasting job has of the tasks that it asked for, by the latest reports. */
+struct ServiceLevel
+{
+    std::string job;
+    std::uint32_t tasks = 0;
+    std::uint32_t atWork = 0;
+    /** Started, but not at work yet. */
+    std::uint32_t starting = 0;
+    /** Tasks without a run. */
+    std::uint32_t waiting = 0;
+    /** Part of atWork whose tail latency is over its bound. */
+    std::uint32_t overBound = 0;
+    /** Part of overBound on minions where filling tasks use processor time. */
+    std::uint32_t overBoundBesideFilling = 0;
+    /** Size of a waiting task; 0 when none waits. */
+    std::uint32_t waitingMilliCores = 0;
+    /** Unclaimed processor time of the service's minions that take tasks, and the most on one. */
+    std::uint64_t freeMilliCores = 0;
+    std::uint64_t largestFreeMilliCores = 0;
+    /** Minions of the service that take no tasks at present. */
+    std::uint32_t minionsOut = 0;
+
+    /** True when every task is at work and under its bound. */
+    bool whole() const { return atWork == tasks && overBound == 0; }
+};
+
+/** Returns the service level of each open lasting job of \a book. */
+std::vector<ServiceLevel> serviceLevels(const JobBook &book, const MachineTable &machines,
+                                        TimePoint now);
+
+} // namespace Oleander::Jobs
--- a/Source/Jobs/taskplacer.cpp
+++ b/Source/Jobs/taskplacer.cpp
@@ -22,22 +22,6 @@
 /** Weight of a minion that is not on the rack of the data, in milli-cores of free time. */
 constexpr std::int64_t FarPenaltyMilliCores = 1'000'000;
 
-void claim(MinionUse &use, const StepSpec &step)
-{
-    use.memoryMiB += step.memoryMiB;
-    use.accelerators += step.accelerators;
-    if (step.filling) {
-        use.fillingMilliCores += step.milliCores;
-        use.filling[step.image] += step.milliCores / MilliCores;
-    } else {
-        use.milliCores += step.milliCores;
-    }
-    if (step.targetLatencyMs > 0) {
-        use.servingMilliCores += step.milliCores;
-        use.serving.push_back(step.image);
-    }
-}
-
 /** True when nothing of \a job is at work and nothing of it was decided lately. */
 bool isStarved(const Job &job, std::int64_t nowMs)
 {
@@ -57,17 +41,6 @@
 
 } // namespace
 
-std::map<MinionLife, MinionUse> minionUse(const JobBook &book)
-{
-    std::map<MinionLife, MinionUse> all;
-    for (const auto &[life, runs] : book.activeRuns()) {
-        MinionUse &use = all[life];
-        for (const RunKey &key : runs)
-            claim(use, book.find(key.first.job)->steps[key.first.step]);
-    }
-    return all;
-}
-
 std::vector<RunStart> TaskPlacer::place(TimePoint now, std::int64_t nowMs)
 {
     candidates_.clear();
--- a/Source/Jobs/taskplacer.h
+++ b/Source/Jobs/taskplacer.h
@@ -3,6 +3,7 @@
 #include "Jobs/interferencetable.h"
 #include "Jobs/joborder.h"
 #include "Jobs/machinetable.h"
+#include "Jobs/minionuse.h"
 
 #include <map>
 #include <string>
@@ -10,25 +11,6 @@
 
 namespace Oleander::Jobs {
 
-/** What the active runs on one life of a minion have claimed of it. */
-struct MinionUse
-{
-    std::uint64_t milliCores = 0;
-    /** Part of milliCores that serving tasks claim. */
-    std::uint64_t servingMilliCores = 0;
-    std::uint64_t memoryMiB = 0;
-    std::uint64_t accelerators = 0;
-    /** Processor time that filling tasks ask for, which is not claimed. */
-    std::uint64_t fillingMilliCores = 0;
-    /** The same by image, in cores. */
-    FillingCores filling;
-    /** Images of the tasks with a bound of their tail latency. */
-    std::vector<std::string> serving;
-};
-
-/** Sums what the active runs of \a book claim of each life of a minion. */
-std::map<MinionLife, MinionUse> minionUse(const JobBook &book);
-
 /**
  * \class TaskPlacer
  * \brief Decides which ready tasks start now, and where.
--- a/Source/Runtime/logevent.cpp
+++ b/Source/Runtime/logevent.cpp
@@ -47,6 +47,7 @@
     {LogEvent::JobCancelled, LogLevel::Info, "job.cancelled"},
     {LogEvent::RunDecided, LogLevel::Info, "run.decided"},
     {LogEvent::RunEnded, LogLevel::Info, "run.ended"},
+    {LogEvent::JobServiceLevel, LogLevel::Info, "job.service-level"},
 
     {LogEvent::LeaderElected, LogLevel::Info, "control.leader-elected"},
     {LogEvent::LeaderStoodDown, LogLevel::Warning, "control.leader-stood-down"},
--- a/Source/Runtime/logevent.h
+++ b/Source/Runtime/logevent.h
@@ -48,6 +48,7 @@
     JobCancelled = 3021,
     RunDecided = 3022,
     RunEnded = 3023,
+    JobServiceLevel = 3024,
 
     LeaderElected = 4000,
     LeaderStoodDown = 4001,
