jobs: Give a lasting task that lost its run its room back before small tasks

Cause: jobs that can still be in time come before lasting ones. Ruled out: a suspended or disturbed minion (minions_out is 0 or 1 most of the time, and the small tasks were placed on the very minion that the task had left).

Lasting tasks that have had a run are placed before all others. They displace nobody: what was placed until then left their room alone.

--- a/Source/Jobs/taskplacer.cpp
+++ b/Source/Jobs/taskplacer.cpp
@@ -41,6 +41,11 @@
 
 } // namespace
 
+TaskPlacer::Turn TaskPlacer::turnOf(const StepSpec &step, const Task &task)
+{
+    return step.lasting && task.lastRun > 0 ? Turn::Restart : Turn::Start;
+}
+
 std::vector<RunStart> TaskPlacer::place(TimePoint now, std::int64_t nowMs)
 {
     candidates_.clear();
@@ -56,16 +61,19 @@
     std::vector<RunStart> starts;
     if (candidates_.empty())
         return starts;
-    for (const RankedJob &ranked : orderJobs(book_, nowMs)) {
-        for (std::uint32_t step = 0; step < ranked.job->steps.size(); ++step) {
-            if (!ranked.job->stepDone(step) && ranked.job->stepReady(step))
-                placeStep(ranked, step, starts);
+    const std::vector<RankedJob> ordered = orderJobs(book_, nowMs);
+    for (const Turn turn : {Turn::Restart, Turn::Start}) {
+        for (const RankedJob &ranked : ordered) {
+            for (std::uint32_t step = 0; step < ranked.job->steps.size(); ++step) {
+                if (!ranked.job->stepDone(step) && ranked.job->stepReady(step))
+                    placeStep(ranked, step, turn, starts);
+            }
         }
     }
     return starts;
 }
 
-void TaskPlacer::placeStep(const RankedJob &ranked, std::uint32_t step,
+void TaskPlacer::placeStep(const RankedJob &ranked, std::uint32_t step, Turn turn,
                            std::vector<RunStart> &starts)
 {
     const QueueSpec *queue = book_.queue(ranked.job->queue);
@@ -80,10 +88,10 @@
     }
     // On a claimed service it would only disturb what serves, and take its place from jobs that can
     // still be in time.
-    bool urgent = isStarved(*ranked.job, nowMs_) && idle(queue->service);
+    bool urgent = turn == Turn::Start && isStarved(*ranked.job, nowMs_) && idle(queue->service);
     for (std::uint32_t index = 0; index < tasks.size(); ++index) {
         const Task &task = tasks[index];
-        if (task.done || !task.active.empty())
+        if (task.done || !task.active.empty() || turnOf(spec, task) != turn)
             continue;
         Candidate *best = choose(spec, queue->service, task, queue->maxAttempts,
                                  std::exchange(urgent, false), spread);
--- a/Source/Jobs/taskplacer.h
+++ b/Source/Jobs/taskplacer.h
@@ -16,7 +16,9 @@
  * \brief Decides which ready tasks start now, and where.
  *
  * Load it answers: wide steps beside lasting tasks on minions that start whatever they are told,
- * so that this ledger alone keeps them within their capacity.
+ * so that this ledger alone keeps them within their capacity. A lasting task that lost its run
+ * comes first, since small tasks would take its room in pieces and it would not come together
+ * again.
  */
 class TaskPlacer
 {
@@ -37,7 +39,12 @@
         MinionUse use;
     };
 
-    void placeStep(const RankedJob &ranked, std::uint32_t step, std::vector<RunStart> &starts);
+    /** Passes over the jobs, in this order. */
+    enum class Turn { Restart, Start };
+
+    static Turn turnOf(const StepSpec &step, const Task &task);
+    void placeStep(const RankedJob &ranked, std::uint32_t step, Turn turn,
+                   std::vector<RunStart> &starts);
     Candidate *choose(const StepSpec &step, const std::string &service, const Task &task,
                       std::uint32_t maxAttempts, bool urgent,
                       const std::map<MinionLife, std::uint32_t> &spread);
