jobs: Count what a pass has placed already against a step's limit on one minion

Cause: the second pass over a step counted the active runs, but not the starts that the first pass had just decided. Jobs.No more tasks of a step than its limit start on one minion in one pass over the jobs fails without the change (3 == 2) and passes with it.

--- a/Source/Jobs/taskplacer.cpp
+++ b/Source/Jobs/taskplacer.cpp
@@ -86,6 +86,10 @@
         for (const ActiveRun &run : task.active)
             ++spread[run.minion];
     }
+    for (const RunStart &start : starts) {
+        if (start.task.job == ranked.id && start.task.step == step)
+            ++spread[start.minion];
+    }
     // On a claimed service it would only disturb what serves, and take its place from jobs that can
     // still be in time.
     bool urgent = turn == Turn::Start && isStarved(*ranked.job, nowMs_) && idle(queue->service);
--- a/Tests/Jobs/playedfleet.h
+++ b/Tests/Jobs/playedfleet.h
@@ -71,6 +71,17 @@
         }
         return atWork / tasks;
     }
+    /** Most runs of the job \a id that one minion has. */
+    std::ptrdiff_t mostOnOneMinion(const std::string &id) const
+    {
+        std::ptrdiff_t most = 0;
+        for (const Minion &minion : minions_) {
+            most = std::max(most, std::ranges::count_if(minion.runs, [&](const auto &item) {
+                                return item.first.first.job == id;
+                            }));
+        }
+        return most;
+    }
     /** Most processor time that ran on one minion beyond what it has. */
     std::uint64_t overCapacity() const { return overCapacity_; }
     std::uint64_t stops() const { return stops_; }
--- a/Tests/Jobs/waitingtest.cpp
+++ b/Tests/Jobs/waitingtest.cpp
@@ -84,3 +84,16 @@
     CHECK(fleet.shareAtWork("base") == 1.0);
     CHECK(fleet.overCapacity() == 0);
 }
+
+TEST_CASE("No more tasks of a step than its limit start on one minion in one pass over the jobs")
+{
+    PlayedFleet fleet({16'000, 16'000});
+    StepSpec apart = lasting(6, 2'000);
+    apart.maxPerMinion = 2;
+    fleet.leader().submit("apart", {apart});
+    fleet.pass(1s);
+    CHECK(fleet.mostOnOneMinion("apart") == 2);
+    fleet.fail({"apart", 0, 0});
+    fleet.pass(1s);
+    CHECK(fleet.mostOnOneMinion("apart") == 2);
+}
