--- a/Source/Fleet/jobservice.cpp
+++ b/Source/Fleet/jobservice.cpp
@@ -363,7 +363,9 @@
                   {"waiting_millicores", level.waitingMilliCores},
                   {"free_millicores", level.freeMilliCores},
                   {"largest_free_millicores", level.largestFreeMilliCores},
-                  {"minions_out", level.minionsOut}});
+                  {"minions_out", level.minionsOut},
+                  {"minions_suspended", level.minionsSuspended},
+                  {"minions_disturbed", level.minionsDisturbed}});
     }
     const auto show = [](const char *state, std::uint32_t tasks) {
         processMetrics()
--- a/Source/Jobs/servicelevel.cpp
+++ b/Source/Jobs/servicelevel.cpp
@@ -18,6 +18,8 @@
     std::uint64_t freeMilliCores = 0;
     std::uint64_t largestFreeMilliCores = 0;
     std::uint32_t minionsOut = 0;
+    std::uint32_t minionsSuspended = 0;
+    std::uint32_t minionsDisturbed = 0;
 };
 
 std::map<std::string, ServiceRoom> roomByService(const JobBook &book, const MachineTable &machines,
@@ -29,6 +31,8 @@
         ServiceRoom &room = rooms[machine.minion.service];
         if (!machines.takesTasks(now, machine)) {
             ++room.minionsOut;
+            room.minionsSuspended += machine.health.suspended(now) ? 1 : 0;
+            room.minionsDisturbed += machines.disturbed(now, machine) ? 1 : 0;
             continue;
         }
         const auto use = uses.find(life);
@@ -105,6 +109,8 @@
             level.freeMilliCores = room->second.freeMilliCores;
             level.largestFreeMilliCores = room->second.largestFreeMilliCores;
             level.minionsOut = room->second.minionsOut;
+            level.minionsSuspended = room->second.minionsSuspended;
+            level.minionsDisturbed = room->second.minionsDisturbed;
         }
         levels.push_back(std::move(level));
     }
--- a/Source/Jobs/servicelevel.h
+++ b/Source/Jobs/servicelevel.h
@@ -28,8 +28,11 @@
     /** Unclaimed processor time of the service's minions that take tasks, and the most on one. */
     std::uint64_t freeMilliCores = 0;
     std::uint64_t largestFreeMilliCores = 0;
-    /** Minions of the service that take no tasks at present. */
+    /** Minions of the service that take no tasks at present, and those of them that failed runs or
+     * are over the bounds of what serves there without filling tasks. */
     std::uint32_t minionsOut = 0;
+    std::uint32_t minionsSuspended = 0;
+    std::uint32_t minionsDisturbed = 0;
 
     /** True when every task is at work and under its bound. */
     bool whole() const { return atWork == tasks && overBound == 0; }
