jobs: Suspend a minion for the failures of several jobs, not for those of one

Cause: two failures in a row suspended a minion for 3 s. Healthy queues fail one run in twenty, and a job that can never be done fails all of its tasks, which are placed together, on one minion within a moment.

Failures of one job in a row count once, three jobs are needed, and the decayed share moves more slowly.

--- a/Source/Jobs/machinetable.cpp
+++ b/Source/Jobs/machinetable.cpp
@@ -96,7 +96,7 @@
         const RunKey key{end.task, end.run};
         const bool news = machine.running.erase(key) > 0 || machine.finishing.insert(key).second;
         if (news && book.activeRun(key) != nullptr)
-            machine.health.runEnded(now, end.kind);
+            machine.health.runEnded(now, end.task.job, end.kind);
     }
     if (!report.listed)
         return;
--- a/Source/Jobs/minionhealth.cpp
+++ b/Source/Jobs/minionhealth.cpp
@@ -5,11 +5,12 @@
 namespace {
 
 /** Weight of the latest run in the decayed share. */
-constexpr double LatestWeight = 0.3;
-/** Share of failures at which the minion is suspended; healthy queues fail one run in twenty. */
-constexpr double SuspendShare = 0.5;
+constexpr double LatestWeight = 0.2;
+/** Share of failures at which the minion is suspended; three failures in a row reach it, and
+ * healthy queues, which fail one run in twenty, stay far below. */
+constexpr double SuspendShare = 0.48;
 /** Failures without a success between them that suspend the minion. */
-constexpr unsigned SuspendFailures = 2;
+constexpr unsigned SuspendFailures = 3;
 /** Length of a suspension; disturbances of a minion last some seconds. */
 constexpr Duration SuspendFor = std::chrono::seconds(3);
 /** Time after a failure for which last attempts go elsewhere; longer than a suspension. */
@@ -17,17 +18,15 @@
 
 } // namespace
 
-void MinionHealth::runEnded(TimePoint now, RunEndKind kind)
+void MinionHealth::runEnded(TimePoint now, const std::string &job, RunEndKind kind)
 {
-    if (kind == RunEndKind::Done)
+    if (kind == RunEndKind::Done) {
+        failedJob_.clear();
         weigh(now, 0);
-    else if (kind == RunEndKind::Failed)
+    } else if (kind == RunEndKind::Failed && job != failedJob_) {
+        failedJob_ = job;
         weigh(now, 1);
-}
-
-void MinionHealth::runStalled(TimePoint now)
-{
-    weigh(now, 1);
+    }
 }
 
 void MinionHealth::weigh(TimePoint now, double failure)
--- a/Tests/Jobs/jobschedulertest.cpp
+++ b/Tests/Jobs/jobschedulertest.cpp
@@ -275,11 +275,13 @@
 {
     SchedulerFixture leader;
     introduce(leader, "agent-a", LifeA);
-    leader.submit("j", {step(8)});
+    for (const char *id : {"j", "k", "l", "m"})
+        leader.submit(id, {step(2)});
     REQUIRE(leader.decide().starts.size() == 8);
     MachineReport report = reportOf(LifeA, 1'200);
-    for (std::uint32_t i = 0; i < 3; ++i)
-        report.finished.push_back(endRow(i + 1, {"j", 0, i}, 1, RunEndKind::Failed));
+    for (const char *id : {"j", "k", "l"})
+        report.finished.push_back(
+            endRow(report.finished.size() + 1, {id, 0, 0}, 1, RunEndKind::Failed));
     leader.report("agent-a", report);
     leader.decide();
     CHECK(leader.decide().starts.empty());
--- /dev/null
+++ b/Tests/Jobs/minionhealthtest.cpp
@@ -0,0 +1,62 @@
+#include "Jobs/minionhealth.h"
+
+#include <catch2/catch.hpp>
+
+#include <random>
+
+using namespace Oleander;
+using namespace Oleander::Jobs;
+using namespace std::chrono_literals;
+
+namespace {
+
+/** Ends a run of another job every 150 ms for \a time, of which the share \a failing fails, and
+ * returns the share of the time for which the minion is suspended. */
+double suspendedShare(double failing, Duration time)
+{
+    std::mt19937 random(7);
+    std::bernoulli_distribution fails(failing);
+    MinionHealth health;
+    int suspended = 0;
+    int ends = 0;
+    for (TimePoint now{}; now < TimePoint{} + time; now += 150ms) {
+        ++ends;
+        suspended += health.suspended(now) ? 1 : 0;
+        health.runEnded(now, std::to_string(ends),
+                        fails(random) ? RunEndKind::Failed : RunEndKind::Done);
+    }
+    return static_cast<double>(suspended) / ends;
+}
+
+} // namespace
+
+TEST_CASE("A minion whose runs fail as often as those of healthy queues is hardly ever suspended")
+{
+    CHECK(suspendedShare(0.05, 2h) < 0.01);
+}
+
+TEST_CASE("A minion that fails half of what it starts is suspended most of the time")
+{
+    CHECK(suspendedShare(0.5, 1h) > 0.5);
+}
+
+TEST_CASE("A minion that fails all that it starts is suspended after three jobs")
+{
+    MinionHealth health;
+    const TimePoint now = TimePoint{} + 10s;
+    health.runEnded(now, "a", RunEndKind::Failed);
+    health.runEnded(now, "b", RunEndKind::Failed);
+    CHECK_FALSE(health.suspended(now));
+    health.runEnded(now, "c", RunEndKind::Failed);
+    CHECK(health.suspended(now));
+    CHECK_FALSE(health.suspended(now + 4s));
+}
+
+TEST_CASE("A job that can never be done does not get the minions suspended on which it fails")
+{
+    MinionHealth health;
+    const TimePoint now = TimePoint{} + 10s;
+    for (int i = 0; i < 20; ++i)
+        health.runEnded(now, "poison", RunEndKind::Failed);
+    CHECK_FALSE(health.suspended(now));
+}
