--- a/Tests/Jobs/waitingtest.cpp
+++ b/Tests/Jobs/waitingtest.cpp
@@ -129,3 +129,16 @@
     CHECK(inTime == owed);
     CHECK(fleet.overCapacity() == 0);
 }
+
+TEST_CASE("A job that gives room keeps what its step must not lose")
+{
+    PlayedFleet fleet({16'000, 16'000});
+    StepSpec guarded = lasting(8, 4'000);
+    guarded.maxUnavailable = 1;
+    fleet.leader().submit("guarded", {guarded});
+    fleet.pass(2s);
+    REQUIRE(fleet.shareAtWork("guarded") == 1.0);
+    fleet.leader().submit("late", {lasting(8, 4'000)});
+    fleet.pass(20s, [&] { REQUIRE(fleet.shareAtWork("guarded") >= 7.0 / 8); });
+    CHECK(fleet.shareAtWork("late") == 1.0 / 8);
+}
