jobs: Keep pieces of room together only where no waiting lasting task fits

Pieces that come together for a large task were withheld for up to 2.5 s from a smaller lasting task that fitted as they were. They are kept only where none fits now, and given up as soon as one does.

--- a/Source/Jobs/roomplanner.cpp
+++ b/Source/Jobs/roomplanner.cpp
@@ -65,12 +65,14 @@
     if (!waits)
         return;
     std::vector<Minion> minions = findMinions(now);
+    dropPiecesThatFit(shares, minions);
     std::map<std::string, std::int64_t> spare = findSpare(minions);
     const std::size_t most = std::max<std::size_t>(1, minions.size() / MinionsForReservations);
     while (reservations_.size() < most) {
         Share *least = nullptr;
         for (auto &[id, share] : shares) {
-            if (!share.waiting.empty() && (least == nullptr || share.value() < least->value()))
+            if (share.due && !share.waiting.empty()
+                && (least == nullptr || share.value() < least->value()))
                 least = &share;
         }
         if (least == nullptr)
@@ -83,6 +85,24 @@
     }
 }
 
+void RoomPlanner::dropPiecesThatFit(Shares &shares, std::vector<Minion> &minions)
+{
+    std::erase_if(reservations_, [&](const auto &item) {
+        const auto &[task, reservation] = item;
+        const auto minion = std::ranges::find_if(minions, [&](const Minion &candidate) {
+            return *candidate.life == reservation.minion;
+        });
+        const auto taker = shares.find(task.job);
+        if (!reservation.pieces || minion == minions.end() || taker == shares.end()
+            || !otherFits(*minion, taker->second, shares))
+            return false;
+        minion->reserved = false;
+        --taker->second.held;
+        taker->second.waiting.push_back(task);
+        return true;
+    });
+}
+
 void RoomPlanner::dropStale(TimePoint now)
 {
     std::erase_if(reservations_, [&](const auto &item) {
@@ -114,7 +134,13 @@
         const QueueSpec *queue = book_.queue(job.queue);
         if (!job.lasting() || queue == nullptr)
             continue;
-        Share share{&job, queue->service, queue->priority, 0, 0, {}};
+        Share share{&job,
+                    queue->service,
+                    queue->priority,
+                    0,
+                    0,
+                    {},
+                    nowMs >= job.acceptedAtMs + PatienceMs};
         for (std::uint32_t step = 0; step < job.steps.size(); ++step) {
             if (!job.steps[step].lasting || !job.stepReady(step))
                 continue;
@@ -125,7 +151,7 @@
                 ++share.tasks;
                 if (stays || reservations_.contains(ref))
                     ++share.held;
-                else if (active.empty() && nowMs >= job.acceptedAtMs + PatienceMs)
+                else if (active.empty())
                     share.waiting.push_back(ref);
             }
         }
@@ -195,7 +221,7 @@
     std::int64_t taken = taker.job->steps[task.step].milliCores;
     Eviction eviction;
     if (spareMilliCores >= taken && piecesKept(minions) < minions.size() / MinionsForPieces + 1)
-        eviction.minion = choosePieces(task, taker, minions);
+        eviction.minion = choosePieces(task, taker, shares, minions);
     if (eviction.minion == nullptr)
         eviction = chooseEviction(task, taker, shares, minions, spareMilliCores);
     if (eviction.minion == nullptr)
@@ -216,13 +242,16 @@
 }
 
 RoomPlanner::Minion *RoomPlanner::choosePieces(const TaskRef &task, const Share &taker,
+                                               const Shares &shares,
                                                std::vector<Minion> &minions) const
 {
     const StepSpec &step = taker.job->steps[task.step];
     Minion *best = nullptr;
     for (Minion &minion : minions) {
-        if (minion.machine->minion.service != taker.service || !mayHost(minion, task, step)
-            || !minion.lastingClaim.leavesRoom(minion.machine->minion, step))
+        if (minion.machine->minion.service != taker.service || minion.reserved
+            || !accepts(minion, task, step)
+            || !minion.lastingClaim.leavesRoom(minion.machine->minion, step)
+            || otherFits(minion, taker, shares))
             continue;
         if (best == nullptr || minion.freeMilliCores() > best->freeMilliCores())
             best = &minion;
@@ -230,9 +259,22 @@
     return best;
 }
 
-bool RoomPlanner::mayHost(const Minion &minion, const TaskRef &task, const StepSpec &step) const
+bool RoomPlanner::otherFits(const Minion &minion, const Share &taker, const Shares &shares) const
+{
+    return std::ranges::any_of(shares, [&](const auto &item) {
+        const Share &other = item.second;
+        return other.job != taker.job && other.service == taker.service
+               && std::ranges::any_of(other.waiting, [&](const TaskRef &task) {
+                      const StepSpec &step = other.job->steps[task.step];
+                      return minion.claim.leavesRoom(minion.machine->minion, step)
+                             && accepts(minion, task, step);
+                  });
+    });
+}
+
+bool RoomPlanner::accepts(const Minion &minion, const TaskRef &task, const StepSpec &step) const
 {
-    if (minion.reserved || !hasLabel(minion.machine->minion, step.requiredLabel))
+    if (!hasLabel(minion.machine->minion, step.requiredLabel))
         return false;
     const auto &tasks = book_.find(task.job)->tasks[task.step];
     const auto here = std::ranges::count_if(tasks, [&](const Task &other) {
@@ -259,7 +301,8 @@
     Eviction best;
     std::tuple<std::int64_t, double, std::int64_t> bestScore;
     for (Minion &minion : minions) {
-        if (minion.machine->minion.service != taker.service || !mayHost(minion, task, step))
+        if (minion.machine->minion.service != taker.service || minion.reserved
+            || !accepts(minion, task, step))
             continue;
         const std::vector<RunKey> runs = runsToSpare(minion, step, taker, shares, spareMilliCores);
         if (runs.empty())
--- a/Source/Jobs/roomplanner.h
+++ b/Source/Jobs/roomplanner.h
@@ -75,6 +75,8 @@
         /** Tasks with a run that stays, or with a reservation. */
         std::uint32_t held = 0;
         std::vector<TaskRef> waiting;
+        /** True when the job has waited long enough for room to be made for it. */
+        bool due = false;
 
         double value() const { return static_cast<double>(held) / tasks; }
     };
@@ -97,6 +99,8 @@
     using Shares = std::map<std::string, Share>;
 
     void dropStale(TimePoint now);
+    /** Drops reservations of pieces that have become room for a waiting task of another job. */
+    void dropPiecesThatFit(Shares &shares, std::vector<Minion> &minions);
     Shares findShares(std::int64_t nowMs) const;
     std::vector<Minion> findMinions(TimePoint now) const;
     /** Free processor time of each service in milli-cores beyond as much as tasks with an end
@@ -105,10 +109,12 @@
     bool planTask(TimePoint now, const TaskRef &task, Shares &shares, std::vector<Minion> &minions,
                   std::int64_t &spareMilliCores);
     /** True when \a minion may run \a task once it has room. */
-    bool mayHost(const Minion &minion, const TaskRef &task, const StepSpec &step) const;
+    bool accepts(const Minion &minion, const TaskRef &task, const StepSpec &step) const;
     /** The minion on which pieces come together soonest, or null. */
-    Minion *choosePieces(const TaskRef &task, const Share &taker,
+    Minion *choosePieces(const TaskRef &task, const Share &taker, const Shares &shares,
                          std::vector<Minion> &minions) const;
+    /** True when a waiting task of another lasting job fits on  minion as it is. */
+    bool otherFits(const Minion &minion, const Share &taker, const Shares &shares) const;
     /** Number of \a minions on which pieces come together. */
     std::size_t piecesKept(const std::vector<Minion> &minions) const;
     /** The runs that give their room to \a task of \a taker; without a minion for none. */
--- a/Tests/Jobs/waitingtest.cpp
+++ b/Tests/Jobs/waitingtest.cpp
@@ -142,3 +142,22 @@
     fleet.pass(20s, [&] { REQUIRE(fleet.shareAtWork("guarded") >= 7.0 / 8); });
     CHECK(fleet.shareAtWork("late") == 1.0 / 8);
 }
+
+TEST_CASE("Pieces of room are kept together only where no waiting lasting task fits")
+{
+    PlayedFleet fleet({16'000, 16'000, 16'000});
+    StepSpec apart = lasting(3, 11'000);
+    apart.maxPerMinion = 1;
+    fleet.leader().submit("base", {apart});
+    StepSpec patient = brief(3, 1'000, 60'000);
+    patient.maxPerMinion = 1;
+    fleet.leader().submit("long", {patient});
+    fleet.pass(2s);
+    // It waits for the tasks of the job called long to end.
+    fleet.leader().submit("large", {lasting(1, 5'000)});
+    fleet.pass(2s);
+    fleet.leader().submit("small", {lasting(3, 4'000)});
+    fleet.pass(1s);
+    CHECK(fleet.shareAtWork("small") == 1.0);
+    CHECK(fleet.overCapacity() == 0);
+}
