jobs: Place a lasting task first while there is room for two of it

The tasks were small (2.0 and 2.2 cores) and waited since they had given their room; by the leader's book the largest hole was 1.5 to 2.1 cores at each look, 11 to 16 in all.

Cause (by the book and a test, not by a trace of the minions): holes of twice their size open each time the tasks of a short job end together, and the next short job that can be in time takes them at once, so a lasting task can wait without a bound beside room that the platform counts as free. Ruled out: suspended or disturbed minions (none at 32 and 34 s), pieces kept for others (no such reservation from 30.9 to 36.1 s).

A lasting task whose job came more than a second ago goes first while room for two of it is free. Jobs.A lasting task does not wait beside room for two of it while short jobs take each hole failed without the change (0.0 at work after 3 s).

--- a/Source/Jobs/taskplacer.cpp
+++ b/Source/Jobs/taskplacer.cpp
@@ -19,6 +19,11 @@
  * the platform minds it up to one half. */
 constexpr std::uint64_t IdleHundredths = 60;
 constexpr std::int64_t Hundred = 100;
+/** Time after its acceptance for which a lasting job waits its turn, in milliseconds. */
+constexpr std::int64_t PatienceMs = 1'000;
+/** A lasting task goes first while there is room for this many of it; the platform minds one that
+ * waits for 3 s beside room for two. */
+constexpr std::uint64_t RoomForTasks = 2;
 /** Weight of a minion that is not on the rack of the data, in milli-cores of free time. */
 constexpr std::int64_t FarPenaltyMilliCores = 1'000'000;
 
@@ -79,6 +84,7 @@
         candidates_.push_back({&life, &machine, used == use.end() ? MinionUse{} : used->second});
     }
     starts_.clear();
+    started_.clear();
     if (candidates_.empty())
         return {};
     keepRoom();
@@ -100,6 +106,9 @@
     if (queue == nullptr)
         return;
     const StepSpec &spec = ranked.job->steps[step];
+    if (turn == Turn::Entitled && !spec.lasting)
+        return;
+    const bool due = nowMs_ >= ranked.job->acceptedAtMs + PatienceMs;
     const std::vector<Task> &tasks = ranked.job->tasks[step];
     std::map<MinionLife, std::uint32_t> spread;
     for (const Task &task : tasks) {
@@ -117,8 +126,10 @@
     for (std::uint32_t index = 0; index < tasks.size(); ++index) {
         const Task &task = tasks[index];
         const TaskRef ref{ranked.id, step, index};
-        const Turn own = rooms_.entitled(ref, spec, task) ? Turn::Entitled : Turn::Other;
-        if (task.done || !task.active.empty() || own != turn)
+        if (task.done || !task.active.empty() || started_.contains(ref))
+            continue;
+        if (turn == Turn::Entitled && !rooms_.entitled(ref, spec, task)
+            && !(due && hasRoomFor(RoomForTasks, spec, queue->service)))
             continue;
         const bool reserved = releaseRoom(ref, spec);
         // The tasks of a step are alike but for their attempts and reservations, so where one finds
@@ -135,7 +146,25 @@
         best->use.add(spec);
         ++spread[*best->life];
         starts_.push_back({ref, task.lastRun + 1, *best->life});
+        started_.insert(ref);
+    }
+}
+
+bool TaskPlacer::hasRoomFor(std::uint64_t tasks, const StepSpec &step,
+                            const std::string &service) const
+{
+    std::uint64_t fitting = 0;
+    for (const Candidate &candidate : candidates_) {
+        const MinionReport &minion = candidate.machine->minion;
+        if (minion.service != service || !hasLabel(minion, step.requiredLabel)
+            || !fits(candidate, step))
+            continue;
+        const std::uint64_t free = minion.milliCores - candidate.use.claim.milliCores;
+        fitting += step.milliCores == 0 ? tasks : free / step.milliCores;
+        if (fitting >= tasks)
+            return true;
     }
+    return false;
 }
 
 bool TaskPlacer::idle(const std::string &service) const
--- a/Source/Jobs/taskplacer.h
+++ b/Source/Jobs/taskplacer.h
@@ -7,6 +7,7 @@
 #include "Jobs/roomplanner.h"
 
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -18,8 +19,8 @@
  *
  * Load it answers: wide steps beside lasting tasks on minions that start whatever they are told,
  * so that this ledger alone keeps them within their capacity. Lasting tasks that lost their
- * run, or for which room is kept, come first: small tasks would take it in pieces, which do not
- * come together again.
+ * run, for which room is kept, or that wait beside room for several of them come first: small tasks
+ * would take it in pieces, which do not come together again.
  */
 class TaskPlacer
 {
@@ -53,6 +54,8 @@
     Candidate *choose(const StepSpec &step, const std::string &service, const Task &task,
                       std::uint32_t maxAttempts, bool urgent,
                       const std::map<MinionLife, std::uint32_t> &spread);
+    /** True when \a tasks tasks of \a step would find room on \a service. */
+    bool hasRoomFor(std::uint64_t tasks, const StepSpec &step, const std::string &service) const;
     /** True while so little of \a service is claimed that no job should stand still. */
     bool idle(const std::string &service) const;
     bool fits(const Candidate &candidate, const StepSpec &step) const;
@@ -65,6 +68,7 @@
     const RoomPlanner &rooms_;
     std::vector<Candidate> candidates_;
     std::vector<RunStart> starts_;
+    std::set<TaskRef> started_;
     TimePoint now_{};
     std::int64_t nowMs_ = 0;
 };
--- a/Tests/Jobs/waitingtest.cpp
+++ b/Tests/Jobs/waitingtest.cpp
@@ -161,3 +161,24 @@
     CHECK(fleet.shareAtWork("small") == 1.0);
     CHECK(fleet.overCapacity() == 0);
 }
+
+TEST_CASE("A lasting task does not wait beside room for two of it while short jobs take each hole")
+{
+    PlayedFleet fleet({16'000, 16'000});
+    StepSpec apart = lasting(2, 11'000);
+    apart.maxPerMinion = 1;
+    fleet.leader().submit("base", {apart});
+    fleet.pass(2s);
+    int number = 0;
+    // There is always a short job that waits.
+    const auto shortJobs = [&] {
+        if (fleet.leader().book.openJobs().size() < 8)
+            fleet.leader().submit("short-" + std::to_string(++number), {brief(12, 400, 640)});
+    };
+    fleet.pass(3s, shortJobs);
+    fleet.leader().submit("late", {lasting(1, 2'400)});
+    // The platform minds it after 3 s.
+    fleet.pass(3s, shortJobs);
+    CHECK(fleet.shareAtWork("late") == 1.0);
+    CHECK(fleet.overCapacity() == 0);
+}
