--- a/Source/Jobs/roomplanner.cpp
+++ b/Source/Jobs/roomplanner.cpp
@@ -22,6 +22,8 @@
 /** One minion in this many may have a reservation of any kind at a time, so that stops come in
  * steps and each step sees the effect of the last. */
 constexpr std::size_t MinionsForReservations = 4;
+/** Most reservations that one plan makes, since each looks at every run of the service. */
+constexpr std::size_t MostPlanned = 8;
 /** Most runs that are stopped for one task. */
 constexpr std::size_t MostEvicted = 3;
 
@@ -68,7 +70,8 @@
     dropPiecesThatFit(shares, minions);
     std::map<std::string, std::int64_t> spare = findSpare(minions);
     const std::size_t most = std::max<std::size_t>(1, minions.size() / MinionsForReservations);
-    while (reservations_.size() < most) {
+    const std::size_t limit = std::min(most, reservations_.size() + MostPlanned);
+    while (reservations_.size() < limit) {
         Share *least = nullptr;
         for (auto &[id, share] : shares) {
             if (share.due && !share.waiting.empty()
--- a/Source/Jobs/roomplanner.h
+++ b/Source/Jobs/roomplanner.h
@@ -113,7 +113,7 @@
     /** The minion on which pieces come together soonest, or null. */
     Minion *choosePieces(const TaskRef &task, const Share &taker, const Shares &shares,
                          std::vector<Minion> &minions) const;
-    /** True when a waiting task of another lasting job fits on  minion as it is. */
+    /** True when a waiting task of another lasting job fits on \a minion as it is. */
     bool otherFits(const Minion &minion, const Share &taker, const Shares &shares) const;
     /** Number of \a minions on which pieces come together. */
     std::size_t piecesKept(const std::vector<Minion> &minions) const;
