jobs: Name the passes of the placer and the precedence within a rank; one patience

Read as a newcomer: RankedJob::turn and TaskPlacer::Turn were two things of one name, and the patience of a lasting job stood twice.

--- a/Source/Jobs/joborder.cpp
+++ b/Source/Jobs/joborder.cpp
@@ -28,10 +28,10 @@
 {
     RankedJob ranked{id, &job, JobRank::Lasting, 0, job.acceptedAtMs};
     if (job.lasting() || queue == nullptr) {
-        ranked.turn = runningThousandths(job);
+        ranked.precedence = runningThousandths(job);
         return ranked;
     }
-    ranked.turn = job.state == JobState::Queued ? 1 : 0;
+    ranked.precedence = job.state == JobState::Queued ? 1 : 0;
     const std::int64_t objective =
         chainMs(job, false) * queue->stretchThousandths / Thousandths + queue->targetCompletionMs;
     const std::int64_t rest = chainMs(job, true);
@@ -71,8 +71,8 @@
         ordered.push_back(rankJob(id, *job, book.queue(job->queue), nowMs));
     }
     std::ranges::sort(ordered, [](const RankedJob &a, const RankedJob &b) {
-        return std::tie(a.rank, a.turn, a.latestStartMs, a.id)
-               < std::tie(b.rank, b.turn, b.latestStartMs, b.id);
+        return std::tie(a.rank, a.precedence, a.latestStartMs, a.id)
+               < std::tie(b.rank, b.precedence, b.latestStartMs, b.id);
     });
     return ordered;
 }
--- a/Source/Jobs/joborder.h
+++ b/Source/Jobs/joborder.h
@@ -27,9 +27,9 @@
     std::string id;
     const Job *job = nullptr;
     JobRank rank = JobRank::Lasting;
-    /** Within the rank: the share of its tasks that run, for a lasting job; else whether it has
-     * not begun. */
-    std::int64_t turn = 0;
+    /** Lower ones come first within the rank: thousandths of its tasks that run, for a lasting
+     * job; else 1 for a job that has not begun. */
+    std::int64_t precedence = 0;
     /** Calendar time in milliseconds by which the rest of the job has to start. */
     std::int64_t latestStartMs = 0;
 };
--- a/Source/Jobs/roomplanner.cpp
+++ b/Source/Jobs/roomplanner.cpp
@@ -11,8 +11,6 @@
 
 /** Time between two plans. */
 constexpr Duration PlanInterval = std::chrono::milliseconds(200);
-/** Time after its acceptance for which a job waits for room as it comes, in milliseconds. */
-constexpr std::int64_t PatienceMs = 1'000;
 /** Time for which room is kept: a stop takes up to 0.9 s, and a short task about as long. It stays
  * under the 3 s for which the platform lets a lasting task wait that would fit there. */
 constexpr Duration ReserveFor = std::chrono::milliseconds(2'500);
--- a/Source/Jobs/roomplanner.h
+++ b/Source/Jobs/roomplanner.h
@@ -48,6 +48,10 @@
 class RoomPlanner
 {
 public:
+    /** Time after its acceptance for which a lasting job waits for room as it comes, in
+     * milliseconds; a third of what the platform allows. */
+    static constexpr std::int64_t PatienceMs = 1'000;
+
     RoomPlanner(const JobBook &book, const MachineTable &machines)
         : book_(book), machines_(machines)
     {}
--- a/Source/Jobs/taskplacer.cpp
+++ b/Source/Jobs/taskplacer.cpp
@@ -19,8 +19,6 @@
  * the platform minds it up to one half. */
 constexpr std::uint64_t IdleHundredths = 60;
 constexpr std::int64_t Hundred = 100;
-/** Time after its acceptance for which a lasting job waits its turn, in milliseconds. */
-constexpr std::int64_t PatienceMs = 1'000;
 /** A lasting task goes first while there is room for this many of it; the platform minds one that
  * waits for 3 s beside room for two. */
 constexpr std::uint64_t RoomForTasks = 2;
@@ -89,26 +87,26 @@
         return {};
     keepRoom();
     const std::vector<RankedJob> ordered = orderJobs(book_, nowMs);
-    for (const Turn turn : {Turn::Entitled, Turn::Other}) {
+    for (const Pass pass : {Pass::Entitled, Pass::Other}) {
         for (const RankedJob &ranked : ordered) {
             for (std::uint32_t step = 0; step < ranked.job->steps.size(); ++step) {
                 if (!ranked.job->stepDone(step) && ranked.job->stepReady(step))
-                    placeStep(ranked, step, turn);
+                    placeStep(ranked, step, pass);
             }
         }
     }
     return std::move(starts_);
 }
 
-void TaskPlacer::placeStep(const RankedJob &ranked, std::uint32_t step, Turn turn)
+void TaskPlacer::placeStep(const RankedJob &ranked, std::uint32_t step, Pass pass)
 {
     const QueueSpec *queue = book_.queue(ranked.job->queue);
     if (queue == nullptr)
         return;
     const StepSpec &spec = ranked.job->steps[step];
-    if (turn == Turn::Entitled && !spec.lasting)
+    if (pass == Pass::Entitled && !spec.lasting)
         return;
-    const bool due = nowMs_ >= ranked.job->acceptedAtMs + PatienceMs;
+    const bool due = nowMs_ >= ranked.job->acceptedAtMs + RoomPlanner::PatienceMs;
     const std::vector<Task> &tasks = ranked.job->tasks[step];
     std::map<MinionLife, std::uint32_t> spread;
     for (const Task &task : tasks) {
@@ -121,14 +119,14 @@
     }
     // On a claimed service it would only disturb what serves, and take its place from jobs that can
     // still be in time.
-    bool urgent = turn == Turn::Other && isStarved(*ranked.job, nowMs_) && idle(queue->service);
+    bool urgent = pass == Pass::Other && isStarved(*ranked.job, nowMs_) && idle(queue->service);
     bool full = false;
     for (std::uint32_t index = 0; index < tasks.size(); ++index) {
         const Task &task = tasks[index];
         const TaskRef ref{ranked.id, step, index};
         if (task.done || !task.active.empty() || started_.contains(ref))
             continue;
-        if (turn == Turn::Entitled && !rooms_.entitled(ref, spec, task)
+        if (pass == Pass::Entitled && !rooms_.entitled(ref, spec, task)
             && !(due && hasRoomFor(RoomForTasks, spec, queue->service)))
             continue;
         const bool reserved = releaseRoom(ref, spec);
--- a/Source/Jobs/taskplacer.h
+++ b/Source/Jobs/taskplacer.h
@@ -44,13 +44,13 @@
     };
 
     /** Passes over the jobs, in this order. */
-    enum class Turn { Entitled, Other };
+    enum class Pass { Entitled, Other };
 
     void keepRoom();
     void keepRoomFor(const TaskRef &ref, const StepSpec &step);
     /** Ends the reservation of \a ref on its minion for this pass; returns false without one. */
     bool releaseRoom(const TaskRef &ref, const StepSpec &step);
-    void placeStep(const RankedJob &ranked, std::uint32_t step, Turn turn);
+    void placeStep(const RankedJob &ranked, std::uint32_t step, Pass pass);
     Candidate *choose(const StepSpec &step, const std::string &service, const Task &task,
                       std::uint32_t maxAttempts, bool urgent,
                       const std::map<MinionLife, std::uint32_t> &spread);
