--- a/Source/Jobs/roomplanner.cpp
+++ b/Source/Jobs/roomplanner.cpp
@@ -89,7 +89,8 @@
 void RoomPlanner::dropPiecesThatFit(Shares &shares, std::vector<Minion> &minions)
 {
     std::erase_if(reservations_, [&](const auto &item) {
-        const auto &[task, reservation] = item;
+        const TaskRef &task = item.first;
+        const Reservation &reservation = item.second;
         const auto minion = std::ranges::find_if(minions, [&](const Minion &candidate) {
             return *candidate.life == reservation.minion;
         });
@@ -185,7 +186,7 @@
                     minion.lastingClaim.remove(step);
             }
         }
-        minions.push_back(std::move(minion));
+        minions.push_back(minion);
     }
     return minions;
 }
