tests: Hand out no loopback port twice; show what a process that does not start wrote

What the process wrote was not kept, so the cause is not proved.

Two doors on one port keep a process from starting, which is what was seen.

--- a/Tests/Support/cluster.cpp
+++ b/Tests/Support/cluster.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cstdlib>
+#include <iostream>
 
 namespace Oleander::Testing {
 
@@ -116,8 +117,11 @@
 
 bool Cluster::waitStarted(const ChildProcess &process) const
 {
-    return waitFor(
+    const bool started = waitFor(
         [&] { return process.standardOutput().find("name=process.started") != std::string::npos; });
+    if (!started)
+        std::cerr << "A process has not started; it wrote:\n" << process.standardOutput() << '\n';
+    return started;
 }
 
 std::filesystem::path Cluster::dataFolder(std::size_t entry) const
--- a/Tests/Support/loopback.cpp
+++ b/Tests/Support/loopback.cpp
@@ -6,10 +6,32 @@
 #include <unistd.h>
 
 #include <atomic>
+#include <mutex>
+#include <set>
 #include <stdexcept>
 
 namespace Oleander::Testing {
 
+namespace {
+
+/** Returns "HOST:PORT" with a port that nobody uses at this moment. */
+std::string pickAddress(const std::string &host)
+{
+    const int probe = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    inet_pton(AF_INET, host.c_str(), &address.sin_addr);
+    socklen_t size = sizeof(address);
+    const bool bound = bind(probe, reinterpret_cast<sockaddr *>(&address), size) == 0
+                       && getsockname(probe, reinterpret_cast<sockaddr *>(&address), &size) == 0;
+    close(probe);
+    if (!bound)
+        throw std::runtime_error("no free port on " + host);
+    return host + ':' + std::to_string(ntohs(address.sin_port));
+}
+
+} // namespace
+
 std::string Loopback::nextHost()
 {
     static std::atomic<unsigned> last = 0;
@@ -24,17 +46,15 @@
 
 std::string Loopback::freeAddress(const std::string &host)
 {
-    const int probe = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    inet_pton(AF_INET, host.c_str(), &address.sin_addr);
-    socklen_t size = sizeof(address);
-    const bool bound = bind(probe, reinterpret_cast<sockaddr *>(&address), size) == 0
-                       && getsockname(probe, reinterpret_cast<sockaddr *>(&address), &size) == 0;
-    close(probe);
-    if (!bound)
-        throw std::runtime_error("no free port on " + host);
-    return host + ':' + std::to_string(ntohs(address.sin_port));
+    // The system may pick a port again once its probe is closed.
+    static std::mutex mutex;
+    static std::set<std::string> given;
+    const std::lock_guard lock(mutex);
+    for (;;) {
+        std::string address = pickAddress(host);
+        if (given.insert(address).second)
+            return address;
+    }
 }
 
 } // namespace Oleander::Testing
--- a/Tests/Support/loopback.h
+++ b/Tests/Support/loopback.h
@@ -17,7 +17,7 @@
 public:
     /** Next host number of this process, such as "127.17.4.1". */
     static std::string nextHost();
-    /** A free "HOST:PORT" on \a host. */
+    /** A free "HOST:PORT" on \a host that this process has not handed out before. */
     static std::string freeAddress(const std::string &host);
 };
 
