--- a/Source/Fleet/jobservice.cpp
+++ b/Source/Fleet/jobservice.cpp
@@ -378,11 +378,11 @@
                   {"over_bound", level.overBound},
                   {"beside_filling", level.overBoundBesideFilling},
                   {"waiting_millicores", level.waitingMilliCores},
-                  {"free_millicores", level.freeMilliCores},
-                  {"largest_free_millicores", level.largestFreeMilliCores},
-                  {"minions_out", level.minionsOut},
-                  {"minions_suspended", level.minionsSuspended},
-                  {"minions_disturbed", level.minionsDisturbed}});
+                  {"free_millicores", level.room.freeMilliCores},
+                  {"largest_free_millicores", level.room.largestFreeMilliCores},
+                  {"minions_out", level.room.minionsOut},
+                  {"minions_suspended", level.room.minionsSuspended},
+                  {"minions_disturbed", level.room.minionsDisturbed}});
     }
     const auto show = [](const char *state, std::uint32_t tasks) {
         processMetrics()
--- a/Source/Jobs/servicelevel.cpp
+++ b/Source/Jobs/servicelevel.cpp
@@ -9,16 +9,6 @@
 
 namespace {
 
-/** Room of the minions of one service. */
-struct ServiceRoom
-{
-    std::uint64_t freeMilliCores = 0;
-    std::uint64_t largestFreeMilliCores = 0;
-    std::uint32_t minionsOut = 0;
-    std::uint32_t minionsSuspended = 0;
-    std::uint32_t minionsDisturbed = 0;
-};
-
 std::map<std::string, ServiceRoom> roomByService(const JobBook &book, const MachineTable &machines,
                                                  TimePoint now)
 {
@@ -98,13 +88,8 @@
         }
         const QueueSpec *queue = book.queue(job.queue);
         const auto room = queue == nullptr ? rooms.end() : rooms.find(queue->service);
-        if (room != rooms.end()) {
-            level.freeMilliCores = room->second.freeMilliCores;
-            level.largestFreeMilliCores = room->second.largestFreeMilliCores;
-            level.minionsOut = room->second.minionsOut;
-            level.minionsSuspended = room->second.minionsSuspended;
-            level.minionsDisturbed = room->second.minionsDisturbed;
-        }
+        if (room != rooms.end())
+            level.room = room->second;
         levels.push_back(std::move(level));
     }
     return levels;
--- a/Source/Jobs/servicelevel.h
+++ b/Source/Jobs/servicelevel.h
@@ -9,6 +9,19 @@
 
 namespace Oleander::Jobs {
 
+/** Room of the minions of one service. */
+struct ServiceRoom
+{
+    /** Unclaimed processor time of the minions that take tasks, and the most on one. */
+    std::uint64_t freeMilliCores = 0;
+    std::uint64_t largestFreeMilliCores = 0;
+    /** Minions that take no tasks at present, and those of them that failed runs or are over the
+     * bounds of what serves there without filling tasks. */
+    std::uint32_t minionsOut = 0;
+    std::uint32_t minionsSuspended = 0;
+    std::uint32_t minionsDisturbed = 0;
+};
+
 /** What a lasting job has of the tasks that it asked for, by the latest reports. */
 struct ServiceLevel
 {
@@ -25,14 +38,8 @@
     std::uint32_t overBoundBesideFilling = 0;
     /** Size of a waiting task; 0 when none waits. */
     std::uint32_t waitingMilliCores = 0;
-    /** Unclaimed processor time of the service's minions that take tasks, and the most on one. */
-    std::uint64_t freeMilliCores = 0;
-    std::uint64_t largestFreeMilliCores = 0;
-    /** Minions of the service that take no tasks at present, and those of them that failed runs or
-     * are over the bounds of what serves there without filling tasks. */
-    std::uint32_t minionsOut = 0;
-    std::uint32_t minionsSuspended = 0;
-    std::uint32_t minionsDisturbed = 0;
+    /** Room of the service's minions. */
+    ServiceRoom room;
 
     /** True when every task is at work and under its bound. */
     bool whole() const { return atWork == tasks && overBound == 0; }
--- a/Tests/Jobs/serviceleveltest.cpp
+++ b/Tests/Jobs/serviceleveltest.cpp
@@ -51,9 +51,9 @@
     CHECK(level.waitingMilliCores == 3'000);
     CHECK(level.overBound == 1);
     CHECK(level.overBoundBesideFilling == 1);
-    CHECK(level.freeMilliCores == 2'000);
-    CHECK(level.largestFreeMilliCores == 2'000);
-    CHECK(level.minionsOut == 0);
+    CHECK(level.room.freeMilliCores == 2'000);
+    CHECK(level.room.largestFreeMilliCores == 2'000);
+    CHECK(level.room.minionsOut == 0);
     CHECK_FALSE(level.whole());
 }
 
--- a/Tests/Jobs/waitingtest.cpp
+++ b/Tests/Jobs/waitingtest.cpp
@@ -13,6 +13,13 @@
     return spec;
 }
 
+StepSpec lastingApart(std::uint32_t count, std::uint32_t milliCores, std::uint32_t perMinion)
+{
+    StepSpec spec = lasting(count, milliCores);
+    spec.maxPerMinion = perMinion;
+    return spec;
+}
+
 StepSpec brief(std::uint32_t count, std::uint32_t milliCores, std::uint32_t estimateMs)
 {
     StepSpec spec = step(count, milliCores);
@@ -88,9 +95,7 @@
 TEST_CASE("No more tasks of a step than its limit start on one minion in one pass over the jobs")
 {
     PlayedFleet fleet({16'000, 16'000});
-    StepSpec apart = lasting(6, 2'000);
-    apart.maxPerMinion = 2;
-    fleet.leader().submit("apart", {apart});
+    fleet.leader().submit("apart", {lastingApart(6, 2'000, 2)});
     fleet.pass(1s);
     CHECK(fleet.mostOnOneMinion("apart") == 2);
     fleet.fail({"apart", 0, 0});
@@ -146,9 +151,7 @@
 TEST_CASE("Pieces of room are kept together only where no waiting lasting task fits")
 {
     PlayedFleet fleet({16'000, 16'000, 16'000});
-    StepSpec apart = lasting(3, 11'000);
-    apart.maxPerMinion = 1;
-    fleet.leader().submit("base", {apart});
+    fleet.leader().submit("base", {lastingApart(3, 11'000, 1)});
     StepSpec patient = brief(3, 1'000, 60'000);
     patient.maxPerMinion = 1;
     fleet.leader().submit("long", {patient});
@@ -165,9 +168,7 @@
 TEST_CASE("A lasting task does not wait beside room for two of it while short jobs take each hole")
 {
     PlayedFleet fleet({16'000, 16'000});
-    StepSpec apart = lasting(2, 11'000);
-    apart.maxPerMinion = 1;
-    fleet.leader().submit("base", {apart});
+    fleet.leader().submit("base", {lastingApart(2, 11'000, 1)});
     fleet.pass(2s);
     int number = 0;
     // There is always a short job that waits.
