--- a/Source/Runtime/log.h
+++ b/Source/Runtime/log.h
@@ -77,7 +77,7 @@
     std::map<LogEvent, Window> windows_;
 };
 
-/** The log of this process: standard error and the real clock. */
+/** The log of this process: standard output and the real clock. */
 Log &processLog();
 
 /** Logs \a event to the log of this process; an empty \a peer is not shown. */
--- /dev/null
+++ b/Tests/Oleander/readmetest.cpp
@@ -0,0 +1,107 @@
+#include "Support/cluster.h"
+#include "Support/httpcall.h"
+#include "Support/waitfor.h"
+
+#include <catch2/catch.hpp>
+
+#include <filesystem>
+#include <fstream>
+#include <regex>
+#include <string>
+#include <utility>
+#include <vector>
+
+using namespace Oleander::Testing;
+
+namespace {
+
+const std::string CodeIndent = "    ";
+
+/** Lines of README.md below the heading \a title, up to the next heading of its level. */
+std::vector<std::string> section(const std::string &title)
+{
+    std::ifstream file(std::string(OLEANDER_ROOT) + "/README.md");
+    REQUIRE(file.good());
+    std::vector<std::string> lines;
+    bool inside = false;
+    for (std::string line; std::getline(file, line);) {
+        if (line.starts_with("## "))
+            inside = line == "## " + title;
+        else if (inside)
+            lines.push_back(line);
+    }
+    REQUIRE_FALSE(lines.empty());
+    return lines;
+}
+
+/** The code blocks of \a lines, and each `oleander ...` that stands in a sentence, in order. */
+std::vector<std::string> commandsOf(const std::vector<std::string> &lines)
+{
+    static const std::regex Inline("`(oleander [^`]+)`");
+    std::vector<std::string> blocks;
+    std::string block;
+    for (const std::string &line : lines) {
+        if (line.starts_with(CodeIndent)) {
+            block += line.substr(CodeIndent.size()) + '\n';
+            continue;
+        }
+        if (!block.empty())
+            blocks.push_back(std::exchange(block, {}));
+        for (std::sregex_iterator word(line.begin(), line.end(), Inline), end; word != end; ++word)
+            blocks.push_back((*word)[1].str() + '\n');
+    }
+    if (!block.empty())
+        blocks.push_back(block);
+    return blocks;
+}
+
+std::string replaced(std::string text, const std::string &from, const std::string &to)
+{
+    for (std::size_t at = text.find(from); at != std::string::npos; at = text.find(from, at))
+        text.replace(at, from.size(), to);
+    return text;
+}
+
+} // namespace
+
+TEST_CASE("The commands of the README's first evening do what the page says")
+{
+    ClusterOptions options;
+    options.minions = true;
+    options.agentPrefix = "worker-";
+    Cluster cluster(options);
+    REQUIRE(cluster.start());
+    REQUIRE(waitFor([&] {
+        const auto answer = httpCall(cluster.callerDoor(0), {"GET", "/notices/hello", {}, {}});
+        return answer && answer->status == 200;
+    }));
+
+    const std::string servers =
+        cluster.operatorDoor(0) + ',' + cluster.operatorDoor(1) + ',' + cluster.operatorDoor(2);
+    const std::string folder = std::filesystem::path(OLEANDER_PROGRAM).parent_path().string();
+    const TemporaryFolder work;
+    std::string outputs;
+    unsigned run = 0;
+    for (std::string block : commandsOf(section("A first evening"))) {
+        // The quickstart runs in CI by itself; this cluster stands in for it.
+        if (block.find("quickstart.sh") != std::string::npos
+            || block.find("export ") != std::string::npos)
+            continue;
+        block = replaced(block, "127.0.1.1:8080", cluster.callerDoor(0));
+        const auto result = runCommand({"/bin/bash", "-c",
+                                        "set -e\ncd " + work.path().string() + "\nexport PATH="
+                                            + folder + ":$PATH OLEANDER_SERVER=" + servers
+                                            + " OLEANDER_OPERATOR=night-shift\n" + block});
+        INFO(block << result.output << result.errors);
+        CHECK(result.exitCode == 0);
+        outputs += result.output;
+        ++run;
+    }
+    constexpr unsigned BlocksOfThePage = 6;
+    CHECK(run >= BlocksOfThePage);
+    for (const std::string part :
+         {"leader", "batch/billing", "drain/worker-1", "night-shift", "HTTP/1.1 200"}) {
+        INFO(outputs);
+        CHECK(outputs.find(part) != std::string::npos);
+    }
+}
--- a/Tests/Support/Selftest/childprocesstest.cpp
+++ b/Tests/Support/Selftest/childprocesstest.cpp
@@ -29,3 +29,15 @@
     CHECK(end->signal == SIGTERM);
     CHECK_FALSE(process.running());
 }
+
+TEST_CASE("A process tells how it ended and what it wrote on both streams")
+{
+    ChildProcess failed({"/bin/sh", "-c", "echo out; echo wrong >&2; exit 3"});
+    REQUIRE(failed.wait());
+    CHECK(failed.describe()
+          == "ended with exit code 3; standard output:\nout\n\nstandard error:\nwrong\n");
+    ChildProcess frozen({"/bin/sh", "-c", "exec sleep 100"});
+    CHECK(frozen.describe().starts_with("runs; standard output:\n"));
+    frozen.kill();
+    CHECK(frozen.describe().starts_with("was killed by signal 9; "));
+}
--- a/Tests/Support/childprocess.cpp
+++ b/Tests/Support/childprocess.cpp
@@ -127,6 +127,17 @@
     return contentOf(errorFile_);
 }
 
+std::string ChildProcess::describe()
+{
+    std::string text = "runs";
+    if (!running()) {
+        text = end_->signal != 0 ? "was killed by signal " + std::to_string(end_->signal)
+                                 : "ended with exit code " + std::to_string(end_->exitCode);
+    }
+    return text + "; standard output:\n" + standardOutput() + "\nstandard error:\n"
+           + standardError();
+}
+
 bool ChildProcess::reap(int options)
 {
     if (end_)
--- a/Tests/Support/childprocess.h
+++ b/Tests/Support/childprocess.h
@@ -43,6 +43,8 @@
     std::optional<ProcessEnd> wait(std::chrono::milliseconds limit = std::chrono::seconds(60));
     std::string standardOutput() const;
     std::string standardError() const;
+    /** Says whether the process runs or how it ended, and what it wrote on both streams. */
+    std::string describe();
 
 private:
     bool reap(int options);
--- a/Tests/Support/cluster.cpp
+++ b/Tests/Support/cluster.cpp
@@ -36,7 +36,7 @@
     for (std::size_t i = 0; i < options_.agents; ++i) {
         const std::string host = Loopback::nextHost();
         auto &agent = agents_.emplace_back();
-        agent.name = "agent-" + std::to_string(i + 1);
+        agent.name = options_.agentPrefix + std::to_string(i + 1);
         agent.minionDoor = Loopback::freeAddress(host);
         agent.operatorDoor = Loopback::freeAddress(host);
         agent.workerDoor = Loopback::freeAddress(host);
@@ -115,12 +115,15 @@
     return runCommand({OLEANDER_PROGRAM, "serve", settings.string()});
 }
 
-bool Cluster::waitStarted(const ChildProcess &process) const
+bool Cluster::waitStarted(ChildProcess &process) const
 {
-    const bool started = waitFor(
-        [&] { return process.standardOutput().find("name=process.started") != std::string::npos; });
+    bool started = false;
+    waitFor([&] {
+        started = process.standardOutput().find("name=process.started") != std::string::npos;
+        return started || !process.running();
+    });
     if (!started)
-        std::cerr << "A process has not started; it wrote:\n" << process.standardOutput() << '\n';
+        std::cerr << "A process has not started; it " << process.describe() << '\n';
     return started;
 }
 
--- a/Tests/Support/cluster.h
+++ b/Tests/Support/cluster.h
@@ -24,6 +24,8 @@
     /** Gives each agent a stand-in minion of \a service. */
     bool minions = false;
     std::string service = "notices";
+    /** Agents are called this and a number from 1. */
+    std::string agentPrefix = "agent-";
     /** Lets each link between two processes go through a forwarder of its own. */
     bool forwardLinks = false;
     /** Lines added to the settings of every entry and agent. */
@@ -38,7 +40,8 @@
  * \brief Entries, agents, stand-in workers and minions as real processes on 127.0.0.0/8.
  *
  * Nothing runs before start() or one of the start functions. Processes are counted from 0 and
- * called entry-1, agent-1 and so on. Every process is killed and reaped when the cluster goes.
+ * called entry-1, agent-1 and so on, unless the options say otherwise. Every process is killed and
+ * reaped when the cluster goes.
  */
 class Cluster
 {
@@ -58,7 +61,7 @@
     /** Starts a second process with the settings of an entry that runs, and waits for its end. */
     CommandResult startAnotherEntry(std::size_t entry) const;
     /** Waits until the process has logged that it serves. */
-    bool waitStarted(const ChildProcess &process) const;
+    bool waitStarted(ChildProcess &process) const;
 
     ChildProcess &entry(std::size_t entry) { return *entries_.at(entry).process; }
     ChildProcess &agent(std::size_t agent) { return *agents_.at(agent).process; }
--- a/Utilities/quickstart.sh
+++ b/Utilities/quickstart.sh
@@ -1,32 +1,57 @@
 #!/usr/bin/env bash
 # Builds oleanderusher and shows it at work on this machine: three entries with a control log, two
-# agents with a stand-in worker and minion each, all on 127.0.0.x. Stops what it started, by id.
+# agents with a stand-in worker and minion each, all on loopback hosts. Stops what it started, by id.
 #
-#   Utilities/quickstart.sh          runs the demonstration and exits 0 when every step went well
-#   Utilities/quickstart.sh --stay   leaves the system running until Enter or Ctrl-C
+#   Utilities/quickstart.sh                 runs the demonstration; exits 0 when every step went well
+#   Utilities/quickstart.sh --stay          leaves the system running until Enter or Ctrl-C
+#   Utilities/quickstart.sh --build FOLDER  uses the programs of a build folder and builds nothing
+#   Utilities/quickstart.sh --hosts PREFIX  uses the loopback hosts PREFIX.1.x and PREFIX.2.x (127.0)
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
 stay=0
-[ "${1:-}" = "--stay" ] && stay=1
+build=
+hosts=127.0
+while [ $# -gt 0 ]; do
+    case $1 in
+    --stay) stay=1 ;;
+    --build)
+        build=${2:?--build needs a folder}
+        shift
+        ;;
+    --hosts)
+        hosts=${2:?--hosts needs the first two numbers of loopback addresses, such as 127.0}
+        shift
+        ;;
+    *)
+        echo "quickstart.sh: the word \"$1\" is unknown; --stay, --build and --hosts are allowed." >&2
+        exit 2
+        ;;
+    esac
+    shift
+done
 
 step() { printf '\n== %s\n' "$*"; }
 outcome() { printf '   %s\n' "$*"; }
 
-step "Packages"
-Utilities/packages.sh
-outcome "all there"
-
-step "Build"
-build=build/release
-log=$(mktemp)
-if ! { cmake --preset release && cmake --build --preset release \
-    --target oleander oleander-agent standin-worker standin-minion; } >"$log" 2>&1; then
-    tail -n 50 "$log"
+if [ -z "$build" ]; then
+    step "Packages"
+    Utilities/packages.sh
+    outcome "all there"
+
+    step "Build"
+    build=build/release
+    log=$(mktemp)
+    if ! { cmake --preset release && cmake --build --preset release \
+        --target oleander oleander-agent standin-worker standin-minion; } >"$log" 2>&1; then
+        tail -n 50 "$log"
+        rm -f "$log"
+        exit 1
+    fi
     rm -f "$log"
-    exit 1
+else
+    step "Programs of $build"
 fi
-rm -f "$log"
 oleander=$build/Source/Oleander/oleander
 agent=$build/Source/OleanderAgent/oleander-agent
 worker=$build/Tests/Standins/standin-worker
@@ -35,6 +60,7 @@
 
 work=$(mktemp -d)
 ids=()
+names=()
 stop_all() {
     trap - EXIT INT TERM
     local id
@@ -55,9 +81,22 @@
 trap stop_all EXIT
 trap 'exit 130' INT TERM
 
+# Says what each process wrote last, on both streams, and how those that have ended did so.
 fail() {
     outcome "FAILED: $*"
-    tail -n 15 "$work"/*.log
+    local i
+    for i in "${!ids[@]}"; do
+        local name=${names[$i]}
+        if kill -0 "${ids[$i]}" 2>/dev/null; then
+            echo "-- $name runs"
+        else
+            local code=0
+            wait "${ids[$i]}" || code=$?
+            echo "-- $name ended with exit code $code"
+        fi
+        tail -n 15 "$work/$name.out" | sed "s/^/$name standard output: /"
+        tail -n 15 "$work/$name.err" | sed "s/^/$name standard error: /"
+    done
     exit 1
 }
 
@@ -77,8 +116,9 @@
 start() {
     local name=$1
     shift
-    "$@" </dev/null >"$work/$name.out" 2>"$work/$name.log" &
+    "$@" </dev/null >"$work/$name.out" 2>"$work/$name.err" &
     ids+=("$!")
+    names+=("$name")
 }
 
 entry_settings() {
@@ -88,14 +128,14 @@
 region = demo
 failure-domain = domain-$1
 rack = rack-$1
-caller-door = 127.0.1.$1:8080
-operator-door = 127.0.1.$1:8081
-link = 127.0.1.$1:7000
+caller-door = $hosts.1.$1:8080
+operator-door = $hosts.1.$1:8081
+link = $hosts.1.$1:7000
 data-folder = $work/entry-$1
 [control-group]
-entry-1 = 127.0.1.1:7000
-entry-2 = 127.0.1.2:7000
-entry-3 = 127.0.1.3:7000
+entry-1 = $hosts.1.1:7000
+entry-2 = $hosts.1.2:7000
+entry-3 = $hosts.1.3:7000
 [request]
 drain-delay = 200ms
 SETTINGS
@@ -108,21 +148,21 @@
 region = demo
 failure-domain = domain-$1
 rack = rack-$1
-link = 127.0.2.$1:7001
-minion-door = 127.0.2.$1:7002
-operator-door = 127.0.2.$1:7003
+link = $hosts.2.$1:7001
+minion-door = $hosts.2.$1:7002
+operator-door = $hosts.2.$1:7003
 [entries]
-entry-1 = 127.0.1.1:7000
-entry-2 = 127.0.1.2:7000
-entry-3 = 127.0.1.3:7000
+entry-1 = $hosts.1.1:7000
+entry-2 = $hosts.1.2:7000
+entry-3 = $hosts.1.3:7000
 [worker]
-address = 127.0.2.$1:9000
+address = $hosts.2.$1:9000
 milli-cores = 16000
 memory = 60GiB
 SETTINGS
 }
 
-export OLEANDER_SERVER=127.0.1.1:8081,127.0.1.2:8081,127.0.1.3:8081
+export OLEANDER_SERVER=$hosts.1.1:8081,$hosts.1.2:8081,$hosts.1.3:8081
 export OLEANDER_OPERATOR=quickstart
 
 step "Settings"
@@ -141,11 +181,11 @@
     start "entry-$i" "$oleander" serve "$work/entry-$i.ini"
 done
 for i in 1 2; do
-    start "worker-$i" "$worker" --listen="127.0.2.$i:9000"
+    start "worker-$i" "$worker" --listen="$hosts.2.$i:9000"
     start "agent-$i" "$agent" "$work/agent-$i.ini"
 done
 for name in entry-1 entry-2 entry-3 agent-1 agent-2; do
-    wait_for "$name did not start" grep -q "name=process.started" "$work/$name.log"
+    wait_for "$name did not start" grep -q "name=process.started" "$work/$name.out"
     outcome "$name serves"
 done
 
@@ -175,11 +215,11 @@
 
 step "The service's minions announce themselves"
 for i in 1 2; do
-    start "minion-$i" "$minion" --listen="127.0.2.$i:8000" --agent="127.0.2.$i:7002" \
+    start "minion-$i" "$minion" --listen="$hosts.2.$i:8000" --agent="$hosts.2.$i:7002" \
         --name="minion-$i" --service=notices
 done
 
-ask() { curl --silent --show-error --fail --max-time 5 "http://127.0.1.$1:8080/notices/hello"; }
+ask() { curl --silent --show-error --fail --max-time 5 "http://$hosts.1.$1:8080/notices/hello"; }
 step "A caller's request through each entry"
 for i in 1 2 3; do
     wait_for "entry-$i gives no answer" ask "$i"
@@ -194,7 +234,7 @@
 if [ "$stay" -eq 1 ]; then
     step "The system runs until Enter"
     outcome "export OLEANDER_SERVER=$OLEANDER_SERVER"
-    outcome "callers' doors: 127.0.1.1:8080 127.0.1.2:8080 127.0.1.3:8080"
+    outcome "callers' doors: $hosts.1.1:8080 $hosts.1.2:8080 $hosts.1.3:8080"
     read -r _ || true
 fi
 
--- a/Utilities/test.sh
+++ b/Utilities/test.sh
@@ -24,3 +24,7 @@
     exclude=(--exclude-regex "^($pattern)\$")
 fi
 ctest --preset tidy --parallel 4 "${exclude[@]}"
+
+echo "== quickstart"
+# Hosts of its own, so that a quickstart that runs already is not in the way.
+Utilities/quickstart.sh --build build/tidy --hosts "127.$((1 + $$ % 250))"
