jobs: Serve filling jobs by what they can earn for the work left, in placing and in pacing

Cause: nearly every job begins at once, and an agent near the bound of a service slows every run of an image alike, so that all jobs advance slowly and pass their objective together.

The leader computes a weight (worth that can still be earned by the undone work), places filling tasks by it and tells it to the agents; an agent gives the pressure that is allowed to the runs with the highest weight for it, and cuts the lowest first.

--- a/Source/Fleet/jobservice.cpp
+++ b/Source/Fleet/jobservice.cpp
@@ -321,7 +321,8 @@
 
 void JobService::sendDirectives()
 {
-    for (Jobs::AddressedDirective &addressed : scheduler_.takeDirectives(loop_.clock().now())) {
+    for (Jobs::AddressedDirective &addressed :
+         scheduler_.takeDirectives(loop_.clock().now(), nowMs())) {
         // An order that does not arrive is due again while the agent's reports do not show it.
         static_cast<void>(messenger_.send(addressed.agent, std::move(addressed.directive)));
     }
--- a/Source/Fleet/miniontask.cpp
+++ b/Source/Fleet/miniontask.cpp
@@ -146,6 +146,12 @@
     }
     for (const ImagePress &press : directive.presses)
         pace_.learn(press);
+    for (const JobWeight &job : directive.weights) {
+        for (auto &[key, order] : described_) {
+            if (key.first.job == job.job)
+                order.weight = job.weight;
+        }
+    }
     for (const StopOrder &order : directive.stops)
         stop(order);
     for (const StartOrder &order : directive.starts) {
@@ -377,7 +383,7 @@
             continue;
         const StartOrder &known = order->second;
         runs.push_back({key, known.filling, known.image, known.milliCores, known.targetLatencyMs,
-                        status.figure});
+                        status.figure, known.weight});
     }
     for (const Jobs::PaceOrder &order : pace_.update(loop_.clock().now(), runs)) {
         const auto &[task, run] = order.key;
--- a/Source/Jobs/joborder.h
+++ b/Source/Jobs/joborder.h
@@ -32,12 +32,17 @@
     std::int64_t precedence = 0;
     /** Calendar time in milliseconds by which the rest of the job has to start. */
     std::int64_t latestStartMs = 0;
+    /** See JobWeight. */
+    double weight = 0;
 };
 
 /** Returns the estimated length in milliseconds of the longest chain of \a job; of the undone part
  * when \a rest is set. */
 std::int64_t chainMs(const Job &job, bool rest);
 
+/** Ranks \a job, called \a id, of \a book at the calendar time \a nowMs. */
+RankedJob rankJob(const std::string &id, const Job &job, const JobBook &book, std::int64_t nowMs);
+
 /**
  * Orders the open jobs of \a book at the calendar time \a nowMs.
  *
@@ -48,4 +53,16 @@
  */
 std::vector<RankedJob> orderJobs(const JobBook &book, std::int64_t nowMs);
 
+/**
+ * What \a job, ranked as \a rank, can still earn for each core-millisecond of its undone work, with
+ * the mean job of its queue of \a meanWork.
+ *
+ * Load it answers: filling tasks ask for more time than the others leave, all day. Served in turn
+ * or at once all of their jobs end late; by this order (Smith's rule) a job that is nearly done
+ * ends first, and one that cannot be in time any more leaves its time to those that can. The worth
+ * of a job grows with its work, as the platform counts it, so that large jobs are not put off for
+ * ever.
+ */
+double jobWeight(const Job &job, JobRank rank, double meanWork);
+
 } // namespace Oleander::Jobs
--- a/Source/Jobs/jobscheduler.cpp
+++ b/Source/Jobs/jobscheduler.cpp
@@ -1,5 +1,6 @@
 #include "Jobs/jobscheduler.h"
 
+#include "Jobs/joborder.h"
 #include "Jobs/taskplacer.h"
 
 #include <algorithm>
@@ -147,7 +148,7 @@
     return batch;
 }
 
-std::vector<AddressedDirective> JobScheduler::takeDirectives(TimePoint now)
+std::vector<AddressedDirective> JobScheduler::takeDirectives(TimePoint now, std::int64_t nowMs)
 {
     std::vector<AddressedDirective> directives;
     for (auto &[life, machine] : machines_.machines()) {
@@ -167,9 +168,9 @@
         if (acknowledges)
             due_.erase(due);
         directive.acknowledgedEnd = machine.acknowledgedEnd;
-        addOrders(now, life, machine, directive);
+        addOrders(now, nowMs, life, machine, directive);
         if (renewed)
-            addPresses(life, directive);
+            addPacing(life, nowMs, directive);
         if (renewed || acknowledges || !directive.starts.empty() || !directive.stops.empty())
             directives.push_back({machine.agent, std::move(directive)});
     }
@@ -184,8 +185,8 @@
     return directives;
 }
 
-void JobScheduler::addOrders(TimePoint now, const MinionLife &life, const Machine &machine,
-                             MachineDirective &directive)
+void JobScheduler::addOrders(TimePoint now, std::int64_t nowMs, const MinionLife &life,
+                             const Machine &machine, MachineDirective &directive)
 {
     const auto runs = book_.activeRuns().find(life);
     static const std::set<RunKey> None;
@@ -208,7 +209,8 @@
             directive.starts.push_back({key.first, key.second, job->spec,
                                         job->tasks[key.first.step][key.first.index].checkpoint,
                                         step.filling, step.targetLatencyMs, step.image,
-                                        step.milliCores});
+                                        step.milliCores,
+                                        step.filling ? weightOf(key.first.job, nowMs) : 1.0});
         }
     }
     for (const auto &[key, view] : machine.running) {
@@ -217,24 +219,36 @@
     }
 }
 
-void JobScheduler::addPresses(const MinionLife &life, MachineDirective &directive) const
+double JobScheduler::weightOf(const std::string &id, std::int64_t nowMs) const
+{
+    const Job &job = *book_.find(id);
+    return rankJob(id, job, book_, nowMs).weight;
+}
+
+void JobScheduler::addPacing(const MinionLife &life, std::int64_t nowMs,
+                             MachineDirective &directive) const
 {
     const auto runs = book_.activeRuns().find(life);
     if (runs == book_.activeRuns().end())
         return;
     std::set<std::string> filling;
     std::set<std::string> serving;
+    std::set<std::string> jobs;
     for (const RunKey &key : runs->second) {
         const StepSpec &step = book_.find(key.first.job)->steps[key.first.step];
-        if (step.filling)
+        if (step.filling) {
             filling.insert(step.image);
-        else if (step.targetLatencyMs > 0)
+            jobs.insert(key.first.job);
+        } else if (step.targetLatencyMs > 0) {
             serving.insert(step.image);
+        }
     }
     for (const std::string &fill : filling) {
         for (const std::string &serve : serving)
             directive.presses.push_back({fill, serve, interference_.press(fill, serve)});
     }
+    for (const std::string &id : jobs)
+        directive.weights.push_back({id, weightOf(id, nowMs)});
 }
 
 bool JobScheduler::orderDue(TimePoint now, const RunKey &key)
--- a/Source/Jobs/jobscheduler.h
+++ b/Source/Jobs/jobscheduler.h
@@ -62,7 +62,7 @@
     /** The batch of the latest takeStarts() has taken effect or surely will not. */
     void startsEnded() { startsInFlight_ = false; }
     /** Returns what the agents shall hear now. */
-    std::vector<AddressedDirective> takeDirectives(TimePoint now);
+    std::vector<AddressedDirective> takeDirectives(TimePoint now, std::int64_t nowMs);
 
     /** Returns the decisions of keeping room since the last call. */
     std::vector<RoomDecision> takeRoomDecisions() { return rooms_.takeDecisions(); }
@@ -71,10 +71,12 @@
     const MachineTable &machines() const { return machines_; }
 
 private:
-    void addOrders(TimePoint now, const MinionLife &life, const Machine &machine,
-                   MachineDirective &directive);
-    /** Adds what is known of the images that meet on the minion \a life. */
-    void addPresses(const MinionLife &life, MachineDirective &directive) const;
+    void addOrders(TimePoint now, std::int64_t nowMs, const MinionLife &life,
+                   const Machine &machine, MachineDirective &directive);
+    /** Adds what is known of the images that meet on the minion \a life, and of the jobs that fill
+     * there. */
+    void addPacing(const MinionLife &life, std::int64_t nowMs, MachineDirective &directive) const;
+    double weightOf(const std::string &id, std::int64_t nowMs) const;
     bool mustStop(const RunKey &key) const;
     bool mustLeave(TimePoint now, const Machine &machine, const RunKey &key) const;
     bool orderDue(TimePoint now, const RunKey &key);
--- a/Source/Jobs/pacecontroller.cpp
+++ b/Source/Jobs/pacecontroller.cpp
@@ -45,6 +45,8 @@
 constexpr double LeastBase = 0.15;
 /** Pressure that filling runs may always add by what is known of the pairs. */
 constexpr double LeastRoom = 0.05;
+/** Press of a pair is at least this, so that runs can be compared by it. */
+constexpr double LeastPress = 0.0005;
 /** Changes of the share below this are not worth a call. */
 constexpr std::uint32_t LeastChangePercent = 4;
 
@@ -99,10 +101,10 @@
 double PaceController::press(const std::string &filling, const std::string &serving) const
 {
     const auto known = press_.find({filling, serving});
-    return known == press_.end() ? UnknownPress : known->second;
+    return known == press_.end() ? UnknownPress : std::max(LeastPress, known->second);
 }
 
-void PaceController::adjust(TimePoint now, double pressure, double smallestShare)
+void PaceController::adjust(TimePoint now, double pressure, double mostUseful)
 {
     if (pressure <= 1.0)
         overSince_.reset();
@@ -117,8 +119,7 @@
         return;
     const double before = gain_;
     if (pressure > SlowAbove) {
-        // A gain beyond this one would have no effect on any run.
-        const double effective = std::min(gain_, 1.0 / std::max(smallestShare, LeastShare));
+        const double effective = std::min(gain_, mostUseful);
         gain_ = effective * Cut < LeastShare ? 0 : effective * Cut;
     } else if (pressure < RaiseBelow) {
         gain_ = std::min(MostGain, gain_ * RaiseFactor + RaiseStep);
@@ -127,21 +128,18 @@
         changedAt_ = now;
 }
 
-std::map<std::string, double> PaceController::allowedCores(TimePoint now,
-                                                           const std::vector<PacedRun> &runs) const
+std::vector<PaceController::ServingRoom>
+PaceController::findRooms(TimePoint now, const std::vector<PacedRun> &runs) const
 {
-    std::map<std::string, double> asked;
     std::map<std::string, double> used;
     for (const PacedRun &run : runs) {
-        if (!run.filling)
-            continue;
-        asked[run.image] += run.milliCores / MilliCoresPerCore;
-        used[run.image] += run.figure / MilliCoresPerCore;
+        if (run.filling)
+            used[run.image] += run.figure / MilliCoresPerCore;
     }
     // Room of each serving run beside what it would show without the filling ones. Where that alone
     // takes it over the aim, the filling ones are not what disturbs it, or the pairs are not known
     // well: then they are slowed by steps only.
-    std::vector<std::pair<std::string, double>> rooms;
+    std::vector<ServingRoom> rooms;
     for (const PacedRun &run : runs) {
         if (!counts(now, run))
             continue;
@@ -149,53 +147,97 @@
         for (const auto &[image, cores] : used)
             pressed += press(image, run.image) * cores;
         const double base = std::max(LeastBase, pressureOf(run) - pressed);
-        rooms.emplace_back(run.image, std::max({AimedPressure - base, Cut * pressed, LeastRoom}));
+        rooms.push_back({run.image, std::max({AimedPressure - base, Cut * pressed, LeastRoom})});
     }
-    std::vector<std::pair<double, std::string>> lightFirst;
-    for (const auto &[image, cores] : asked) {
-        double heaviest = 0;
-        for (const auto &[serving, room] : rooms)
-            heaviest = std::max(heaviest, press(image, serving));
-        lightFirst.emplace_back(heaviest, image);
+    return rooms;
+}
+
+std::vector<PaceController::FillingShare>
+PaceController::orderFilling(const std::vector<PacedRun> &runs,
+                             const std::vector<ServingRoom> &rooms) const
+{
+    std::vector<FillingShare> order;
+    for (const PacedRun &run : runs) {
+        if (!run.filling)
+            continue;
+        FillingShare share{&run, LeastPress, 0};
+        for (const ServingRoom &room : rooms)
+            share.heaviestPress = std::max(share.heaviestPress, press(run.image, room.image));
+        order.push_back(share);
     }
-    std::ranges::sort(lightFirst);
-    std::map<std::string, double> allowed;
-    for (const auto &[heaviest, image] : lightFirst) {
-        double cores = asked[image];
-        for (const auto &[serving, room] : rooms)
-            cores = std::min(cores, room / press(image, serving));
-        for (auto &[serving, room] : rooms)
-            room = std::max(0.0, room - cores * press(image, serving));
-        allowed[image] = asked[image] > 0 ? cores / asked[image] : 1.0;
+    // What a run earns for the pressure that it adds, or for its time where nothing serves.
+    std::ranges::stable_sort(order, [](const FillingShare &a, const FillingShare &b) {
+        return a.run->weight * b.heaviestPress > b.run->weight * a.heaviestPress;
+    });
+    return order;
+}
+
+void PaceController::shareOut(std::vector<FillingShare> &order,
+                              std::vector<ServingRoom> rooms) const
+{
+    for (FillingShare &share : order) {
+        share.cores = share.run->milliCores / MilliCoresPerCore;
+        for (const ServingRoom &room : rooms)
+            share.cores =
+                std::min(share.cores, room.pressure / press(share.run->image, room.image));
+        for (ServingRoom &room : rooms) {
+            const double pressed = share.cores * press(share.run->image, room.image);
+            room.pressure = std::max(0.0, room.pressure - pressed);
+        }
     }
-    return allowed;
 }
 
 std::vector<PaceOrder> PaceController::update(TimePoint now, const std::vector<PacedRun> &runs)
 {
     findOwnLoad(now, runs);
-    const bool serves =
-        std::ranges::any_of(runs, [&](const PacedRun &run) { return counts(now, run); });
-    const auto shares = allowedCores(now, runs);
-    double smallest = 1.0;
-    for (const auto &[image, share] : shares)
-        smallest = std::min(smallest, share);
-    if (serves)
-        adjust(now, worstPressure(now, runs), smallest);
-    else
+    std::vector<ServingRoom> rooms = findRooms(now, runs);
+    std::vector<FillingShare> order = orderFilling(runs, rooms);
+    double mostUseful = 1.0;
+    for (const ServingRoom &room : rooms) {
+        double needed = 0;
+        for (const FillingShare &share : order)
+            needed +=
+                press(share.run->image, room.image) * share.run->milliCores / MilliCoresPerCore;
+        mostUseful = std::max(mostUseful, needed / room.pressure);
+    }
+    if (rooms.empty())
         gain_ = 1.0;
+    else
+        adjust(now, worstPressure(now, runs), mostUseful);
+    for (ServingRoom &room : rooms)
+        room.pressure *= std::max(1.0, gain_);
+    shareOut(order, rooms);
+    if (gain_ < 1.0)
+        cutPressure(order);
+    return ordersFor(order);
+}
+
+void PaceController::cutPressure(std::vector<FillingShare> &order) const
+{
+    double pressure = 0;
+    for (const FillingShare &share : order)
+        pressure += share.cores * share.heaviestPress;
+    pressure *= gain_;
+    for (FillingShare &share : order) {
+        share.cores = std::min(share.cores, pressure / share.heaviestPress);
+        pressure = std::max(0.0, pressure - share.cores * share.heaviestPress);
+    }
+}
+
+std::vector<PaceOrder> PaceController::ordersFor(const std::vector<FillingShare> &order)
+{
     std::map<RunKey, std::uint32_t> ordered;
     std::vector<PaceOrder> orders;
     double asked = 0;
     double allowed = 0;
-    for (const PacedRun &run : runs) {
-        if (!run.filling)
-            continue;
-        const double modelled = std::min(1.0, gain_ * shares.at(run.image));
-        const double share = modelled < LeastShare ? 0 : modelled;
+    for (const FillingShare &given : order) {
+        const PacedRun &run = *given.run;
+        const double cores = run.milliCores / MilliCoresPerCore;
+        const double part = cores > 0 ? given.cores / cores : 1.0;
+        const double share = part < LeastShare ? 0 : part;
         const auto wanted = static_cast<std::uint32_t>(std::lround(FullPercent * share));
-        asked += run.milliCores;
-        allowed += run.milliCores * share;
+        asked += cores;
+        allowed += cores * share;
         const auto known = ordered_.find(run.key);
         std::uint32_t current =
             known == ordered_.end() ? static_cast<std::uint32_t>(FullPercent) : known->second;
--- a/Source/Jobs/pacecontroller.h
+++ b/Source/Jobs/pacecontroller.h
@@ -24,6 +24,8 @@
     std::uint32_t targetLatencyMs = 0;
     /** Latest tail latency of a serving run, or the milli-cores in use of a filling one. */
     std::uint32_t figure = 0;
+    /** See JobWeight; for a filling run. */
+    double weight = 1;
 };
 
 /** The share at which a filling run shall work from now on. */
@@ -38,9 +40,10 @@
  * \brief Slows the filling runs of one minion while a serving one beside them is near its bound.
  *
  * Load it answers: filling tasks take all time that is left and stretch the tail latency of the
- * lasting tasks beside them, by amounts that differ by image and change within seconds. The images
- * that press most on what serves here are slowed first, by what the leader learned of the pairs;
- * whatever that says, the share of all falls at once when a bound is near.
+ * lasting tasks beside them, by amounts that differ by image and change within seconds. What may be
+ * pressed goes to the runs that earn most for it: by the weight of their
+ * job and by what the leader learned of the pairs of images. Shared out evenly, every run would end
+ * late. Whatever the pairs say, the pressure that is allowed falls at once when a bound is near.
  */
 class PaceController
 {
@@ -56,18 +59,41 @@
     void learn(const ImagePress &press) { press_[{press.filling, press.serving}] = press.press; }
 
 private:
+    /** Pressure that filling runs may add to a serving run of \a image. */
+    struct ServingRoom
+    {
+        std::string image;
+        double pressure = 0;
+    };
+    /** A filling run and what it may use. */
+    struct FillingShare
+    {
+        const PacedRun *run = nullptr;
+        /** Pressure that a core of it adds to the serving run that it presses on most. */
+        double heaviestPress = 0;
+        double cores = 0;
+    };
+
     /** Serving runs that are over their bound although the filling ones stand. */
     void findOwnLoad(TimePoint now, const std::vector<PacedRun> &runs);
     bool counts(TimePoint now, const PacedRun &run) const;
     double worstPressure(TimePoint now, const std::vector<PacedRun> &runs) const;
-    void adjust(TimePoint now, double pressure, double smallestShare);
-    /** Cores that each filling image may use by what is known of the pairs. */
-    std::map<std::string, double> allowedCores(TimePoint now,
-                                               const std::vector<PacedRun> &runs) const;
+    /** Adapts the gain; one beyond \a mostUseful would have no effect on any run. */
+    void adjust(TimePoint now, double pressure, double mostUseful);
+    /** Pressure that may be added to each serving run that counts. */
+    std::vector<ServingRoom> findRooms(TimePoint now, const std::vector<PacedRun> &runs) const;
+    /** The filling runs of \a runs in the order in which they get time. */
+    std::vector<FillingShare> orderFilling(const std::vector<PacedRun> &runs,
+                                           const std::vector<ServingRoom> &rooms) const;
+    /** Gives each of \a order the cores that \a rooms leave. */
+    void shareOut(std::vector<FillingShare> &order, std::vector<ServingRoom> rooms) const;
+    /** Takes from the last of \a order what a gain below one leaves out. */
+    void cutPressure(std::vector<FillingShare> &order) const;
+    std::vector<PaceOrder> ordersFor(const std::vector<FillingShare> &order);
     double press(const std::string &filling, const std::string &serving) const;
 
     std::map<std::pair<std::string, std::string>, double> press_;
-    /** Share that every image gets of what the pairs allow. */
+    /** Part of the pressure that the pairs allow which is given out. */
     double gain_ = 1.0;
     TimePoint changedAt_{};
     /** Since when a serving run is over its bound without a break. */
--- a/Source/Jobs/taskplacer.cpp
+++ b/Source/Jobs/taskplacer.cpp
@@ -1,6 +1,7 @@
 #include "Jobs/taskplacer.h"
 
 #include <algorithm>
+#include <functional>
 #include <utility>
 
 namespace Oleander::Jobs {
@@ -86,18 +87,27 @@
     if (candidates_.empty())
         return {};
     keepRoom();
-    const std::vector<RankedJob> ordered = orderJobs(book_, nowMs);
+    std::vector<RankedJob> ordered = orderJobs(book_, nowMs);
     for (const Pass pass : {Pass::Entitled, Pass::Other}) {
-        for (const RankedJob &ranked : ordered) {
-            for (std::uint32_t step = 0; step < ranked.job->steps.size(); ++step) {
-                if (!ranked.job->stepDone(step) && ranked.job->stepReady(step))
-                    placeStep(ranked, step, pass);
-            }
-        }
+        for (const RankedJob &ranked : ordered)
+            placeJob(ranked, pass);
     }
+    std::ranges::stable_sort(ordered, std::ranges::greater(), &RankedJob::weight);
+    for (const RankedJob &ranked : ordered)
+        placeJob(ranked, Pass::Filling);
     return std::move(starts_);
 }
 
+void TaskPlacer::placeJob(const RankedJob &ranked, Pass pass)
+{
+    for (std::uint32_t step = 0; step < ranked.job->steps.size(); ++step) {
+        const bool filling = ranked.job->steps[step].filling;
+        if (filling == (pass == Pass::Filling) && !ranked.job->stepDone(step)
+            && ranked.job->stepReady(step))
+            placeStep(ranked, step, pass);
+    }
+}
+
 void TaskPlacer::placeStep(const RankedJob &ranked, std::uint32_t step, Pass pass)
 {
     const QueueSpec *queue = book_.queue(ranked.job->queue);
@@ -119,7 +129,7 @@
     }
     // On a claimed service it would only disturb what serves, and take its place from jobs that can
     // still be in time.
-    bool urgent = pass == Pass::Other && isStarved(*ranked.job, nowMs_) && idle(queue->service);
+    bool urgent = spec.filling && isStarved(*ranked.job, nowMs_) && idle(queue->service);
     bool full = false;
     for (std::uint32_t index = 0; index < tasks.size(); ++index) {
         const Task &task = tasks[index];
--- a/Source/Jobs/taskplacer.h
+++ b/Source/Jobs/taskplacer.h
@@ -20,7 +20,8 @@
  * Load it answers: wide steps beside lasting tasks on minions that start whatever they are told,
  * so that this ledger alone keeps them within their capacity. Lasting tasks that lost their
  * run, for which room is kept, or that wait beside room for several of them come first: small tasks
- * would take it in pieces, which do not come together again.
+ * would take it in pieces, which do not come together again. Filling tasks, which claim no room,
+ * start by the weight of their job.
  */
 class TaskPlacer
 {
@@ -44,12 +45,14 @@
     };
 
     /** Passes over the jobs, in this order. */
-    enum class Pass { Entitled, Other };
+    enum class Pass { Entitled, Other, Filling };
 
     void keepRoom();
     void keepRoomFor(const TaskRef &ref, const StepSpec &step);
     /** Ends the reservation of \a ref on its minion for this pass; returns false without one. */
     bool releaseRoom(const TaskRef &ref, const StepSpec &step);
+    /** Places what \a pass takes of the steps of \a ranked whose turn has come. */
+    void placeJob(const RankedJob &ranked, Pass pass);
     void placeStep(const RankedJob &ranked, std::uint32_t step, Pass pass);
     Candidate *choose(const StepSpec &step, const std::string &service, const Task &task,
                       std::uint32_t maxAttempts, bool urgent,
--- a/Source/Protocol/jobmessages.h
+++ b/Source/Protocol/jobmessages.h
@@ -148,6 +148,8 @@
     std::uint32_t targetLatencyMs = 0;
     std::string image;
     std::uint32_t milliCores = 0;
+    /** See JobWeight; for a filling run. */
+    double weight = 1;
 };
 
 template<typename F>
@@ -161,6 +163,7 @@
     f(v.targetLatencyMs);
     f(v.image);
     f(v.milliCores);
+    f(v.weight);
 }
 
 /** One run that the minion shall stop. */
@@ -193,6 +196,21 @@
     f(v.press);
 }
 
+/** What a job can still earn for each core-millisecond of its undone work: filling runs of jobs
+ * with a higher one go first. */
+struct JobWeight
+{
+    std::string job;
+    double weight = 0;
+};
+
+template<typename F>
+void visitFields(F &&f, Fields<JobWeight> auto &&v)
+{
+    f(v.job);
+    f(v.weight);
+}
+
 /** Pressure of a serving image without filling tasks, in parts of its bound. */
 struct ImageBase
 {
@@ -237,6 +255,8 @@
     std::vector<StopOrder> stops;
     /** What the leader learned of the images that meet on the minion; empty for no news. */
     std::vector<ImagePress> presses;
+    /** Jobs with filling runs on the minion; empty for no news. */
+    std::vector<JobWeight> weights;
 };
 
 template<typename F>
@@ -250,6 +270,7 @@
     f(v.starts);
     f(v.stops);
     f(v.presses);
+    f(v.weights);
 }
 
 } // namespace Oleander
--- a/Tests/Jobs/interferencetest.cpp
+++ b/Tests/Jobs/interferencetest.cpp
@@ -230,6 +230,24 @@
     CHECK_FALSE(percents.contains(1));
 }
 
+TEST_CASE("Beside a service near its bound the runs of the job that earns most keep their share")
+{
+    ManualClock clock;
+    PaceController pace = taughtController();
+    PacedRun first = fillingRun(0, 4'000);
+    PacedRun second = fillingRun(1, 4'000);
+    second.weight = 5.0;
+    first.weight = 1.0;
+    std::map<std::uint32_t, std::uint32_t> percents{{0, 100}, {1, 100}};
+    for (int i = 0; i < 3; ++i) {
+        clock.advance(600ms);
+        for (const PaceOrder &order : pace.update(clock.now(), {servingRun(90), first, second}))
+            percents[order.key.first.index] = order.percent;
+    }
+    CHECK(percents.at(1) > 80);
+    CHECK(percents.at(0) == 0);
+}
+
 TEST_CASE("Filling runs go on beside a service that is over its bound without them")
 {
     ManualClock clock;
--- a/Tests/Jobs/jobfixture.h
+++ b/Tests/Jobs/jobfixture.h
@@ -134,7 +134,7 @@
     /** Sends the directives and returns that for \a agent, or an empty one. */
     MachineDirective directive(const std::string &agent)
     {
-        for (AddressedDirective &addressed : scheduler.takeDirectives(clock.now())) {
+        for (AddressedDirective &addressed : scheduler.takeDirectives(clock.now(), nowMs)) {
             if (addressed.agent == agent)
                 return addressed.directive;
         }
--- a/Tests/Jobs/jobordertest.cpp
+++ b/Tests/Jobs/jobordertest.cpp
@@ -2,6 +2,8 @@
 
 #include "jobfixture.h"
 
+#include <algorithm>
+
 using namespace Oleander;
 using namespace Oleander::Testing;
 
@@ -70,6 +72,46 @@
     CHECK(ordered[3].id == "overdue");
 }
 
+TEST_CASE("A filling job that earns most for the work left goes first")
+{
+    BookFixture book;
+    const auto weight = [&](const std::string &id) {
+        const auto ordered = orderJobs(book.book, book.nowMs);
+        return std::ranges::find(ordered, id, &RankedJob::id)->weight;
+    };
+    book.submit("small", {step(2)});
+    book.submit("large", {step(20)});
+    book.submit("nearly-done", {step(20)});
+    for (std::uint32_t index = 0; index < 19; ++index) {
+        REQUIRE(book.start({"nearly-done", 0, index}, 1, LifeA));
+        book.end({"nearly-done", 0, index}, 1, LifeA, RunEndKind::Done);
+    }
+    CHECK(weight("nearly-done") > weight("small"));
+    CHECK(weight("small") > weight("large"));
+    // Its worth grows with its work, so ten times the work weighs far more than a tenth.
+    CHECK(weight("large") > weight("small") / 5);
+    book.nowMs += 5'000;
+    book.submit("fresh", {step(20)});
+    CHECK(weight("fresh") > weight("small"));
+}
+
+TEST_CASE(
+    "Room for one filling task goes to the job that earns most for it, not to the most urgent")
+{
+    SchedulerFixture leader;
+    leader.report("agent-a", reportOf(LifeA, 1'000, 4'000));
+    leader.directive("agent-a");
+    StepSpec filling = step(8, 4'000);
+    filling.filling = true;
+    leader.submit("large", {filling});
+    filling.count = 1;
+    filling.estimateMs = 1'500;
+    leader.submit("small", {filling});
+    const JobBatch batch = leader.decide();
+    REQUIRE(batch.starts.size() == 1);
+    CHECK(batch.starts.at(0).task.job == "small");
+}
+
 TEST_CASE("The rest of a chain counts the steps that are not done")
 {
     BookFixture book;
--- a/Tests/Jobs/jobschedulertest.cpp
+++ b/Tests/Jobs/jobschedulertest.cpp
@@ -408,7 +408,7 @@
         leader.decide();
         leader.decide();
         for (const AddressedDirective &addressed :
-             leader.scheduler.takeDirectives(leader.clock.now())) {
+             leader.scheduler.takeDirectives(leader.clock.now(), leader.nowMs)) {
             const MachineDirective &directive = addressed.directive;
             if (!atWork.contains(directive.life) || pick(5) == 0)
                 continue;
--- a/Tests/Jobs/playedfleet.h
+++ b/Tests/Jobs/playedfleet.h
@@ -167,7 +167,7 @@
         leader_.decide();
         leader_.decide();
         for (const AddressedDirective &addressed :
-             leader_.scheduler.takeDirectives(leader_.clock.now())) {
+             leader_.scheduler.takeDirectives(leader_.clock.now(), leader_.nowMs)) {
             for (Minion &minion : minions_) {
                 if (minion.agent == addressed.agent)
                     carryOut(minion, addressed.directive);
