jobs: Estimate the length of tasks from their progress and from earlier steps of the queue

What callers saw: jobs that could be in time were put behind others, and jobs that could not were served.

What the runs of a step show (their progress by the time that they worked at full speed, or their length where they are not slowed) goes first; else a regression on what declared lengths told in the queue.

--- a/Source/Fleet/jobservice.cpp
+++ b/Source/Fleet/jobservice.cpp
@@ -77,7 +77,7 @@
     messenger_.on<MachineReport>([this](const Sender &from, MachineReport &&report) {
         if (!leading_ || !replica_.isLeader())
             return;
-        scheduler_.report(loop_.clock().now(), from.name, report);
+        scheduler_.report(loop_.clock().now(), nowMs(), from.name, report);
         pumpSoon();
     });
     messenger_.on<LearnedImages>([this](const Sender &, LearnedImages &&learned) {
--- a/Source/Jobs/jobbook.cpp
+++ b/Source/Jobs/jobbook.cpp
@@ -8,8 +8,6 @@
 
 namespace {
 
-constexpr double MilliCores = 1000.0;
-
 /** What a snapshot holds; new fields go last. */
 struct Image
 {
@@ -39,18 +37,6 @@
                                [this](std::uint32_t earlier) { return stepDone(earlier); });
 }
 
-double workOf(const Job &job, bool rest)
-{
-    double work = 0;
-    for (std::size_t i = 0; i < job.steps.size(); ++i) {
-        const StepSpec &step = job.steps[i];
-        const std::uint32_t tasks = rest ? step.count - job.done[i] : step.count;
-        if (!step.lasting)
-            work += static_cast<double>(tasks) * step.milliCores / MilliCores * step.estimateMs;
-    }
-    return work;
-}
-
 JobOutcome JobBook::apply(const JobCommand &command)
 {
     return std::visit([this](const auto &held) { return run(held); }, command);
@@ -88,10 +74,8 @@
         outcome.started.push_back(start(decision, command.atMs));
     for (const std::string &id : command.forgotten) {
         const auto found = jobs_.find(id);
-        if (found == jobs_.end() || !found->second.ended())
-            continue;
-        countWork(found->second, -1);
-        jobs_.erase(found);
+        if (found != jobs_.end() && found->second.ended())
+            jobs_.erase(found);
     }
     return outcome;
 }
@@ -111,22 +95,6 @@
     for (const StepSpec &step : job.steps)
         job.tasks.emplace_back(step.count);
     open_.insert(place->first);
-    countWork(job, 1);
-}
-
-void JobBook::countWork(const Job &job, int change)
-{
-    WorkSum &sum = work_[job.queue];
-    sum.jobs += change;
-    sum.work += change * workOf(job, false);
-    if (sum.jobs == 0)
-        work_.erase(job.queue);
-}
-
-double JobBook::meanWork(const std::string &queue) const
-{
-    const auto found = work_.find(queue);
-    return found == work_.end() ? 0 : found->second.work / static_cast<double>(found->second.jobs);
 }
 
 void JobBook::cancel(const std::string &id, std::int64_t atMs)
@@ -284,9 +252,7 @@
 {
     open_.clear();
     activeRuns_.clear();
-    work_.clear();
     for (const auto &[id, job] : jobs_) {
-        countWork(job, 1);
         if (!job.ended())
             open_.insert(id);
         for (std::uint32_t step = 0; step < job.tasks.size(); ++step) {
--- a/Source/Jobs/jobbook.h
+++ b/Source/Jobs/jobbook.h
@@ -87,10 +87,6 @@
     f(v.changedAtMs);
 }
 
-/** Estimated work of \a job in core-milliseconds; of the tasks that are not done when \a rest is
- * set. Work without an end counts for nothing. */
-double workOf(const Job &job, bool rest);
-
 /** Key of a run: its task and number. */
 using RunKey = std::pair<TaskRef, std::uint32_t>;
 
@@ -124,19 +120,10 @@
     const std::map<MinionLife, std::set<RunKey>> &activeRuns() const { return activeRuns_; }
     /** The active run of \a key, or null. */
     const ActiveRun *activeRun(const RunKey &key) const;
-    /** Mean work of the known jobs of \a queue in core-milliseconds; see workOf(). */
-    double meanWork(const std::string &queue) const;
     /** Jobs of \a queue of which no task has started. */
     std::uint64_t pendingJobs(const std::string &queue) const;
 
 private:
-    /** Known jobs of one queue and their work in core-milliseconds. */
-    struct WorkSum
-    {
-        std::int64_t jobs = 0;
-        double work = 0;
-    };
-
     JobOutcome run(const Configure &command);
     JobOutcome run(const JobBatch &command);
     void submit(const Submission &submission, std::int64_t atMs);
@@ -145,8 +132,6 @@
     bool start(const RunStart &start, std::int64_t atMs);
     void finish(const std::string &id, Job &job, JobState state, std::int64_t atMs);
     Task *findTask(const TaskRef &ref);
-    /** Adds \a job to the work of its queue, or takes it off with \a change -1. */
-    void countWork(const Job &job, int change);
     void rebuildIndexes();
 
     QueueConfiguration configuration_;
@@ -155,7 +140,6 @@
     std::map<std::string, Job> jobs_;
     std::set<std::string> open_;
     std::map<MinionLife, std::set<RunKey>> activeRuns_;
-    std::map<std::string, WorkSum> work_;
 };
 
 } // namespace Oleander::Jobs
--- a/Source/Jobs/joborder.cpp
+++ b/Source/Jobs/joborder.cpp
@@ -48,7 +48,8 @@
     return tasks == 0 ? Thousandths : running * Thousandths / tasks;
 }
 
-void rank(RankedJob &ranked, const QueueSpec *queue, std::int64_t nowMs)
+void rank(RankedJob &ranked, const QueueSpec *queue, const WorkEstimates &estimates,
+          std::int64_t nowMs)
 {
     const Job &job = *ranked.job;
     if (job.lasting() || queue == nullptr) {
@@ -57,8 +58,9 @@
     }
     ranked.precedence = job.state == JobState::Queued ? 1 : 0;
     const std::int64_t objective =
-        chainMs(job, false) * queue->stretchThousandths / Thousandths + queue->targetCompletionMs;
-    const std::int64_t rest = chainMs(job, true);
+        estimates.chainMs(ranked.id, job, false) * queue->stretchThousandths / Thousandths
+        + queue->targetCompletionMs;
+    const std::int64_t rest = estimates.chainMs(ranked.id, job, true);
     const std::int64_t latest = job.acceptedAtMs + objective - rest;
     const std::int64_t latestLate = job.acceptedAtMs + LateFactor * objective - rest;
     if (nowMs <= latest)
@@ -70,43 +72,30 @@
 
 } // namespace
 
-std::int64_t chainMs(const Job &job, bool rest)
+double jobWeight(JobRank rank, double work, double workLeft, double meanWork)
 {
-    std::vector<std::int64_t> ends(job.steps.size(), 0);
-    std::int64_t longest = 0;
-    for (std::size_t i = 0; i < job.steps.size(); ++i) {
-        std::int64_t start = 0;
-        for (const std::uint32_t earlier : job.steps[i].dependsOn)
-            start = std::max(start, ends[earlier]);
-        const bool counts = !rest || !job.stepDone(static_cast<std::uint32_t>(i));
-        ends[i] = start + (counts ? job.steps[i].estimateMs : 0);
-        longest = std::max(longest, ends[i]);
-    }
-    return longest;
-}
-
-double jobWeight(const Job &job, JobRank rank, double meanWork)
-{
-    const double sized =
-        meanWork > 0 ? FixedWorth + (1.0 - FixedWorth) * workOf(job, false) / meanWork : 1.0;
-    return worthAt(rank) * std::min(MostWorth, sized) * meanWork
-           / std::max(LeastWork, workOf(job, true));
+    const double size = meanWork > 0 ? work / meanWork : 1.0;
+    const double worth = std::min(MostWorth, FixedWorth + (1.0 - FixedWorth) * size);
+    return worthAt(rank) * worth * meanWork / std::max(LeastWork, workLeft);
 }
 
-RankedJob rankJob(const std::string &id, const Job &job, const JobBook &book, std::int64_t nowMs)
+RankedJob rankJob(const std::string &id, const Job &job, const JobBook &book,
+                  const WorkEstimates &estimates, std::int64_t nowMs)
 {
     RankedJob ranked{id, &job, JobRank::Lasting, 0, job.acceptedAtMs, 0};
-    rank(ranked, book.queue(job.queue), nowMs);
-    ranked.weight = jobWeight(job, ranked.rank, book.meanWork(job.queue));
+    rank(ranked, book.queue(job.queue), estimates, nowMs);
+    ranked.weight = jobWeight(ranked.rank, estimates.work(id, job, false),
+                              estimates.work(id, job, true), estimates.meanWork(job.queue));
     return ranked;
 }
 
-std::vector<RankedJob> orderJobs(const JobBook &book, std::int64_t nowMs)
+std::vector<RankedJob> orderJobs(const JobBook &book, const WorkEstimates &estimates,
+                                 std::int64_t nowMs)
 {
     std::vector<RankedJob> ordered;
     ordered.reserve(book.openJobs().size());
     for (const std::string &id : book.openJobs())
-        ordered.push_back(rankJob(id, *book.find(id), book, nowMs));
+        ordered.push_back(rankJob(id, *book.find(id), book, estimates, nowMs));
     std::ranges::sort(ordered, [](const RankedJob &a, const RankedJob &b) {
         return std::tie(a.rank, a.precedence, a.latestStartMs, a.id)
                < std::tie(b.rank, b.precedence, b.latestStartMs, b.id);
--- a/Source/Jobs/joborder.h
+++ b/Source/Jobs/joborder.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Jobs/jobbook.h"
+#include "Jobs/workestimates.h"
 
 #include <cstdint>
 #include <string>
@@ -36,12 +37,9 @@
     double weight = 0;
 };
 
-/** Returns the estimated length in milliseconds of the longest chain of \a job; of the undone part
- * when \a rest is set. */
-std::int64_t chainMs(const Job &job, bool rest);
-
 /** Ranks \a job, called \a id, of \a book at the calendar time \a nowMs. */
-RankedJob rankJob(const std::string &id, const Job &job, const JobBook &book, std::int64_t nowMs);
+RankedJob rankJob(const std::string &id, const Job &job, const JobBook &book,
+                  const WorkEstimates &estimates, std::int64_t nowMs);
 
 /**
  * Orders the open jobs of \a book at the calendar time \a nowMs.
@@ -51,11 +49,12 @@
  * makes every one of them late, and then the most urgent. Of lasting jobs, which earn by the share
  * of their tasks at work, the one that has least goes first. No job is dropped.
  */
-std::vector<RankedJob> orderJobs(const JobBook &book, std::int64_t nowMs);
+std::vector<RankedJob> orderJobs(const JobBook &book, const WorkEstimates &estimates,
+                                 std::int64_t nowMs);
 
 /**
- * What \a job, ranked as \a rank, can still earn for each core-millisecond of its undone work, with
- * the mean job of its queue of \a meanWork.
+ * What a job of \a work core-milliseconds, ranked as \a rank, can still earn for each of the
+ * \a workLeft that are undone, where the mean job of its queue has \a meanWork.
  *
  * Load it answers: filling tasks ask for more time than the others leave, all day. Served in turn
  * or at once all of their jobs end late; by this order (Smith's rule) a job that is nearly done
@@ -63,6 +62,6 @@
  * of a job grows with its work, as the platform counts it, so that large jobs are not put off for
  * ever.
  */
-double jobWeight(const Job &job, JobRank rank, double meanWork);
+double jobWeight(JobRank rank, double work, double workLeft, double meanWork);
 
 } // namespace Oleander::Jobs
--- a/Source/Jobs/jobscheduler.cpp
+++ b/Source/Jobs/jobscheduler.cpp
@@ -46,12 +46,15 @@
     orderedAt_.clear();
 }
 
-void JobScheduler::report(TimePoint now, const std::string &agent, const MachineReport &report)
+void JobScheduler::report(TimePoint now, std::int64_t nowMs, const std::string &agent,
+                          const MachineReport &report)
 {
     for (EndNote &note : machines_.report(now, agent, report, book_))
         ends_.push_back(std::move(note));
-    if (report.present && report.listed)
+    if (report.present && report.listed) {
         learn(now, report);
+        learnLengths(nowMs, report);
+    }
     Acknowledgement &waiting = waiting_[{agent, report.minion.life}];
     for (const RunEnd &end : report.finished)
         waiting.end = std::max(waiting.end, end.number);
@@ -96,6 +99,28 @@
     interference_.observe(serving, used);
 }
 
+void JobScheduler::learnLengths(std::int64_t nowMs, const MachineReport &report)
+{
+    const Machine *machine = machines_.find(report.minion.life);
+    if (machine == nullptr)
+        return;
+    for (const auto &[key, view] : machine->running) {
+        const Job *job = book_.find(key.first.job);
+        const auto length = view.lengthMs();
+        if (job != nullptr && length && job->steps[key.first.step].filling)
+            estimates_.observe(key.first.job, *job, key.first.step, *length);
+    }
+    for (const RunEnd &end : report.finished) {
+        const ActiveRun *active = book_.activeRun({end.task, end.run});
+        const Job *job = book_.find(end.task.job);
+        // Filling runs are slowed, so their time tells less than their progress.
+        if (active == nullptr || end.kind != RunEndKind::Done || job->steps[end.task.step].filling)
+            continue;
+        const auto lengthMs = static_cast<double>(nowMs - active->startedAtMs);
+        estimates_.observe(end.task.job, *job, end.task.step, lengthMs);
+    }
+}
+
 JobScheduler::EndBatch JobScheduler::takeEnds(TimePoint now, std::int64_t nowMs)
 {
     EndBatch taken;
@@ -105,6 +130,7 @@
             ends_.push_back(std::move(note));
         std::erase_if(orderedAt_,
                       [&](const auto &item) { return now > item.second + ForgetOrdersAfter; });
+        estimates_.refresh(book_);
         std::erase_if(ending_, [&](const RunKey &key) { return book_.activeRun(key) == nullptr; });
         for (const auto &[id, job] : book_.jobs()) {
             if (job.ended() && nowMs > job.endedAtMs + KeepEndedMs)
@@ -143,7 +169,8 @@
         return batch;
     batch.atMs = nowMs;
     rooms_.update(now, nowMs);
-    batch.starts = TaskPlacer(book_, machines_, interference_, rooms_).place(now, nowMs);
+    batch.starts =
+        TaskPlacer(book_, machines_, interference_, estimates_, rooms_).place(now, nowMs);
     startsInFlight_ = !batch.starts.empty();
     return batch;
 }
@@ -222,7 +249,7 @@
 double JobScheduler::weightOf(const std::string &id, std::int64_t nowMs) const
 {
     const Job &job = *book_.find(id);
-    return rankJob(id, job, book_, nowMs).weight;
+    return rankJob(id, job, book_, estimates_, nowMs).weight;
 }
 
 void JobScheduler::addPacing(const MinionLife &life, std::int64_t nowMs,
--- a/Source/Jobs/jobscheduler.h
+++ b/Source/Jobs/jobscheduler.h
@@ -4,6 +4,7 @@
 #include "Jobs/jobbook.h"
 #include "Jobs/machinetable.h"
 #include "Jobs/roomplanner.h"
+#include "Jobs/workestimates.h"
 
 #include <map>
 #include <set>
@@ -35,7 +36,8 @@
 
     /** Starts the work of a leader in \a term. */
     void startTerm(TimePoint now, std::uint64_t term);
-    void report(TimePoint now, const std::string &agent, const MachineReport &report);
+    void report(TimePoint now, std::int64_t nowMs, const std::string &agent,
+                const MachineReport &report);
     /** Numbers of an agent that are acknowledged once what they tell of is committed. */
     struct Acknowledgement
     {
@@ -69,6 +71,7 @@
 
     InterferenceTable &interference() { return interference_; }
     const MachineTable &machines() const { return machines_; }
+    const WorkEstimates &estimates() const { return estimates_; }
 
 private:
     void addOrders(TimePoint now, std::int64_t nowMs, const MinionLife &life,
@@ -81,10 +84,13 @@
     bool mustLeave(TimePoint now, const Machine &machine, const RunKey &key) const;
     bool orderDue(TimePoint now, const RunKey &key);
     void learn(TimePoint now, const MachineReport &report);
+    /** Learns how long tasks take from the runs that \a report lists or ends. */
+    void learnLengths(std::int64_t nowMs, const MachineReport &report);
 
     const JobBook &book_;
     MachineTable machines_;
     InterferenceTable interference_;
+    WorkEstimates estimates_;
     RoomPlanner rooms_;
     std::uint64_t term_ = 0;
     bool startsInFlight_ = false;
--- a/Source/Jobs/machinetable.cpp
+++ b/Source/Jobs/machinetable.cpp
@@ -1,6 +1,7 @@
 #include "Jobs/machinetable.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace Oleander::Jobs {
 
@@ -15,8 +16,30 @@
  */
 constexpr Duration ForgetSilentAfter = std::chrono::seconds(60);
 
+/** Part of a task that has to be seen for its length to show; percentages are whole numbers. */
+constexpr std::uint32_t SeenPercent = 25;
+
+/** What a run that \a status lists has worked in \a time, in milliseconds at full speed. */
+double workedMs(const JobBook &book, const RunStatus &status, Duration time)
+{
+    const Job *job = book.find(status.task.job);
+    if (job == nullptr || status.task.step >= job->steps.size())
+        return 0;
+    const std::uint32_t asked = job->steps[status.task.step].milliCores;
+    const double share = asked == 0 ? 1.0 : static_cast<double>(status.figure) / asked;
+    return std::chrono::duration<double, std::milli>(time).count() * share;
+}
+
 } // namespace
 
+std::optional<double> RunView::lengthMs() const
+{
+    constexpr double WholePercent = 100.0;
+    if (percent < firstPercent + SeenPercent)
+        return std::nullopt;
+    return workedMs * WholePercent / (percent - firstPercent);
+}
+
 void MachineTable::startTerm(TimePoint now)
 {
     machines_.clear();
@@ -105,13 +128,24 @@
     }
     if (!report.listed)
         return;
+    const TimePoint listedAt = std::exchange(machine.listedAt, now);
     std::map<RunKey, RunView> listed;
     for (const RunStatus &status : report.running) {
         const RunKey key{status.task, status.run};
         const auto before = machine.running.find(key);
-        RunView view{status.percent, status.checkpoint, status.figure, now, status.described};
-        if (before != machine.running.end() && before->second.percent >= status.percent)
-            view.progressAt = before->second.progressAt;
+        RunView view;
+        view.percent = status.percent;
+        view.checkpoint = status.checkpoint;
+        view.figure = status.figure;
+        view.progressAt = now;
+        view.described = status.described;
+        view.firstPercent = status.percent;
+        if (before != machine.running.end()) {
+            if (before->second.percent >= status.percent)
+                view.progressAt = before->second.progressAt;
+            view.firstPercent = before->second.firstPercent;
+            view.workedMs = before->second.workedMs + workedMs(book, status, now - listedAt);
+        }
         listed.emplace(key, std::move(view));
     }
     machine.running = std::move(listed);
--- a/Source/Jobs/machinetable.h
+++ b/Source/Jobs/machinetable.h
@@ -39,10 +39,16 @@
     TimePoint progressAt{};
     /** True when the agent knows the order that started it. */
     bool described = false;
+    /** Percentage at which it was first listed. */
+    std::uint32_t firstPercent = 0;
+    /** Time that it has worked since then, counted at full speed, in milliseconds. */
+    double workedMs = 0;
 
     /** Progress at which a lasting run is past its startup. */
     static constexpr std::uint32_t AtWorkPercent = 100;
     bool atWork() const { return percent >= AtWorkPercent; }
+    /** Length of the whole task at full speed in milliseconds, once enough of it was seen. */
+    std::optional<double> lengthMs() const;
 };
 
 /** One life of a minion as the leader knows it. */
@@ -52,6 +58,8 @@
     std::string agent;
     MinionReport minion;
     TimePoint reportedAt{};
+    /** When its runs were last listed. */
+    TimePoint listedAt{};
     std::uint64_t clockMs = 0;
     std::uint64_t holdUntilMs = 0;
     TimePoint grantedAt{};
--- a/Source/Jobs/taskplacer.cpp
+++ b/Source/Jobs/taskplacer.cpp
@@ -87,7 +87,7 @@
     if (candidates_.empty())
         return {};
     keepRoom();
-    std::vector<RankedJob> ordered = orderJobs(book_, nowMs);
+    std::vector<RankedJob> ordered = orderJobs(book_, estimates_, nowMs);
     for (const Pass pass : {Pass::Entitled, Pass::Other}) {
         for (const RankedJob &ranked : ordered)
             placeJob(ranked, pass);
--- a/Source/Jobs/taskplacer.h
+++ b/Source/Jobs/taskplacer.h
@@ -27,8 +27,13 @@
 {
 public:
     TaskPlacer(const JobBook &book, const MachineTable &machines,
-               const InterferenceTable &interference, const RoomPlanner &rooms)
-        : book_(book), machines_(machines), interference_(interference), rooms_(rooms)
+               const InterferenceTable &interference, const WorkEstimates &estimates,
+               const RoomPlanner &rooms)
+        : book_(book)
+        , machines_(machines)
+        , interference_(interference)
+        , estimates_(estimates)
+        , rooms_(rooms)
     {}
 
     /** Returns the starts for the calendar time \a nowMs, which is \a now on the loop's clock. */
@@ -68,6 +73,7 @@
     const JobBook &book_;
     const MachineTable &machines_;
     const InterferenceTable &interference_;
+    const WorkEstimates &estimates_;
     const RoomPlanner &rooms_;
     std::vector<Candidate> candidates_;
     std::vector<RunStart> starts_;
--- /dev/null
+++ b/Source/Jobs/workestimates.cpp
@@ -0,0 +1,134 @@
+#include "Jobs/workestimates.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace Oleander::Jobs {
+
+namespace {
+
+constexpr double MilliCores = 1000.0;
+/** Part of a deviation of the declared length that is taken for true before any was seen. */
+constexpr double AssumedSlope = 0.5;
+/** Weight of the assumption, in sums of squares and in steps. */
+constexpr double AssumedSquares = 3.0;
+constexpr double AssumedSteps = 1.0;
+/** Weight of the latest run of a step; runs of one step differ by a sixth. */
+constexpr double LatestWeight = 0.2;
+/** Lengths that a task may have. */
+constexpr double LeastMs = 10.0;
+constexpr double MostMs = 3'600'000.0;
+
+} // namespace
+
+double WorkEstimates::QueueLengths::lengthOf(double declared) const
+{
+    if (seen == 0)
+        return meanDeclared + AssumedSlope * (declared - meanDeclared);
+    const double meanX = sumDeclared / seen;
+    const double meanY = (AssumedSteps * meanDeclared + sumLength) / (AssumedSteps + seen);
+    const double squares = sumDeclaredSquares - seen * meanX * meanX;
+    const double products = sumProducts - meanX * sumLength;
+    const double slope = (AssumedSquares * AssumedSlope + products) / (AssumedSquares + squares);
+    return meanY + std::clamp(slope, 0.0, 1.0) * (declared - meanX);
+}
+
+void WorkEstimates::observe(const std::string &id, const Job &job, std::uint32_t step,
+                            double lengthMs)
+{
+    const double seen = std::log(std::clamp(lengthMs, LeastMs, MostMs));
+    const auto [known, first] = steps_.try_emplace({id, step}, seen);
+    const double before = first ? 0 : known->second;
+    if (!first)
+        known->second += LatestWeight * (seen - known->second);
+    const std::uint32_t declaredMs = job.steps[step].estimateMs;
+    if (declaredMs == 0)
+        return;
+    QueueLengths &queue = queues_[job.queue];
+    const double declared = std::log(declaredMs);
+    const double change = known->second - before;
+    if (first) {
+        queue.seen += 1;
+        queue.sumDeclared += declared;
+        queue.sumDeclaredSquares += declared * declared;
+    }
+    queue.sumLength += change;
+    queue.sumProducts += declared * change;
+}
+
+void WorkEstimates::refresh(const JobBook &book)
+{
+    std::erase_if(steps_, [&](const auto &item) { return book.find(item.first.first) == nullptr; });
+    struct Sum
+    {
+        double declared = 0;
+        double steps = 0;
+        double work = 0;
+        double jobs = 0;
+    };
+    std::map<std::string, Sum> sums;
+    for (const auto &[id, job] : book.jobs()) {
+        Sum &sum = sums[job.queue];
+        for (const StepSpec &step : job.steps) {
+            if (step.lasting || step.estimateMs == 0)
+                continue;
+            sum.declared += std::log(step.estimateMs);
+            sum.steps += 1;
+        }
+        sum.work += work(id, job, false);
+        sum.jobs += 1;
+    }
+    for (const auto &[name, sum] : sums) {
+        QueueLengths &queue = queues_[name];
+        queue.meanDeclared = sum.steps > 0 ? sum.declared / sum.steps : 0;
+        queue.meanWork = sum.work / sum.jobs;
+    }
+    std::erase_if(queues_, [&](const auto &item) { return book.queue(item.first) == nullptr; });
+}
+
+double WorkEstimates::taskMs(const std::string &id, const Job &job, std::uint32_t step) const
+{
+    const auto measured = steps_.find({id, step});
+    if (measured != steps_.end())
+        return std::exp(measured->second);
+    const double declared = job.steps[step].estimateMs;
+    const auto queue = queues_.find(job.queue);
+    if (declared == 0 || queue == queues_.end() || queue->second.meanDeclared == 0)
+        return declared;
+    return std::clamp(std::exp(queue->second.lengthOf(std::log(declared))), LeastMs, MostMs);
+}
+
+std::int64_t WorkEstimates::chainMs(const std::string &id, const Job &job, bool rest) const
+{
+    std::vector<double> ends(job.steps.size(), 0);
+    double longest = 0;
+    for (std::uint32_t i = 0; i < job.steps.size(); ++i) {
+        double start = 0;
+        for (const std::uint32_t earlier : job.steps[i].dependsOn)
+            start = std::max(start, ends[earlier]);
+        const bool counts = !rest || !job.stepDone(i);
+        ends[i] = start + (counts ? taskMs(id, job, i) : 0);
+        longest = std::max(longest, ends[i]);
+    }
+    return std::llround(longest);
+}
+
+double WorkEstimates::work(const std::string &id, const Job &job, bool rest) const
+{
+    double work = 0;
+    for (std::uint32_t i = 0; i < job.steps.size(); ++i) {
+        const StepSpec &step = job.steps[i];
+        const std::uint32_t tasks = rest ? step.count - job.done[i] : step.count;
+        if (!step.lasting && tasks > 0)
+            work += tasks * (step.milliCores / MilliCores) * taskMs(id, job, i);
+    }
+    return work;
+}
+
+double WorkEstimates::meanWork(const std::string &queue) const
+{
+    const auto found = queues_.find(queue);
+    return found == queues_.end() ? 0 : found->second.meanWork;
+}
+
+} // namespace Oleander::Jobs
--- /dev/null
+++ b/Source/Jobs/workestimates.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "Jobs/jobbook.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <utility>
+
+namespace Oleander::Jobs {
+
+/**
+ * \class WorkEstimates
+ * \brief How long tasks take, from what clients declare and what was seen of tasks at work.
+ *
+ * Load it answers: declared lengths are off by a factor of two to five either way, while the true
+ * ones of a queue differ less. An order by what is declared is close to an order by lot. What runs
+ * of a step show goes first; for other steps the declared length counts as far as it told the
+ * lengths of earlier steps of the queue (a linear regression of their logarithms).
+ */
+class WorkEstimates
+{
+public:
+    /** Takes in that a task of step \a step of \a job, called \a id, takes \a lengthMs at full
+     * speed. */
+    void observe(const std::string &id, const Job &job, std::uint32_t step, double lengthMs);
+    /** Adapts to the jobs that \a book knows by now; forgets the others. */
+    void refresh(const JobBook &book);
+
+    /** Length in milliseconds of a task of step \a step of \a job, called \a id. */
+    double taskMs(const std::string &id, const Job &job, std::uint32_t step) const;
+    /** Length of the longest chain of \a job in milliseconds; of the undone part when \a rest is
+     * set. */
+    std::int64_t chainMs(const std::string &id, const Job &job, bool rest) const;
+    /** Work of \a job in core-milliseconds; of the tasks that are not done when \a rest is set.
+     * Work without an end counts for nothing. */
+    double work(const std::string &id, const Job &job, bool rest) const;
+    /** Mean work of the jobs of \a queue in core-milliseconds; 0 while none is known. */
+    double meanWork(const std::string &queue) const;
+
+private:
+    /** What the steps of one queue showed; logarithms of milliseconds. */
+    struct QueueLengths
+    {
+        double seen = 0;
+        double sumDeclared = 0;
+        double sumLength = 0;
+        double sumDeclaredSquares = 0;
+        double sumProducts = 0;
+        /** Mean of what the known jobs declare. */
+        double meanDeclared = 0;
+        double meanWork = 0;
+
+        double lengthOf(double declared) const;
+    };
+    using StepKey = std::pair<std::string, std::uint32_t>;
+
+    std::map<std::string, QueueLengths> queues_;
+    /** Logarithm of the length that the runs of each step showed. */
+    std::map<StepKey, double> steps_;
+};
+
+} // namespace Oleander::Jobs
--- a/Tests/Jobs/jobfixture.h
+++ b/Tests/Jobs/jobfixture.h
@@ -129,7 +129,7 @@
     }
     void report(const std::string &agent, const MachineReport &report)
     {
-        scheduler.report(clock.now(), agent, report);
+        scheduler.report(clock.now(), nowMs, agent, report);
     }
     /** Sends the directives and returns that for \a agent, or an empty one. */
     MachineDirective directive(const std::string &agent)
--- a/Tests/Jobs/jobordertest.cpp
+++ b/Tests/Jobs/jobordertest.cpp
@@ -64,7 +64,7 @@
     lasting.lasting = true;
     book.submit("lasting", {lasting});
     book.submit("fresh", {step(1)});
-    const auto ordered = orderJobs(book.book, book.nowMs);
+    const auto ordered = orderJobs(book.book, WorkEstimates(), book.nowMs);
     REQUIRE(ordered.size() == 4);
     CHECK(ordered[0].id == "fresh");
     CHECK(ordered[1].id == "lasting");
@@ -76,7 +76,9 @@
 {
     BookFixture book;
     const auto weight = [&](const std::string &id) {
-        const auto ordered = orderJobs(book.book, book.nowMs);
+        WorkEstimates estimates;
+        estimates.refresh(book.book);
+        const auto ordered = orderJobs(book.book, estimates, book.nowMs);
         return std::ranges::find(ordered, id, &RankedJob::id)->weight;
     };
     book.submit("small", {step(2)});
@@ -116,8 +118,8 @@
 {
     BookFixture book;
     book.submit("j", {step(1), step(1, 1'000, {0}), step(1)});
-    CHECK(chainMs(*book.book.find("j"), false) == 2'000);
+    CHECK(WorkEstimates().chainMs("j", *book.book.find("j"), false) == 2'000);
     REQUIRE(book.start({"j", 0, 0}, 1, LifeA));
     book.end({"j", 0, 0}, 1, LifeA, RunEndKind::Done);
-    CHECK(chainMs(*book.book.find("j"), true) == 1'000);
+    CHECK(WorkEstimates().chainMs("j", *book.book.find("j"), true) == 1'000);
 }
--- /dev/null
+++ b/Tests/Jobs/workestimatestest.cpp
@@ -0,0 +1,111 @@
+#include "Jobs/workestimates.h"
+
+#include "jobfixture.h"
+
+using namespace Oleander;
+using namespace Oleander::Testing;
+
+namespace {
+
+StepSpec declared(std::uint32_t estimateMs)
+{
+    StepSpec spec = step(4);
+    spec.estimateMs = estimateMs;
+    return spec;
+}
+
+/** Declared lengths that are off by up to a factor of five either way. */
+std::uint32_t farOff(int number, double lengthMs)
+{
+    static const double Factors[] = {0.2, 0.5, 1.0, 2.0, 5.0};
+    return static_cast<std::uint32_t>(lengthMs * Factors[number % 5]);
+}
+
+} // namespace
+
+TEST_CASE("What runs of a step show goes before what its client declares")
+{
+    BookFixture book;
+    book.submit("j", {declared(300)});
+    WorkEstimates estimates;
+    estimates.refresh(book.book);
+    const Job &job = *book.book.find("j");
+    for (int i = 0; i < 10; ++i)
+        estimates.observe("j", job, 0, 2'000);
+    CHECK(estimates.taskMs("j", job, 0) == Approx(2'000));
+    CHECK(estimates.chainMs("j", job, false) == 2'000);
+    CHECK(estimates.work("j", job, false) == Approx(8'000));
+}
+
+TEST_CASE("Declared lengths that tell little count for little")
+{
+    BookFixture book;
+    WorkEstimates estimates;
+    for (int i = 0; i < 40; ++i) {
+        const std::string id = "seen-" + std::to_string(i);
+        book.submit(id, {declared(farOff(i, 1'500))});
+        estimates.observe(id, *book.book.find(id), 0, 1'500);
+    }
+    book.submit("short", {declared(300)});
+    book.submit("long", {declared(7'500)});
+    estimates.refresh(book.book);
+    CHECK(estimates.taskMs("short", *book.book.find("short"), 0) == Approx(1'500).epsilon(0.3));
+    CHECK(estimates.taskMs("long", *book.book.find("long"), 0) == Approx(1'500).epsilon(0.3));
+}
+
+TEST_CASE("Declared lengths that prove true are believed")
+{
+    BookFixture book;
+    WorkEstimates estimates;
+    for (int i = 0; i < 40; ++i) {
+        const std::string id = "seen-" + std::to_string(i);
+        const std::uint32_t lengthMs = farOff(i, 1'500);
+        book.submit(id, {declared(lengthMs)});
+        estimates.observe(id, *book.book.find(id), 0, lengthMs);
+    }
+    book.submit("long", {declared(7'500)});
+    estimates.refresh(book.book);
+    CHECK(estimates.taskMs("long", *book.book.find("long"), 0) == Approx(7'500).epsilon(0.2));
+}
+
+TEST_CASE("The length of a filling task shows in its progress, however slowly it is let work")
+{
+    SchedulerFixture leader;
+    StepSpec filling = declared(300);
+    filling.filling = true;
+    filling.milliCores = 2'000;
+    leader.submit("j", {filling});
+    leader.report("agent-a", reportOf(LifeA, 1'000));
+    leader.directive("agent-a");
+    REQUIRE(leader.decide().starts.size() == 4);
+    // It uses a quarter of what it asks for, and is a third done after 4 s: 3 s at full speed.
+    std::uint64_t clockMs = 1'000;
+    for (std::uint32_t percent = 0; percent <= 50; percent += 10) {
+        leader.advance(1'200ms);
+        clockMs += 1'200;
+        MachineReport report = reportOf(LifeA, clockMs);
+        report.running = {{{"j", 0, 0}, 1, "", percent, 500, true}};
+        leader.report("agent-a", report);
+        leader.directive("agent-a");
+    }
+    const double lengthMs = leader.scheduler.estimates().taskMs("j", *leader.book.find("j"), 0);
+    CHECK(lengthMs == Approx(3'000).epsilon(0.1));
+}
+
+TEST_CASE("Lengths of jobs that are forgotten are forgotten with them")
+{
+    BookFixture book;
+    book.submit("j", {declared(300)});
+    WorkEstimates estimates;
+    const Job job = *book.book.find("j");
+    estimates.refresh(book.book);
+    estimates.observe("j", job, 0, 2'000);
+    book.cancel("j");
+    JobBatch batch;
+    batch.forgotten.push_back("j");
+    book.apply(batch);
+    estimates.refresh(book.book);
+    // What it taught of the queue stays.
+    CHECK(estimates.taskMs("j", job, 0) < 2'000);
+    CHECK(estimates.taskMs("j", job, 0) > 300);
+}
