jobs: Place filling tasks by the pressure reported last; move those that stand still

Cause: the load of a service swings within seconds; room was judged by the mean of its image, and a run stayed where it had been placed.

A run that saves its progress, or has made little, and has not used any time for a second is stopped when another minion has room for it by what is reported; each such decision is one line, run.moved. Serving tasks use 0.42 of their claim on average, not half.

--- a/Source/Fleet/jobservice.cpp
+++ b/Source/Fleet/jobservice.cpp
@@ -282,6 +282,7 @@
     nextPlacing_ = now + PlacingInterval;
     Jobs::JobBatch batch = scheduler_.takeStarts(now, nowMs());
     noteRoomDecisions();
+    noteMoves();
     if (batch.empty())
         return;
     noteWaits(batch);
@@ -357,6 +358,22 @@
     }
 }
 
+void JobService::noteMoves()
+{
+    for (const Jobs::RunMove &move : scheduler_.takeMoves()) {
+        const auto &[task, run] = move.run;
+        logEvent(LogEvent::RunMoved, Step::Place, move.from.name,
+                 {{"job", task.job},
+                  {"step", task.step},
+                  {"index", task.index},
+                  {"run", run},
+                  {"percent", move.percent},
+                  {"standing_ms",
+                   std::chrono::duration_cast<std::chrono::milliseconds>(move.standing).count()},
+                  {"room_on", move.to.name}});
+    }
+}
+
 void JobService::noteServiceLevels() const
 {
     if (!leading_)
--- a/Source/Fleet/jobservice.h
+++ b/Source/Fleet/jobservice.h
@@ -59,6 +59,7 @@
     void noteWaits(const Jobs::JobBatch &batch) const;
     void shareLearning();
     void noteRoomDecisions();
+    void noteMoves();
     /** Logs the lasting jobs that are short of something, and sets their gauges. */
     void noteServiceLevels() const;
     void commit(Jobs::JobCommand command, std::function<void(Result<Jobs::JobOutcome>)> callback);
--- a/Source/Jobs/interferencetable.cpp
+++ b/Source/Jobs/interferencetable.cpp
@@ -18,6 +18,8 @@
 /** Pressure up to which filling tasks are placed beside a serving one. */
 constexpr double PlacedPressure = 0.85;
 constexpr double LeastPress = 0.0005;
+/** Pressure that a serving task is taken to have at least without filling ones. */
+constexpr double LeastOwnPressure = 0.15;
 /** Readings above this tell no more than that the bound is passed by far. */
 constexpr double HighestPressure = 3.0;
 
@@ -71,15 +73,23 @@
         base_[image.serving] = image.pressure;
 }
 
-double InterferenceTable::room(const std::string &image, const std::vector<std::string> &serving,
+double InterferenceTable::without(const ServingSample &sample, const FillingCores &used) const
+{
+    double pressure = std::min(sample.pressure, HighestPressure);
+    for (const auto &[image, cores] : used)
+        pressure -= press(image, sample.image) * cores;
+    return std::max(LeastOwnPressure, pressure);
+}
+
+double InterferenceTable::room(const std::string &image, const std::vector<ServingSample> &serving,
                                const FillingCores &present) const
 {
     double room = std::numeric_limits<double>::max();
-    for (const std::string &other : serving) {
-        double left = PlacedPressure - base(other);
+    for (const ServingSample &other : serving) {
+        double left = PlacedPressure - other.pressure;
         for (const auto &[beside, cores] : present)
-            left -= press(beside, other) * cores;
-        room = std::min(room, std::max(0.0, left) / press(image, other));
+            left -= press(beside, other.image) * cores;
+        room = std::min(room, std::max(0.0, left) / press(image, other.image));
     }
     return room;
 }
--- a/Source/Jobs/interferencetable.h
+++ b/Source/Jobs/interferencetable.h
@@ -32,10 +32,12 @@
 public:
     /** Takes in one report of a minion. */
     void observe(const std::vector<ServingSample> &serving, const FillingCores &used);
-    /** Cores of \a image that fit beside \a serving, with \a present already there, until one of
-     * them is near its bound. */
-    double room(const std::string &image, const std::vector<std::string> &serving,
+    /** Cores of \a image that fit beside \a serving, each with the pressure that it has without
+     * filling tasks, and \a present already there, until one of them is near its bound. */
+    double room(const std::string &image, const std::vector<ServingSample> &serving,
                 const FillingCores &present) const;
+    /** Pressure that \a sample would have without the filling tasks that use \a used. */
+    double without(const ServingSample &sample, const FillingCores &used) const;
     /** Pressure that a core of \a filling adds to \a serving, in parts of its bound. */
     double press(const std::string &filling, const std::string &serving) const;
     /** Pressure of \a serving without filling tasks. */
--- a/Source/Jobs/jobscheduler.cpp
+++ b/Source/Jobs/jobscheduler.cpp
@@ -1,7 +1,6 @@
 #include "Jobs/jobscheduler.h"
 
 #include "Jobs/joborder.h"
-#include "Jobs/taskplacer.h"
 
 #include <algorithm>
 
@@ -42,6 +41,7 @@
     ends_.clear();
     ending_.clear();
     waiting_.clear();
+    moving_.clear();
     due_.clear();
     orderedAt_.clear();
 }
@@ -131,6 +131,7 @@
         std::erase_if(orderedAt_,
                       [&](const auto &item) { return now > item.second + ForgetOrdersAfter; });
         estimates_.refresh(book_);
+        std::erase_if(moving_, [&](const RunKey &key) { return book_.activeRun(key) == nullptr; });
         std::erase_if(ending_, [&](const RunKey &key) { return book_.activeRun(key) == nullptr; });
         for (const auto &[id, job] : book_.jobs()) {
             if (job.ended() && nowMs > job.endedAtMs + KeepEndedMs)
@@ -169,8 +170,12 @@
         return batch;
     batch.atMs = nowMs;
     rooms_.update(now, nowMs);
-    batch.starts =
-        TaskPlacer(book_, machines_, interference_, estimates_, rooms_).place(now, nowMs);
+    TaskPlacer placer(book_, machines_, interference_, estimates_, rooms_);
+    batch.starts = placer.place(now, nowMs);
+    for (RunMove &move : placer.stalledRuns()) {
+        if (moving_.insert(move.run).second)
+            moves_.push_back(std::move(move));
+    }
     startsInFlight_ = !batch.starts.empty();
     return batch;
 }
@@ -226,7 +231,8 @@
         // Another run of the task may be decided as soon as the end is committed.
         if (ending_.contains(key))
             continue;
-        if (mustStop(key) || mustLeave(now, machine, key) || rooms_.evicts(key)) {
+        if (mustStop(key) || mustLeave(now, machine, key) || rooms_.evicts(key)
+            || moving_.contains(key)) {
             if (orderDue(now, key))
                 directive.stops.push_back({key.first, key.second});
         } else if (machine.holdUntilMs > 0 && !described && !machine.undelivered.contains(key)
--- a/Source/Jobs/jobscheduler.h
+++ b/Source/Jobs/jobscheduler.h
@@ -4,11 +4,13 @@
 #include "Jobs/jobbook.h"
 #include "Jobs/machinetable.h"
 #include "Jobs/roomplanner.h"
+#include "Jobs/taskplacer.h"
 #include "Jobs/workestimates.h"
 
 #include <map>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace Oleander::Jobs {
@@ -69,6 +71,9 @@
     /** Returns the decisions of keeping room since the last call. */
     std::vector<RoomDecision> takeRoomDecisions() { return rooms_.takeDecisions(); }
 
+    /** Returns the decisions to move a run since the last call. */
+    std::vector<RunMove> takeMoves() { return std::exchange(moves_, {}); }
+
     InterferenceTable &interference() { return interference_; }
     const MachineTable &machines() const { return machines_; }
     const WorkEstimates &estimates() const { return estimates_; }
@@ -101,6 +106,9 @@
     std::map<Reporter, Acknowledgement> due_;
     /** When each run was last ordered to start or stop. */
     std::map<RunKey, TimePoint> orderedAt_;
+    /** Filling runs that are stopped to go on elsewhere. */
+    std::set<RunKey> moving_;
+    std::vector<RunMove> moves_;
     TimePoint nextSweep_{};
 };
 
--- a/Source/Jobs/taskplacer.cpp
+++ b/Source/Jobs/taskplacer.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 /** Part of its claim that a serving task uses on average, in hundredths. */
-constexpr std::int64_t ServingUseHundredths = 50;
+constexpr std::int64_t ServingUseHundredths = 42;
 constexpr double MilliCores = 1000.0;
 /** Bound of a room in cores that nothing limits. */
 constexpr double MostCores = 100'000.0;
@@ -23,6 +23,10 @@
 /** A lasting task goes first while there is room for this many of it; the platform minds one that
  * waits for 3 s beside room for two. */
 constexpr std::uint64_t RoomForTasks = 2;
+/** Time without progress after which a filling run is worth moving; about what a move costs. */
+constexpr Duration StalledAfter = std::chrono::milliseconds(1'000);
+/** Progress that may be lost by a move. */
+constexpr std::uint32_t LittlePercent = 10;
 /** Weight of a minion that is not on the rack of the data, in milli-cores of free time. */
 constexpr std::int64_t FarPenaltyMilliCores = 1'000'000;
 
@@ -80,7 +84,11 @@
         if (!machines_.takesTasks(now, machine))
             continue;
         const auto used = use.find(life);
-        candidates_.push_back({&life, &machine, used == use.end() ? MinionUse{} : used->second});
+        candidates_.push_back({&life,
+                               &machine,
+                               used == use.end() ? MinionUse{} : used->second,
+                               servingOn(life, machine),
+                               {}});
     }
     starts_.clear();
     started_.clear();
@@ -93,11 +101,91 @@
             placeJob(ranked, pass);
     }
     std::ranges::stable_sort(ordered, std::ranges::greater(), &RankedJob::weight);
-    for (const RankedJob &ranked : ordered)
+    for (const RankedJob &ranked : ordered) {
         placeJob(ranked, Pass::Filling);
+        weights_[ranked.id] = ranked.weight;
+    }
     return std::move(starts_);
 }
 
+bool TaskPlacer::isStalled(const RunView &run, const StepSpec &step) const
+{
+    return step.filling && run.figure == 0 && now_ > run.progressAt + StalledAfter
+           && (step.checkpointing || run.percent <= LittlePercent);
+}
+
+std::vector<RunMove> TaskPlacer::stalledRuns()
+{
+    struct Stalled
+    {
+        double weight = 0;
+        RunKey key;
+        const Candidate *at = nullptr;
+        const RunView *view = nullptr;
+    };
+    std::vector<Stalled> stalled;
+    for (const Candidate &candidate : candidates_) {
+        const auto runs = book_.activeRuns().find(*candidate.life);
+        if (runs == book_.activeRuns().end())
+            continue;
+        for (const RunKey &key : runs->second) {
+            const auto view = candidate.machine->running.find(key);
+            const auto weight = weights_.find(key.first.job);
+            if (view != candidate.machine->running.end() && weight != weights_.end()
+                && isStalled(view->second, book_.find(key.first.job)->steps[key.first.step]))
+                stalled.push_back({weight->second, key, &candidate, &view->second});
+        }
+    }
+    std::ranges::stable_sort(stalled, std::ranges::greater(), &Stalled::weight);
+    std::vector<RunMove> moves;
+    for (const Stalled &run : stalled) {
+        const TaskRef &ref = run.key.first;
+        const Job &job = *book_.find(ref.job);
+        const StepSpec &step = job.steps[ref.step];
+        const QueueSpec *queue = book_.queue(job.queue);
+        if (queue == nullptr)
+            continue;
+        Candidate *best = choose(step, queue->service, job.tasks[ref.step][ref.index],
+                                 queue->maxAttempts, false, {});
+        if (best == nullptr || best == run.at)
+            continue;
+        best->use.add(step);
+        moves.push_back(
+            {run.key, *run.at->life, *best->life, now_ - run.view->progressAt, run.view->percent});
+    }
+    return moves;
+}
+
+std::vector<ServingSample> TaskPlacer::servingOn(const MinionLife &life,
+                                                 const Machine &machine) const
+{
+    std::vector<ServingSample> serving;
+    const auto runs = book_.activeRuns().find(life);
+    if (runs == book_.activeRuns().end())
+        return serving;
+    FillingCores used;
+    for (const RunKey &key : runs->second) {
+        const StepSpec &step = book_.find(key.first.job)->steps[key.first.step];
+        const auto view = machine.running.find(key);
+        if (step.filling && view != machine.running.end())
+            used[step.image] += view->second.figure / MilliCores;
+    }
+    for (const RunKey &key : runs->second) {
+        const StepSpec &step = book_.find(key.first.job)->steps[key.first.step];
+        if (step.targetLatencyMs == 0)
+            continue;
+        const auto view = machine.running.find(key);
+        const bool known = view != machine.running.end() && view->second.figure > 0;
+        ServingSample sample{step.image, interference_.base(step.image)};
+        if (known) {
+            sample.pressure = static_cast<double>(view->second.figure) / step.targetLatencyMs;
+            sample.pressure = interference_.without(sample, used);
+        }
+        serving.push_back(std::move(sample));
+    }
+    return serving;
+}
+
 void TaskPlacer::placeJob(const RankedJob &ranked, Pass pass)
 {
     for (std::uint32_t step = 0; step < ranked.job->steps.size(); ++step) {
@@ -152,6 +240,8 @@
         if (best == nullptr)
             continue;
         best->use.add(spec);
+        if (spec.targetLatencyMs > 0)
+            best->serving.push_back({spec.image, interference_.base(spec.image)});
         ++spread[*best->life];
         starts_.push_back({ref, task.lastRun + 1, *best->life});
         started_.insert(ref);
@@ -204,7 +294,7 @@
     const std::int64_t idle = candidate.machine->minion.milliCores - claimed
                               + serving * (Hundred - ServingUseHundredths) / Hundred
                               - static_cast<std::int64_t>(use.fillingMilliCores);
-    const double beside = interference_.room(image, use.serving, use.filling);
+    const double beside = interference_.room(image, candidate.serving, use.filling);
     return std::min(idle, static_cast<std::int64_t>(std::min(beside, MostCores) * MilliCores));
 }
 
--- a/Source/Jobs/taskplacer.h
+++ b/Source/Jobs/taskplacer.h
@@ -13,6 +13,17 @@
 
 namespace Oleander::Jobs {
 
+/** The decision to stop a filling run that stands still, so that it goes on elsewhere. */
+struct RunMove
+{
+    RunKey run;
+    MinionLife from;
+    /** Minion that has room for it now. */
+    MinionLife to;
+    Duration standing{};
+    std::uint32_t percent = 0;
+};
+
 /**
  * \class TaskPlacer
  * \brief Decides which ready tasks start now, and where.
@@ -38,6 +49,9 @@
 
     /** Returns the starts for the calendar time \a nowMs, which is \a now on the loop's clock. */
     std::vector<RunStart> place(TimePoint now, std::int64_t nowMs);
+    /** Returns filling runs that stand still and would find room elsewhere, those of the jobs with
+     * the highest weight first; after place(). */
+    std::vector<RunMove> stalledRuns();
 
 private:
     struct Candidate
@@ -45,6 +59,8 @@
         const MinionLife *life = nullptr;
         const Machine *machine = nullptr;
         MinionUse use;
+        /** Pressure of each serving task without the filling ones, as last reported. */
+        std::vector<ServingSample> serving;
         /** Steps of the tasks for which room is kept here. */
         std::vector<const StepSpec *> kept;
     };
@@ -52,6 +68,7 @@
     /** Passes over the jobs, in this order. */
     enum class Pass { Entitled, Other, Filling };
 
+    std::vector<ServingSample> servingOn(const MinionLife &life, const Machine &machine) const;
     void keepRoom();
     void keepRoomFor(const TaskRef &ref, const StepSpec &step);
     /** Ends the reservation of \a ref on its minion for this pass; returns false without one. */
@@ -75,7 +92,11 @@
     const InterferenceTable &interference_;
     const WorkEstimates &estimates_;
     const RoomPlanner &rooms_;
+    /** True when \a run of \a step stands still and loses little when it is stopped. */
+    bool isStalled(const RunView &run, const StepSpec &step) const;
+
     std::vector<Candidate> candidates_;
+    std::map<std::string, double> weights_;
     std::vector<RunStart> starts_;
     std::set<TaskRef> started_;
     TimePoint now_{};
--- a/Source/Runtime/logevent.cpp
+++ b/Source/Runtime/logevent.cpp
@@ -49,6 +49,7 @@
     {LogEvent::RunEnded, LogLevel::Info, "run.ended"},
     {LogEvent::JobServiceLevel, LogLevel::Info, "job.service-level"},
     {LogEvent::RoomKept, LogLevel::Info, "room.kept"},
+    {LogEvent::RunMoved, LogLevel::Info, "run.moved"},
 
     {LogEvent::LeaderElected, LogLevel::Info, "control.leader-elected"},
     {LogEvent::LeaderStoodDown, LogLevel::Warning, "control.leader-stood-down"},
--- a/Source/Runtime/logevent.h
+++ b/Source/Runtime/logevent.h
@@ -50,6 +50,7 @@
     RunEnded = 3023,
     JobServiceLevel = 3024,
     RoomKept = 3025,
+    RunMoved = 3026,
 
     LeaderElected = 4000,
     LeaderStoodDown = 4001,
--- a/Tests/Jobs/interferencetest.cpp
+++ b/Tests/Jobs/interferencetest.cpp
@@ -49,9 +49,10 @@
     teach(table, 400);
     CHECK(table.press("loud", "web") > 0.06);
     CHECK(table.press("quiet", "web") < 0.01);
-    CHECK(table.room("loud", {"web"}, {}) < 10);
-    CHECK(table.room("quiet", {"web"}, {}) > 30);
-    CHECK(table.room("quiet", {"web"}, {{"loud", 9.0}}) < table.room("quiet", {"web"}, {}));
+    CHECK(table.room("loud", {{"web", table.base("web")}}, {}) < 10);
+    CHECK(table.room("quiet", {{"web", table.base("web")}}, {}) > 30);
+    CHECK(table.room("quiet", {{"web", table.base("web")}}, {{"loud", 9.0}})
+          < table.room("quiet", {{"web", table.base("web")}}, {}));
 }
 
 TEST_CASE("A table that takes what another learned judges alike")
@@ -61,8 +62,8 @@
     InterferenceTable next;
     next.take(table.learned());
     for (const char *image : {"loud", "quiet", "unknown"})
-        CHECK(next.room(image, {"web"}, {{"loud", 1.0}})
-              == table.room(image, {"web"}, {{"loud", 1.0}}));
+        CHECK(next.room(image, {{"web", 0.3}}, {{"loud", 1.0}})
+              == table.room(image, {{"web", 0.3}}, {{"loud", 1.0}}));
 }
 
 TEST_CASE("A filling task goes where no service is disturbed by it, although less time is left")
