jobs: Cut the cost of a plan at 160 minions; bound the time that plans take

Cause: each stalled run asked every minion for its room, each answer looking up every pair of images, and each job's lengths were looked up four times in a plan; small sites did not show it. Now a minion's room for an image is worked out once until something is placed there, tasks of a step that found no room are not tried again in the same plan, and a job's lengths are looked up once. The pause after a plan is three times its length, so that reports and calls keep most of a thin host's processor.

--- a/Source/Fleet/jobservice.cpp
+++ b/Source/Fleet/jobservice.cpp
@@ -15,6 +15,9 @@
 constexpr Duration PumpInterval = std::chrono::milliseconds(100);
 /** Least time between two decisions on what starts: one looks at every open job. */
 constexpr Duration PlacingInterval = std::chrono::milliseconds(5);
+/** Pause after a decision in multiples of the time that it took, so that deciding leaves most of a
+ * thin host's processor to reports and calls. */
+constexpr int PlacingPause = 3;
 /** Time between two copies of what was learned to the other control hosts. */
 constexpr Duration ShareInterval = std::chrono::seconds(2);
 /** Time between two looks at what the lasting jobs have; callers measure them as often. */
@@ -279,8 +282,9 @@
     const TimePoint now = loop_.clock().now();
     if (now < nextPlacing_)
         return placeTimer_.startOnce(nextPlacing_ - now);
-    nextPlacing_ = now + PlacingInterval;
     Jobs::JobBatch batch = scheduler_.takeStarts(now, nowMs());
+    const TimePoint planned = loop_.clock().now();
+    nextPlacing_ = planned + std::max(PlacingInterval, PlacingPause * (planned - now));
     noteRoomDecisions();
     noteMoves();
     if (batch.empty())
--- a/Source/Jobs/joborder.cpp
+++ b/Source/Jobs/joborder.cpp
@@ -48,7 +48,7 @@
     return tasks == 0 ? Thousandths : running * Thousandths / tasks;
 }
 
-void rank(RankedJob &ranked, const QueueSpec *queue, const WorkEstimates &estimates,
+void rank(RankedJob &ranked, const QueueSpec *queue, const std::vector<double> &lengths,
           std::int64_t nowMs)
 {
     const Job &job = *ranked.job;
@@ -58,9 +58,9 @@
     }
     ranked.precedence = job.state == JobState::Queued ? 1 : 0;
     const std::int64_t objective =
-        estimates.chainMs(ranked.id, job, false) * queue->stretchThousandths / Thousandths
+        chainMs(job, lengths, false) * queue->stretchThousandths / Thousandths
         + queue->targetCompletionMs;
-    const std::int64_t rest = estimates.chainMs(ranked.id, job, true);
+    const std::int64_t rest = chainMs(job, lengths, true);
     const std::int64_t latest = job.acceptedAtMs + objective - rest;
     const std::int64_t latestLate = job.acceptedAtMs + LateFactor * objective - rest;
     if (nowMs <= latest)
@@ -83,9 +83,10 @@
                   const WorkEstimates &estimates, std::int64_t nowMs)
 {
     RankedJob ranked{id, &job, JobRank::Lasting, 0, job.acceptedAtMs, 0};
-    rank(ranked, book.queue(job.queue), estimates, nowMs);
-    ranked.weight = jobWeight(ranked.rank, estimates.work(id, job, false),
-                              estimates.work(id, job, true), estimates.meanWork(job.queue));
+    const std::vector<double> lengths = estimates.lengths(id, job);
+    rank(ranked, book.queue(job.queue), lengths, nowMs);
+    ranked.weight = jobWeight(ranked.rank, workOf(job, lengths, false), workOf(job, lengths, true),
+                              estimates.meanWork(job.queue));
     return ranked;
 }
 
--- a/Source/Jobs/taskplacer.cpp
+++ b/Source/Jobs/taskplacer.cpp
@@ -84,11 +84,11 @@
         if (!machines_.takesTasks(now, machine))
             continue;
         const auto used = use.find(life);
-        candidates_.push_back({&life,
-                               &machine,
-                               used == use.end() ? MinionUse{} : used->second,
-                               servingOn(life, machine),
-                               {}});
+        Candidate &candidate = candidates_.emplace_back();
+        candidate.life = &life;
+        candidate.machine = &machine;
+        if (used != use.end())
+            candidate.use = used->second;
     }
     starts_.clear();
     started_.clear();
@@ -138,8 +138,12 @@
     }
     std::ranges::stable_sort(stalled, std::ranges::greater(), &Stalled::weight);
     std::vector<RunMove> moves;
+    // The runs of a step are alike, so where one finds no room the others need not be tried.
+    std::set<std::pair<std::string, std::uint32_t>> full;
     for (const Stalled &run : stalled) {
         const TaskRef &ref = run.key.first;
+        if (full.contains({ref.job, ref.step}))
+            continue;
         const Job &job = *book_.find(ref.job);
         const StepSpec &step = job.steps[ref.step];
         const QueueSpec *queue = book_.queue(job.queue);
@@ -147,9 +151,11 @@
             continue;
         Candidate *best = choose(step, queue->service, job.tasks[ref.step][ref.index],
                                  queue->maxAttempts, false, {});
+        if (best == nullptr)
+            full.insert({ref.job, ref.step});
         if (best == nullptr || best == run.at)
             continue;
-        best->use.add(step);
+        take(*best, step);
         moves.push_back(
             {run.key, *run.at->life, *best->life, now_ - run.view->progressAt, run.view->percent});
     }
@@ -239,9 +245,7 @@
         full = full || (best == nullptr && !reserved);
         if (best == nullptr)
             continue;
-        best->use.add(spec);
-        if (spec.targetLatencyMs > 0)
-            best->serving.push_back({spec.image, interference_.base(spec.image)});
+        take(*best, spec);
         ++spread[*best->life];
         starts_.push_back({ref, task.lastRun + 1, *best->life});
         started_.insert(ref);
@@ -286,16 +290,34 @@
     return claim.leavesRoom(candidate.machine->minion, step);
 }
 
-std::int64_t TaskPlacer::fillingRoom(const Candidate &candidate, const std::string &image) const
+std::int64_t TaskPlacer::fillingRoom(Candidate &candidate, const std::string &image) const
 {
+    const auto [known, first] = candidate.fillingRooms.try_emplace(image, 0);
+    if (!first)
+        return known->second;
+    if (!candidate.serving)
+        candidate.serving = servingOn(*candidate.life, *candidate.machine);
     const MinionUse &use = candidate.use;
     const auto claimed = static_cast<std::int64_t>(use.claim.milliCores);
     const auto serving = static_cast<std::int64_t>(use.servingMilliCores);
     const std::int64_t idle = candidate.machine->minion.milliCores - claimed
                               + serving * (Hundred - ServingUseHundredths) / Hundred
                               - static_cast<std::int64_t>(use.fillingMilliCores);
-    const double beside = interference_.room(image, candidate.serving, use.filling);
-    return std::min(idle, static_cast<std::int64_t>(std::min(beside, MostCores) * MilliCores));
+    const double beside = interference_.room(image, *candidate.serving, use.filling);
+    known->second =
+        std::min(idle, static_cast<std::int64_t>(std::min(beside, MostCores) * MilliCores));
+    return known->second;
+}
+
+void TaskPlacer::take(Candidate &candidate, const StepSpec &step) const
+{
+    if (step.targetLatencyMs > 0) {
+        if (!candidate.serving)
+            candidate.serving = servingOn(*candidate.life, *candidate.machine);
+        candidate.serving->push_back({step.image, interference_.base(step.image)});
+    }
+    candidate.use.add(step);
+    candidate.fillingRooms.clear();
 }
 
 TaskPlacer::Candidate *TaskPlacer::choose(const StepSpec &step, const std::string &service,
--- a/Source/Jobs/taskplacer.h
+++ b/Source/Jobs/taskplacer.h
@@ -7,6 +7,7 @@
 #include "Jobs/roomplanner.h"
 
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -59,8 +60,11 @@
         const MinionLife *life = nullptr;
         const Machine *machine = nullptr;
         MinionUse use;
-        /** Pressure of each serving task without the filling ones, as last reported. */
-        std::vector<ServingSample> serving;
+        /** Pressure of each serving task without the filling ones, as last reported; found when a
+         * filling task first asks for it. */
+        std::optional<std::vector<ServingSample>> serving;
+        /** Room for filling tasks of each image that asked since the last change. */
+        std::map<std::string, std::int64_t> fillingRooms;
         /** Steps of the tasks for which room is kept here. */
         std::vector<const StepSpec *> kept;
     };
@@ -85,7 +89,9 @@
     bool idle(const std::string &service) const;
     bool fits(const Candidate &candidate, const StepSpec &step) const;
     /** Milli-cores that more tasks of \a image can expect on \a candidate. */
-    std::int64_t fillingRoom(const Candidate &candidate, const std::string &image) const;
+    std::int64_t fillingRoom(Candidate &candidate, const std::string &image) const;
+    /** Counts a task of \a step as being on \a candidate. */
+    void take(Candidate &candidate, const StepSpec &step) const;
 
     const JobBook &book_;
     const MachineTable &machines_;
--- a/Source/Jobs/workestimates.cpp
+++ b/Source/Jobs/workestimates.cpp
@@ -21,6 +21,33 @@
 
 } // namespace
 
+std::int64_t chainMs(const Job &job, const std::vector<double> &lengths, bool rest)
+{
+    std::vector<double> ends(job.steps.size(), 0);
+    double longest = 0;
+    for (std::uint32_t i = 0; i < job.steps.size(); ++i) {
+        double start = 0;
+        for (const std::uint32_t earlier : job.steps[i].dependsOn)
+            start = std::max(start, ends[earlier]);
+        const bool counts = !rest || !job.stepDone(i);
+        ends[i] = start + (counts ? lengths[i] : 0);
+        longest = std::max(longest, ends[i]);
+    }
+    return std::llround(longest);
+}
+
+double workOf(const Job &job, const std::vector<double> &lengths, bool rest)
+{
+    double work = 0;
+    for (std::uint32_t i = 0; i < job.steps.size(); ++i) {
+        const StepSpec &step = job.steps[i];
+        const std::uint32_t tasks = rest ? step.count - job.done[i] : step.count;
+        if (!step.lasting)
+            work += tasks * (step.milliCores / MilliCores) * lengths[i];
+    }
+    return work;
+}
+
 double WorkEstimates::QueueLengths::lengthOf(double declared) const
 {
     if (seen == 0)
@@ -37,7 +64,7 @@
                             double lengthMs)
 {
     const double seen = std::log(std::clamp(lengthMs, LeastMs, MostMs));
-    const auto [known, first] = steps_.try_emplace({id, step}, seen);
+    const auto [known, first] = steps_[id].try_emplace(step, seen);
     const double before = first ? 0 : known->second;
     if (!first)
         known->second += LatestWeight * (seen - known->second);
@@ -58,7 +85,7 @@
 
 void WorkEstimates::refresh(const JobBook &book)
 {
-    std::erase_if(steps_, [&](const auto &item) { return book.find(item.first.first) == nullptr; });
+    std::erase_if(steps_, [&](const auto &item) { return book.find(item.first) == nullptr; });
     struct Sum
     {
         double declared = 0;
@@ -75,7 +102,7 @@
             sum.declared += std::log(step.estimateMs);
             sum.steps += 1;
         }
-        sum.work += work(id, job, false);
+        sum.work += workOf(job, lengths(id, job), false);
         sum.jobs += 1;
     }
     for (const auto &[name, sum] : sums) {
@@ -86,43 +113,35 @@
     std::erase_if(queues_, [&](const auto &item) { return book.queue(item.first) == nullptr; });
 }
 
-double WorkEstimates::taskMs(const std::string &id, const Job &job, std::uint32_t step) const
+std::vector<double> WorkEstimates::lengths(const std::string &id, const Job &job) const
 {
-    const auto measured = steps_.find({id, step});
-    if (measured != steps_.end())
-        return std::exp(measured->second);
-    const double declared = job.steps[step].estimateMs;
+    const auto seen = steps_.find(id);
     const auto queue = queues_.find(job.queue);
-    if (declared == 0 || queue == queues_.end() || queue->second.meanDeclared == 0)
-        return declared;
-    return std::clamp(std::exp(queue->second.lengthOf(std::log(declared))), LeastMs, MostMs);
-}
-
-std::int64_t WorkEstimates::chainMs(const std::string &id, const Job &job, bool rest) const
-{
-    std::vector<double> ends(job.steps.size(), 0);
-    double longest = 0;
+    const bool known = queue != queues_.end() && queue->second.meanDeclared != 0;
+    std::vector<double> lengths;
+    lengths.reserve(job.steps.size());
     for (std::uint32_t i = 0; i < job.steps.size(); ++i) {
-        double start = 0;
-        for (const std::uint32_t earlier : job.steps[i].dependsOn)
-            start = std::max(start, ends[earlier]);
-        const bool counts = !rest || !job.stepDone(i);
-        ends[i] = start + (counts ? taskMs(id, job, i) : 0);
-        longest = std::max(longest, ends[i]);
+        const double declared = job.steps[i].estimateMs;
+        if (seen != steps_.end()) {
+            const auto measured = seen->second.find(i);
+            if (measured != seen->second.end()) {
+                lengths.push_back(std::exp(measured->second));
+                continue;
+            }
+        }
+        if (declared == 0 || !known) {
+            lengths.push_back(declared);
+            continue;
+        }
+        const double expected = std::exp(queue->second.lengthOf(std::log(declared)));
+        lengths.push_back(std::clamp(expected, LeastMs, MostMs));
     }
-    return std::llround(longest);
+    return lengths;
 }
 
-double WorkEstimates::work(const std::string &id, const Job &job, bool rest) const
+double WorkEstimates::taskMs(const std::string &id, const Job &job, std::uint32_t step) const
 {
-    double work = 0;
-    for (std::uint32_t i = 0; i < job.steps.size(); ++i) {
-        const StepSpec &step = job.steps[i];
-        const std::uint32_t tasks = rest ? step.count - job.done[i] : step.count;
-        if (!step.lasting && tasks > 0)
-            work += tasks * (step.milliCores / MilliCores) * taskMs(id, job, i);
-    }
-    return work;
+    return lengths(id, job).at(step);
 }
 
 double WorkEstimates::meanWork(const std::string &queue) const
--- a/Source/Jobs/workestimates.h
+++ b/Source/Jobs/workestimates.h
@@ -5,10 +5,17 @@
 #include <cstdint>
 #include <map>
 #include <string>
-#include <utility>
+#include <vector>
 
 namespace Oleander::Jobs {
 
+/** Length in milliseconds of the longest chain of \a job, whose steps take \a lengths; of the
+ * undone part when \a rest is set. */
+std::int64_t chainMs(const Job &job, const std::vector<double> &lengths, bool rest);
+/** Work of \a job in core-milliseconds; of the tasks that are not done when \a rest is set. Work
+ * without an end counts for nothing. */
+double workOf(const Job &job, const std::vector<double> &lengths, bool rest);
+
 /**
  * \class WorkEstimates
  * \brief How long tasks take, from what clients declare and what was seen of tasks at work.
@@ -27,14 +34,10 @@
     /** Adapts to the jobs that \a book knows by now; forgets the others. */
     void refresh(const JobBook &book);
 
+    /** Lengths in milliseconds of a task of each step of \a job, called \a id. */
+    std::vector<double> lengths(const std::string &id, const Job &job) const;
     /** Length in milliseconds of a task of step \a step of \a job, called \a id. */
     double taskMs(const std::string &id, const Job &job, std::uint32_t step) const;
-    /** Length of the longest chain of \a job in milliseconds; of the undone part when \a rest is
-     * set. */
-    std::int64_t chainMs(const std::string &id, const Job &job, bool rest) const;
-    /** Work of \a job in core-milliseconds; of the tasks that are not done when \a rest is set.
-     * Work without an end counts for nothing. */
-    double work(const std::string &id, const Job &job, bool rest) const;
     /** Mean work of the jobs of \a queue in core-milliseconds; 0 while none is known. */
     double meanWork(const std::string &queue) const;
 
@@ -53,11 +56,9 @@
 
         double lengthOf(double declared) const;
     };
-    using StepKey = std::pair<std::string, std::uint32_t>;
-
     std::map<std::string, QueueLengths> queues_;
-    /** Logarithm of the length that the runs of each step showed. */
-    std::map<StepKey, double> steps_;
+    /** Logarithm of the length that the runs of the steps of each job showed. */
+    std::map<std::string, std::map<std::uint32_t, double>> steps_;
 };
 
 } // namespace Oleander::Jobs
--- a/Tests/Jobs/jobordertest.cpp
+++ b/Tests/Jobs/jobordertest.cpp
@@ -118,8 +118,10 @@
 {
     BookFixture book;
     book.submit("j", {step(1), step(1, 1'000, {0}), step(1)});
-    CHECK(WorkEstimates().chainMs("j", *book.book.find("j"), false) == 2'000);
+    const Job &job = *book.book.find("j");
+    const std::vector<double> lengths = WorkEstimates().lengths("j", job);
+    CHECK(chainMs(job, lengths, false) == 2'000);
     REQUIRE(book.start({"j", 0, 0}, 1, LifeA));
     book.end({"j", 0, 0}, 1, LifeA, RunEndKind::Done);
-    CHECK(WorkEstimates().chainMs("j", *book.book.find("j"), true) == 1'000);
+    CHECK(chainMs(job, lengths, true) == 1'000);
 }
--- a/Tests/Jobs/workestimatestest.cpp
+++ b/Tests/Jobs/workestimatestest.cpp
@@ -33,8 +33,8 @@
     for (int i = 0; i < 10; ++i)
         estimates.observe("j", job, 0, 2'000);
     CHECK(estimates.taskMs("j", job, 0) == Approx(2'000));
-    CHECK(estimates.chainMs("j", job, false) == 2'000);
-    CHECK(estimates.work("j", job, false) == Approx(8'000));
+    CHECK(chainMs(job, estimates.lengths("j", job), false) == 2'000);
+    CHECK(workOf(job, estimates.lengths("j", job), false) == Approx(8'000));
 }
 
 TEST_CASE("Declared lengths that tell little count for little")
