jobs: A listed run that names no step of its job does not end the leader

Seen: by reading, after reports of processes that one malformed message took down; a test showed SIGSEGV. Cause: JobService's service level indexed the steps of a job by what a minion lists, unchecked; so did the new learning of lengths. Ruled out: the pairs' learning, which checked, and ends, which the book checks; steps that a client's job depends on, which its format checks. Now one function finds the step of a listed run, or nothing, and such a run is stopped as any that is not the book's.

--- a/Source/Jobs/jobbook.cpp
+++ b/Source/Jobs/jobbook.cpp
@@ -212,6 +212,12 @@
     return found == jobs_.end() ? nullptr : &found->second;
 }
 
+const StepSpec *JobBook::findStep(const TaskRef &ref) const
+{
+    const Job *job = find(ref.job);
+    return job == nullptr || ref.step >= job->steps.size() ? nullptr : &job->steps[ref.step];
+}
+
 const ActiveRun *JobBook::activeRun(const RunKey &key) const
 {
     const Job *job = find(key.first.job);
--- a/Source/Jobs/jobbook.h
+++ b/Source/Jobs/jobbook.h
@@ -114,6 +114,9 @@
 
     const std::map<std::string, Job> &jobs() const { return jobs_; }
     const Job *find(const std::string &id) const;
+    /** Step of the task \a ref, or null where a known job has none such; agents pass on what a
+     * minion lists, whatever it names. */
+    const StepSpec *findStep(const TaskRef &ref) const;
     /** Jobs that have not ended. */
     const std::set<std::string> &openJobs() const { return open_; }
     /** Active runs of each life of a minion. */
--- a/Source/Jobs/jobscheduler.cpp
+++ b/Source/Jobs/jobscheduler.cpp
@@ -68,15 +68,14 @@
     std::vector<ServingSample> serving;
     FillingCores used;
     for (const RunStatus &status : report.running) {
-        const Job *job = book_.find(status.task.job);
-        if (job == nullptr || status.task.step >= job->steps.size())
+        const StepSpec *step = book_.findStep(status.task);
+        if (step == nullptr)
             continue;
-        const StepSpec &step = job->steps[status.task.step];
-        if (step.filling)
-            used[step.image] += status.figure / MilliCoresPerCore;
-        else if (step.targetLatencyMs > 0 && status.figure > 0)
+        if (step->filling)
+            used[step->image] += status.figure / MilliCoresPerCore;
+        else if (step->targetLatencyMs > 0 && status.figure > 0)
             serving.push_back(
-                {step.image, static_cast<double>(status.figure) / step.targetLatencyMs});
+                {step->image, static_cast<double>(status.figure) / step->targetLatencyMs});
     }
     double cores = 0;
     for (const auto &[image, amount] : used)
@@ -105,10 +104,10 @@
     if (machine == nullptr)
         return;
     for (const auto &[key, view] : machine->running) {
-        const Job *job = book_.find(key.first.job);
+        const StepSpec *step = book_.findStep(key.first);
         const auto length = view.lengthMs();
-        if (job != nullptr && length && job->steps[key.first.step].filling)
-            estimates_.observe(key.first.job, *job, key.first.step, *length);
+        if (step != nullptr && length && step->filling)
+            estimates_.observe(key.first.job, *book_.find(key.first.job), key.first.step, *length);
     }
     for (const RunEnd &end : report.finished) {
         const ActiveRun *active = book_.activeRun({end.task, end.run});
--- a/Source/Jobs/machinetable.cpp
+++ b/Source/Jobs/machinetable.cpp
@@ -22,11 +22,11 @@
 /** What a run that \a status lists has worked in \a time, in milliseconds at full speed. */
 double workedMs(const JobBook &book, const RunStatus &status, Duration time)
 {
-    const Job *job = book.find(status.task.job);
-    if (job == nullptr || status.task.step >= job->steps.size())
+    const StepSpec *step = book.findStep(status.task);
+    if (step == nullptr)
         return 0;
-    const std::uint32_t asked = job->steps[status.task.step].milliCores;
-    const double share = asked == 0 ? 1.0 : static_cast<double>(status.figure) / asked;
+    const double share =
+        step->milliCores == 0 ? 1.0 : static_cast<double>(status.figure) / step->milliCores;
     return std::chrono::duration<double, std::milli>(time).count() * share;
 }
 
--- a/Source/Jobs/servicelevel.cpp
+++ b/Source/Jobs/servicelevel.cpp
@@ -36,8 +36,8 @@
 {
     return std::ranges::any_of(machine.running, [&](const auto &item) {
         const auto &[key, view] = item;
-        const Job *job = book.find(key.first.job);
-        return job != nullptr && job->steps[key.first.step].filling && view.figure > 0;
+        const StepSpec *step = book.findStep(key.first);
+        return step != nullptr && step->filling && view.figure > 0;
     });
 }
 
--- a/Tests/Jobs/jobschedulertest.cpp
+++ b/Tests/Jobs/jobschedulertest.cpp
@@ -1,4 +1,5 @@
 #include "jobfixture.h"
+#include "Jobs/servicelevel.h"
 
 #include <algorithm>
 
@@ -457,3 +458,35 @@
     CHECK(leader.decide().ends.size() == 1);
     CHECK(leader.book.activeRuns().empty());
 }
+
+TEST_CASE("A row that names a step which its job does not have does no harm, and is stopped")
+{
+    SchedulerFixture leader;
+    introduce(leader, "agent-a", LifeA);
+    StepSpec lasting = step(1);
+    lasting.lasting = true;
+    lasting.targetLatencyMs = 10;
+    leader.submit("j", {lasting});
+    REQUIRE(leader.decide().starts.size() == 1);
+    const TaskRef malformed{"j", 4'000'000'000, 0};
+    std::size_t stops = 0;
+    for (std::uint64_t clockMs = 1'500; clockMs <= 4'000; clockMs += 500) {
+        leader.advance(500ms);
+        MachineReport report = reportOf(LifeA, clockMs);
+        RunStatus service = runningRow(First, 1);
+        service.percent = 100;
+        service.figure = 50;
+        RunStatus row = runningRow(malformed, 1);
+        row.percent = static_cast<std::uint32_t>(clockMs / 50);
+        row.figure = 1'000;
+        report.running = {service, row};
+        report.finished = {endRow(1, malformed, 2, RunEndKind::Done)};
+        leader.report("agent-a", report);
+        leader.decide();
+        for (const StopOrder &order : leader.directive("agent-a").stops)
+            stops += order.task == malformed ? 1 : 0;
+        CHECK(serviceLevels(leader.book, leader.scheduler.machines(), leader.clock.now()).size()
+              == 1);
+    }
+    CHECK(stops > 0);
+}
