--- a/Tests/Oleander/readmetest.cpp
+++ b/Tests/Oleander/readmetest.cpp
@@ -88,10 +88,11 @@
             || block.find("export ") != std::string::npos)
             continue;
         block = replaced(block, "127.0.1.1:8080", cluster.callerDoor(0));
-        const auto result = runCommand({"/bin/bash", "-c",
-                                        "set -e\ncd " + work.path().string() + "\nexport PATH="
-                                            + folder + ":$PATH OLEANDER_SERVER=" + servers
-                                            + " OLEANDER_OPERATOR=night-shift\n" + block});
+        std::string script = "set -e\ncd ";
+        script.append(work.path().string()).append("\nexport PATH=").append(folder);
+        script.append(":$PATH OLEANDER_SERVER=").append(servers);
+        script.append(" OLEANDER_OPERATOR=night-shift\n").append(block);
+        const auto result = runCommand({"/bin/bash", "-c", script});
         INFO(block << result.output << result.errors);
         CHECK(result.exitCode == 0);
         outputs += result.output;
