jobs: One copy of what is assumed of unknown pairs of images

Seen on reading: the leader's table and the agent's controller held the press of an unknown pair, the least press and the least own pressure each for itself; a change of one would let the two disagree on a minion. Ruled out: different meanings, since all three pairs had the same value and use. A remark in a test that explained nothing went.

--- a/Source/Jobs/interferencetable.cpp
+++ b/Source/Jobs/interferencetable.cpp
@@ -7,8 +7,6 @@
 
 namespace {
 
-/** Pressure that a core of an unknown pair is taken to add: half a bound for a machine's half. */
-constexpr double UnknownPress = 0.015;
 constexpr double UnknownBase = 0.35;
 /** Weight of the latest report. */
 constexpr double LearnRate = 0.15;
@@ -17,9 +15,6 @@
 constexpr double Regularization = 4.0;
 /** Pressure up to which filling tasks are placed beside a serving one. */
 constexpr double PlacedPressure = 0.85;
-constexpr double LeastPress = 0.0005;
-/** Pressure that a serving task is taken to have at least without filling ones. */
-constexpr double LeastOwnPressure = 0.15;
 /** Readings above this tell no more than that the bound is passed by far. */
 constexpr double HighestPressure = 3.0;
 
--- a/Source/Jobs/interferencetable.h
+++ b/Source/Jobs/interferencetable.h
@@ -9,6 +9,14 @@
 
 namespace Oleander::Jobs {
 
+/** Pressure that a core of a pair of images of which nothing is known is taken to add: half a bound
+ * for a machine's half. */
+constexpr double UnknownPress = 0.015;
+/** Press of a pair is at least this, so that pairs can be compared by it. */
+constexpr double LeastPress = 0.0005;
+/** Pressure that a serving task is taken to have at least without filling ones. */
+constexpr double LeastOwnPressure = 0.15;
+
 /** A serving task as a report shows it. */
 struct ServingSample
 {
--- a/Source/Jobs/pacecontroller.cpp
+++ b/Source/Jobs/pacecontroller.cpp
@@ -1,5 +1,7 @@
 #include "Jobs/pacecontroller.h"
 
+#include "Jobs/interferencetable.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -39,14 +41,8 @@
 constexpr double RaiseStep = 0.1;
 /** Time for a change to show in the reports, which cover half a second. */
 constexpr Duration SettleTime = std::chrono::milliseconds(500);
-/** Press of a pair of which the leader has told nothing. */
-constexpr double UnknownPress = 0.015;
-/** Pressure that a serving run is taken to have at least without filling ones. */
-constexpr double LeastBase = 0.15;
 /** Pressure that filling runs may always add by what is known of the pairs. */
 constexpr double LeastRoom = 0.05;
-/** Press of a pair is at least this, so that runs can be compared by it. */
-constexpr double LeastPress = 0.0005;
 /** Changes of the share below this are not worth a call. */
 constexpr std::uint32_t LeastChangePercent = 4;
 
@@ -146,7 +142,7 @@
         double pressed = 0;
         for (const auto &[image, cores] : used)
             pressed += press(image, run.image) * cores;
-        const double base = std::max(LeastBase, pressureOf(run) - pressed);
+        const double base = std::max(LeastOwnPressure, pressureOf(run) - pressed);
         rooms.push_back({run.image, std::max({AimedPressure - base, Cut * pressed, LeastRoom})});
     }
     return rooms;
--- a/Tests/Jobs/fillingtest.cpp
+++ b/Tests/Jobs/fillingtest.cpp
@@ -67,7 +67,6 @@
     std::vector<StopOrder> stops;
     for (int i = 0; i < 3 && stops.empty(); ++i)
         stops = leader.pass(40, 0, true);
-    // The minion that it leaves has as much room by the ledger; there it stands.
     REQUIRE(stops.size() == 1);
     CHECK(stops.at(0).task == TaskRef{"f", 0, 0});
     CHECK(leader.scheduler.takeMoves().size() == 1);
