tests: Wait for all minions and requests before an agent is killed

Cause: the fixture waited for one answer of each entry, which one minion can give. An entry that knew only the minion of the killed agent had no other one for a GET, and a POST that its minion had not started ends as not run, which is true. The fixture now waits until each entry lists both minions, and the test until all four POSTs run. The checks are unchanged. RequestPath listens on a host of its own, so that a run beside it can't be given its ports.

--- a/Tests/RequestPath/processfaultstest.cpp
+++ b/Tests/RequestPath/processfaultstest.cpp
@@ -25,6 +25,7 @@
                 const auto reply = call(entry, "POST", {{"Idempotency-Key", freshKey()}});
                 return reply && reply->status == 200;
             }));
+            REQUIRE(waitFor([&] { return servingMinions(entry) == cluster.agentCount(); }));
         }
     }
 
@@ -48,6 +49,17 @@
             return call(entry, method, headers);
         });
     }
+    /** Number of minions that the entry can choose for a request. */
+    std::size_t servingMinions(std::size_t entry)
+    {
+        const auto reply = httpCall(cluster.operatorDoor(entry), {"GET", "/v1/dump"});
+        const std::string serving = "state=serving";
+        std::size_t count = 0;
+        for (auto at = reply ? reply->body.find(serving) : std::string::npos;
+             at != std::string::npos; at = reply->body.find(serving, at + serving.size()))
+            ++count;
+        return count;
+    }
     int runCount(const std::string &id)
     {
         int total = 0;
@@ -129,8 +141,10 @@
                                               {"Standin-Delay-Ms", "1500"},
                                               {"Oleander-Timeout-Ms", "15000"}}));
     }
-    REQUIRE(
-        waitFor([&] { return processes.runCount("once0") + processes.runCount("once3") == 2; }));
+    // A POST that its minion has not started yet ends as not run.
+    for (std::size_t i = 0; i < nonIdempotent.size(); ++i) {
+        REQUIRE(waitFor([&] { return processes.runCount("once" + std::to_string(i)) == 1; }));
+    }
     processes.cluster.agent(0).kill();
     processes.cluster.startAgent(0);
     for (std::size_t i = 0; i < nonIdempotent.size(); ++i) {
--- a/Tests/RequestPath/requestpath.cpp
+++ b/Tests/RequestPath/requestpath.cpp
@@ -1,5 +1,7 @@
 #include "requestpath.h"
 
+#include "Support/loopback.h"
+
 #include <catch2/catch.hpp>
 
 namespace Oleander::Testing {
@@ -12,7 +14,9 @@
 } // namespace
 
 RequestPath::RequestPath(Options options)
-    : options_(std::move(options)), heartbeats_(loop_, [this] {
+    : options_(std::move(options))
+    , listenAddress_(Loopback::nextHost() + ":0")
+    , heartbeats_(loop_, [this] {
         for (auto &agent : agents_)
             sendHeartbeat(*agent);
     })
@@ -21,14 +25,14 @@
     options_.router.claims.entry = "entry-1";
     options_.router.location = {"south", "a", "r1"};
     messenger_ = std::make_unique<Messenger>(loop_, "entry-1", 1);
-    const std::string inbox = messenger_->listen("127.0.0.1:0").value();
+    const std::string inbox = messenger_->listen(listenAddress_).value();
     router_ = std::make_unique<RouterTask>(
         loop_, *messenger_, options_.router,
         [this](const ClaimBatch &batch, const RouterTask::ClaimsCallback &done) {
             done(claims_.apply(batch));
         });
     callerServer_ = std::make_unique<CallerServer>(loop_, *router_, options_.callerServer);
-    address_ = callerServer_->listen("127.0.0.1:0").value();
+    address_ = callerServer_->listen(listenAddress_).value();
     for (std::size_t i = 0; i < options_.agents; ++i)
         addAgent(i, inbox);
     heartbeats_.startEvery(HeartbeatInterval);
@@ -49,13 +53,13 @@
     auto agent = std::make_unique<Agent>();
     const std::string name = "agent-" + std::to_string(index + 1);
     agent->messenger = std::make_unique<Messenger>(loop_, name, 1);
-    agent->inbox = agent->messenger->listen("127.0.0.1:0").value();
+    agent->inbox = agent->messenger->listen(listenAddress_).value();
     agent->messenger->addPeer("entry-1", entryInbox);
     agent->requests = std::make_unique<RequestTask>(loop_, *agent->messenger,
                                                     RequestAdmissionSettings{.agent = name});
     agent->minionServer =
         std::make_unique<MinionServer>(loop_, *agent->requests, MinionServerSettings{});
-    agent->minionServerAddress = agent->minionServer->listen("127.0.0.1:0").value();
+    agent->minionServerAddress = agent->minionServer->listen(listenAddress_).value();
     agent->requests->minionsChanged.connect([this, raw = agent.get()] { sendHeartbeat(*raw); });
     agents_.push_back(std::move(agent));
 }
@@ -73,7 +77,8 @@
 void RequestPath::startMinion(std::size_t index)
 {
     Agent &agent = *agents_.at(index);
-    std::vector<std::string> command{STANDIN_MINION_PROGRAM, "--agent=" + agent.minionServerAddress,
+    std::vector<std::string> command{STANDIN_MINION_PROGRAM, "--listen=" + listenAddress_,
+                                     "--agent=" + agent.minionServerAddress,
                                      "--name=minion-" + std::to_string(index + 1), "--ttl-ms=1000"};
     command.insert(command.end(), options_.minionFlags.begin(), options_.minionFlags.end());
     agent.minion.reset();
--- a/Tests/RequestPath/requestpath.h
+++ b/Tests/RequestPath/requestpath.h
@@ -84,6 +84,9 @@
     void sendHeartbeat(Agent &agent);
 
     Options options_;
+    /** Host of this fixture, with port 0. Concurrent test programs must not share ports, because a
+     * process may still call an address that the system has assigned to another program. */
+    std::string listenAddress_;
     EventLoop loop_;
     ClaimTable claims_;
     std::unique_ptr<Messenger> messenger_;
--- a/Tests/Support/cluster.h
+++ b/Tests/Support/cluster.h
@@ -72,6 +72,7 @@
     ChildProcess &minion(std::size_t agent) { return *agents_.at(agent).minion; }
 
     const std::string &callerDoor(std::size_t entry) const { return entries_.at(entry).callerDoor; }
+    std::size_t agentCount() const { return agents_.size(); }
     const std::string &operatorDoor(std::size_t entry) const
     {
         return entries_.at(entry).operatorDoor;
