Jobs: Measure interference against the load of the service at the time

Cause: the load of a service swings between about 0.3 and 0.6 of its target within some 12 s, for all its tasks together. The table compared each report with one slow mean for the image, so a filling task that ran while the load was high was taken for the cause. Ruled out as the cause of wrong pairs: the rate of learning (0.3 in place of 0.15, trial). The lower quartile of the tasks of the step at the same time now stands for the load.

Test that fails before: a harmless image is learned as 0.029 per core, 0.006 after (bound 0.01).

--- a/Source/Jobs/interferencetable.cpp
+++ b/Source/Jobs/interferencetable.cpp
@@ -40,7 +40,7 @@
     for (const auto &[image, cores] : used)
         squares += cores * cores;
     for (const ServingSample &sample : serving) {
-        double expected = baseLatencyRatio(sample.image);
+        double expected = sample.ownLatencyRatio.value_or(baseLatencyRatio(sample.image));
         for (const auto &[image, cores] : used)
             expected += interferencePerCore(image, sample.image) * cores;
         const double error = std::min(sample.latencyRatio, MaxLatencyRatio) - expected;
--- a/Source/Jobs/interferencetable.h
+++ b/Source/Jobs/interferencetable.h
@@ -3,6 +3,7 @@
 #include "Protocol/jobmessages.h"
 
 #include <map>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -25,6 +26,8 @@
     std::string image;
     /** Latency ratio: the tail latency divided by the latency target. */
     double latencyRatio = 0;
+    /** Estimated ratio without filling tasks at the same time; empty if unknown. */
+    std::optional<double> ownLatencyRatio;
 };
 
 /** Cores that filling tasks use or request, by image. */
--- a/Source/Jobs/jobscheduler.cpp
+++ b/Source/Jobs/jobscheduler.cpp
@@ -1,6 +1,7 @@
 #include "Jobs/jobscheduler.h"
 
 #include "Jobs/joborder.h"
+#include "Jobs/ownlatency.h"
 
 #include <algorithm>
 
@@ -74,8 +75,10 @@
         if (step->filling)
             used[step->image] += status.latencyOrMilliCores / MilliCoresPerCore;
         else if (step->targetLatencyMs > 0 && status.latencyOrMilliCores > 0)
-            serving.push_back({step->image, static_cast<double>(status.latencyOrMilliCores)
-                                                / step->targetLatencyMs});
+            serving.push_back(
+                {step->image,
+                 static_cast<double>(status.latencyOrMilliCores) / step->targetLatencyMs,
+                 ownLatencyRatio(status.task, book_, machines_)});
     }
     double cores = 0;
     for (const auto &[image, amount] : used)
--- a/Source/Jobs/taskplacer.cpp
+++ b/Source/Jobs/taskplacer.cpp
@@ -183,7 +183,7 @@
             continue;
         const auto view = machine.running.find(key);
         const bool known = view != machine.running.end() && view->second.measurement > 0;
-        ServingSample sample{step.image, interference_.baseLatencyRatio(step.image)};
+        ServingSample sample{step.image, interference_.baseLatencyRatio(step.image), {}};
         if (known) {
             sample.latencyRatio =
                 static_cast<double>(view->second.measurement) / step.targetLatencyMs;
@@ -316,7 +316,8 @@
     if (step.targetLatencyMs > 0) {
         if (!candidate.serving)
             candidate.serving = servingSamples(*candidate.life, *candidate.machine);
-        candidate.serving->push_back({step.image, interference_.baseLatencyRatio(step.image)});
+        candidate.serving->push_back(
+            {step.image, interference_.baseLatencyRatio(step.image), std::nullopt});
     }
     candidate.use.add(step);
     candidate.fillingCapacity.clear();
--- a/Tests/Jobs/interferencetest.cpp
+++ b/Tests/Jobs/interferencetest.cpp
@@ -15,7 +15,8 @@
     for (int i = 0; i < reports; ++i) {
         const double loud = i % 3 == 0 ? 6.0 : 0.0;
         const double quiet = i % 2 == 0 ? 12.0 : 3.0;
-        table.observe({{"web", 0.3 + LoudInterference * loud}}, {{"loud", loud}, {"quiet", quiet}});
+        table.observe({{"web", 0.3 + LoudInterference * loud, {}}},
+                      {{"loud", loud}, {"quiet", quiet}});
     }
 }
 
@@ -57,6 +58,64 @@
           < table.availableCores("quiet", {{"web", table.baseLatencyRatio("web")}}, {}));
 }
 
+TEST_CASE("A load that swings for all tasks of a service is not attributed to a filling task")
+{
+    constexpr std::uint32_t Tasks = 4;
+    constexpr double LoudPerCore = 0.05;
+    SchedulerFixture leader;
+    StepSpec serving = step(Tasks, 6'000);
+    serving.longRunning = true;
+    serving.targetLatencyMs = 1'000;
+    serving.image = "web";
+    serving.maxPerMinion = 1;
+    std::vector<MinionLife> lives;
+    for (std::uint32_t i = 0; i < Tasks; ++i)
+        lives.push_back({"minion-" + std::to_string(i), 100});
+    for (const MinionLife &life : lives) {
+        leader.report(life.name, reportOf(life, 1'000, 40'000));
+        leader.directive(life.name);
+    }
+    leader.submit("s", {serving});
+    REQUIRE(leader.decide().starts.size() == Tasks);
+    StepSpec filling = step(1, 6'000);
+    filling.filling = true;
+    filling.estimateMs = 100'000;
+    for (const char *image : {"quiet", "loud"}) {
+        filling.image = image;
+        leader.submit(image, {filling});
+        REQUIRE(leader.decide().starts.size() == 1);
+    }
+    std::uint64_t clockMs = 1'000;
+    for (int i = 0; i < 80; ++i) {
+        leader.advance(500ms);
+        clockMs += 500;
+        // The load is high in three of six seconds, and only then the harmless image runs.
+        const bool isHigh = i % 12 < 6;
+        for (const MinionLife &life : lives) {
+            MachineReport report = reportOf(life, clockMs, 40'000);
+            double ratio = isHigh ? 0.62 : 0.32;
+            for (const RunKey &key : leader.book.activeRuns().at(life)) {
+                if (key.first.job == "s")
+                    continue;
+                const bool isLoud = key.first.job == "loud";
+                const std::uint32_t used = isLoud || isHigh ? 6'000 : 0;
+                report.running.push_back({key.first, key.second, "", 10, used, true});
+                ratio += isLoud ? LoudPerCore * 6 : 0;
+            }
+            for (const RunKey &key : leader.book.activeRuns().at(life)) {
+                if (key.first.job == "s")
+                    report.running.push_back({key.first, key.second, "", 100,
+                                              static_cast<std::uint32_t>(1'000 * ratio), true});
+            }
+            leader.report(life.name, report);
+            leader.directive(life.name);
+        }
+    }
+    const InterferenceTable &learned = leader.scheduler.interference();
+    CHECK(learned.interferencePerCore("loud", "web") == Approx(LoudPerCore).margin(0.02));
+    CHECK(learned.interferencePerCore("quiet", "web") < 0.01);
+}
+
 TEST_CASE("A table that imports learned values gives the same results as the exporting table")
 {
     InterferenceTable table;
