Jobs: Place filling tasks up to a latency ratio of 0.75

Cause: tasks were placed until a service was expected at 0.85 of its target, which is also what pacing aims at. The load swings by 0.15 around its mean, so what was placed was throttled soon after: a run took 1.27 times the shortest of its step in the middle, 1.97 in the slowest tenth, and a step ends with its slowest run.

--- a/Source/Jobs/interferencetable.cpp
+++ b/Source/Jobs/interferencetable.cpp
@@ -14,8 +14,9 @@
 /** Added to the sum of squared cores, so that a large increase in latency is not attributed to a
  * few cores. */
 constexpr double Regularization = 4.0;
-/** Latency ratio of a serving task up to which filling tasks are placed beside it. */
-constexpr double MaxPlacementLatencyRatio = 0.85;
+/** Latency ratio of a serving task up to which filling tasks are placed beside it; below the ratio
+ * that pacing aims at, so that the swing of the load does not throttle them at once. */
+constexpr double MaxPlacementLatencyRatio = 0.75;
 /** Ratios are capped here; higher ones only say that the target is far exceeded. */
 constexpr double MaxLatencyRatio = 3.0;
 
