Jobs: Limit what one filling task may add to a service's latency

Such a task was placed wherever the headroom held it and took the headroom of a whole minion for itself, so that the runs beside it were throttled and idle cores stayed. A task is now placed only where it raises no service by more than 0.15 of its target.

--- a/Source/Jobs/interferencetable.cpp
+++ b/Source/Jobs/interferencetable.cpp
@@ -17,6 +17,8 @@
 /** Latency ratio of a serving task up to which filling tasks are placed beside it; below the ratio
  * that pacing aims at, so that the swing of the load does not throttle them at once. */
 constexpr double MaxPlacementLatencyRatio = 0.75;
+/** Largest increase of a latency ratio that one placed task may cause. */
+constexpr double MaxTaskIncrease = 0.15;
 /** Ratios are capped here; higher ones only say that the target is far exceeded. */
 constexpr double MaxLatencyRatio = 3.0;
 
@@ -98,4 +100,13 @@
     return available;
 }
 
+double InterferenceTable::maxTaskCores(const std::string &image,
+                                       const std::vector<ServingSample> &serving) const
+{
+    double cores = std::numeric_limits<double>::max();
+    for (const ServingSample &other : serving)
+        cores = std::min(cores, MaxTaskIncrease / interferencePerCore(image, other.image));
+    return cores;
+}
+
 } // namespace Oleander::Jobs
--- a/Source/Jobs/interferencetable.h
+++ b/Source/Jobs/interferencetable.h
@@ -52,6 +52,9 @@
      * use of the filling tasks that are already on the minion. */
     double availableCores(const std::string &image, const std::vector<ServingSample> &serving,
                           const FillingCores &present) const;
+    /** Returns how many cores of \a image one task may use beside \a serving. A strongly
+     * interfering task would take the headroom that several others could use. */
+    double maxTaskCores(const std::string &image, const std::vector<ServingSample> &serving) const;
     /** Estimates the latency ratio of \a sample without the filling tasks that use \a used. */
     double latencyRatioWithoutFilling(const ServingSample &sample, const FillingCores &used) const;
     /** Increase of the latency ratio of \a serving per core of \a filling. */
--- a/Source/Jobs/taskplacer.cpp
+++ b/Source/Jobs/taskplacer.cpp
@@ -292,9 +292,10 @@
     return claim.leavesRoom(candidate.machine->minion, step);
 }
 
-std::int64_t TaskPlacer::availableForFilling(Candidate &candidate, const std::string &image) const
+const TaskPlacer::FillingCapacity &TaskPlacer::fillingCapacity(Candidate &candidate,
+                                                               const std::string &image) const
 {
-    const auto [known, first] = candidate.fillingCapacity.try_emplace(image, 0);
+    const auto [known, first] = candidate.fillingCapacity.try_emplace(image);
     if (!first)
         return known->second;
     if (!candidate.serving)
@@ -306,8 +307,10 @@
                               + serving * (Hundred - ServingUsePercent) / Hundred
                               - static_cast<std::int64_t>(use.fillingMilliCores);
     const double beside = interference_.availableCores(image, *candidate.serving, use.filling);
-    known->second =
+    const double perTask = interference_.maxTaskCores(image, *candidate.serving);
+    known->second.available =
         std::min(idle, static_cast<std::int64_t>(std::min(beside, MaxCores) * MilliCores));
+    known->second.perTask = static_cast<std::int64_t>(std::min(perTask, MaxCores) * MilliCores);
     return known->second;
 }
 
@@ -345,10 +348,14 @@
                           - static_cast<std::int64_t>(candidate.use.claim.milliCores);
         // Filling tasks are placed where most processor time is available. Other tasks are placed
         // where least is free, which keeps large free blocks for wide tasks.
-        const std::int64_t room = step.filling ? availableForFilling(candidate, step.image) : 0;
-        if (step.filling && !urgent && room < static_cast<std::int64_t>(step.milliCores))
-            continue;
-        std::int64_t score = step.filling ? room : -free;
+        std::int64_t score = -free;
+        if (step.filling) {
+            const FillingCapacity &capacity = fillingCapacity(candidate, step.image);
+            const std::int64_t limit = std::min(capacity.available, capacity.perTask);
+            if (!urgent && limit < static_cast<std::int64_t>(step.milliCores))
+                continue;
+            score = capacity.available;
+        }
         if (!step.affinity.empty() && !hasLabel(minion, step.affinity))
             score -= FarPenaltyMilliCores;
         if (best == nullptr || score > bestScore) {
--- a/Source/Jobs/taskplacer.h
+++ b/Source/Jobs/taskplacer.h
@@ -56,6 +56,13 @@
     std::vector<RunMove> planMoves();
 
 private:
+    /** Processor time for further filling tasks of one image, in milli-cores. */
+    struct FillingCapacity
+    {
+        std::int64_t available = 0;
+        /** Limit for a single task. */
+        std::int64_t perTask = 0;
+    };
     struct Candidate
     {
         const MinionLife *life = nullptr;
@@ -64,8 +71,8 @@
         /** Latency ratio of each serving task without filling tasks, by the last report; computed
          * when first needed. */
         std::optional<std::vector<ServingSample>> serving;
-        /** Milli-cores available to filling tasks by image; cleared when a task is added. */
-        std::map<std::string, std::int64_t> fillingCapacity;
+        /** Capacity for filling tasks by image; cleared when a task is added. */
+        std::map<std::string, FillingCapacity> fillingCapacity;
         /** Steps of the tasks that have a reservation here. */
         std::vector<const StepSpec *> reserved;
     };
@@ -92,8 +99,8 @@
      */
     bool isMostlyIdle(const std::string &service) const;
     bool fits(const Candidate &candidate, const StepSpec &step) const;
-    /** Milli-cores available to further filling tasks of \a image on \a candidate. */
-    std::int64_t availableForFilling(Candidate &candidate, const std::string &image) const;
+    /** Capacity of \a candidate for further filling tasks of \a image. */
+    const FillingCapacity &fillingCapacity(Candidate &candidate, const std::string &image) const;
     /** Adds a task of \a step to the use of \a candidate. */
     void addTask(Candidate &candidate, const StepSpec &step) const;
 
--- a/Tests/Jobs/simulatedfleet.h
+++ b/Tests/Jobs/simulatedfleet.h
@@ -1,9 +1,12 @@
 #pragma once
 
 #include "jobfixture.h"
+#include "Jobs/pacecontroller.h"
 
 #include <algorithm>
+#include <cmath>
 #include <map>
+#include <numbers>
 #include <string>
 #include <vector>
 
@@ -13,8 +16,9 @@
  * \class SimulatedFleet
  * \brief Minions that execute a leader's orders in steps of simulated time.
  *
- * Tasks that end by themselves are done after their estimate; long-running tasks are at work after
- * their startup.
+ * Tasks that end by themselves are done after their estimate at full speed; long-running tasks are
+ * at work after their startup. With setInterference(), filling tasks raise the latency of the
+ * serving tasks on their minion, and every minion throttles them with a PaceController.
  */
 class SimulatedFleet
 {
@@ -33,6 +37,12 @@
 
     SchedulerFixture &leader() { return leader_; }
 
+    /** Increase of the latency ratio per core, by filling and serving image. */
+    using Interference = std::map<std::pair<std::string, std::string>, double>;
+    void setInterference(Interference perCore) { interference_ = std::move(perCore); }
+    /** Share of the time of the serving tasks in which they exceed their latency target. */
+    double shareOverTarget() const { return overTarget_ / std::max(1.0, servingTime_); }
+
     /** Advances by \a time in steps and calls \a each before every step. */
     template<typename F>
     void pass(Duration time, F &&each)
@@ -40,6 +50,8 @@
         for (Duration passed{}; passed < time; passed += Step) {
             each();
             leader_.advance(Step);
+            for (Minion &minion : minions_)
+                execute(minion);
             exchange();
         }
     }
@@ -67,8 +79,8 @@
         for (const StepSpec &spec : job.steps)
             tasks += spec.count;
         for (const Minion &minion : minions_) {
-            for (const auto &[key, begun] : minion.runs)
-                atWork += key.first.job == id && leader_.clock.now() >= begun + Startup ? 1 : 0;
+            for (const auto &[key, run] : minion.runs)
+                atWork += key.first.job == id && run.elapsed >= Startup ? 1 : 0;
         }
         return atWork / tasks;
     }
@@ -88,20 +100,89 @@
     std::uint64_t stops() const { return stops_; }
 
 private:
+    struct Run
+    {
+        Duration elapsed{};
+        /** Time of execution at full speed. */
+        Duration executed{};
+        /** Share of the requested processor time that the run may use. */
+        std::uint32_t percent = 100;
+        double weight = 1;
+    };
     struct Minion
     {
         std::string agent;
         MinionLife life;
         std::uint32_t milliCores = 0;
         std::uint64_t lastEnd = 0;
-        std::map<RunKey, TimePoint> runs;
+        std::map<RunKey, Run> runs;
         std::vector<RunEnd> finished;
+        PaceController pace;
     };
+    /** Period in which the load of a service rises and falls. */
+    static constexpr double LoadPeriodS = 12;
+    static constexpr Duration PaceInterval = std::chrono::milliseconds(200);
 
     const StepSpec &stepOf(const RunKey &key) const
     {
         return leader_.book.find(key.first.job)->steps[key.first.step];
     }
+    double latencyRatio(const Minion &minion, const StepSpec &serving, const std::string &job) const
+    {
+        const double seconds =
+            std::chrono::duration<double>(leader_.clock.now().time_since_epoch()).count();
+        const double phase = static_cast<double>(job.back() % 8) / 8;
+        double ratio =
+            0.46 + 0.15 * std::sin(2 * std::numbers::pi * (seconds / LoadPeriodS + phase));
+        for (const auto &[key, run] : minion.runs) {
+            const StepSpec &spec = stepOf(key);
+            const auto pair = interference_.find({spec.image, serving.image});
+            if (spec.filling && pair != interference_.end())
+                ratio += pair->second * spec.milliCores / 1000 * run.percent / 100;
+        }
+        return ratio;
+    }
+    std::uint32_t percentOf(const StepSpec &spec, const Run &run) const
+    {
+        if (spec.longRunning)
+            return run.elapsed >= Startup ? 100 : 0;
+        const Duration whole = std::chrono::milliseconds(std::max(spec.estimateMs, 1U));
+        return static_cast<std::uint32_t>(std::min<Duration::rep>(99, 100 * run.executed / whole));
+    }
+    std::uint32_t measurementOf(const Minion &minion, const RunKey &key, const Run &run) const
+    {
+        const StepSpec &spec = stepOf(key);
+        if (spec.filling)
+            return spec.milliCores * run.percent / 100;
+        if (spec.targetLatencyMs == 0 || run.elapsed < Startup)
+            return 0;
+        return static_cast<std::uint32_t>(spec.targetLatencyMs
+                                          * latencyRatio(minion, spec, key.first.job));
+    }
+    void execute(Minion &minion)
+    {
+        for (auto &[key, run] : minion.runs) {
+            run.elapsed += Step;
+            run.executed += Step * run.percent / 100;
+            const StepSpec &spec = stepOf(key);
+            if (spec.targetLatencyMs == 0)
+                continue;
+            servingTime_ += 1;
+            overTarget_ += measurementOf(minion, key, run) > spec.targetLatencyMs ? 1 : 0;
+        }
+    }
+    void pace(Minion &minion)
+    {
+        std::vector<PacedRun> runs;
+        for (const auto &[key, run] : minion.runs) {
+            const StepSpec &spec = stepOf(key);
+            if (spec.filling || spec.targetLatencyMs > 0)
+                runs.push_back({key, spec.filling, spec.image, spec.milliCores,
+                                spec.targetLatencyMs, measurementOf(minion, key, run), run.weight});
+        }
+        for (const PaceOrder &order : minion.pace.update(leader_.clock.now(), runs))
+            minion.runs.at(order.key).percent = order.percent;
+    }
     void finish(Minion &minion, const RunKey &key, RunEndKind how)
     {
         minion.runs.erase(key);
@@ -110,10 +191,9 @@
     void endDone(Minion &minion)
     {
         std::vector<RunKey> done;
-        for (const auto &[key, begun] : minion.runs) {
+        for (const auto &[key, run] : minion.runs) {
             const StepSpec &spec = stepOf(key);
-            if (!spec.longRunning
-                && leader_.clock.now() >= begun + std::chrono::milliseconds(spec.estimateMs))
+            if (!spec.longRunning && run.executed >= std::chrono::milliseconds(spec.estimateMs))
                 done.push_back(key);
         }
         for (const RunKey &key : done)
@@ -128,12 +208,13 @@
                          std::chrono::duration_cast<std::chrono::milliseconds>(up).count()),
                      minion.milliCores);
         report.minion.memoryMiB = 1'000'000;
-        for (const auto &[key, begun] : minion.runs) {
+        for (const auto &[key, run] : minion.runs) {
             RunStatus status;
             status.task = key.first;
             status.run = key.second;
             status.hasStartOrder = true;
-            status.percent = leader_.clock.now() >= begun + Startup ? 100 : 0;
+            status.percent = percentOf(stepOf(key), run);
+            status.latencyOrMilliCores = measurementOf(minion, key, run);
             report.running.push_back(status);
         }
         report.finished = minion.finished;
@@ -144,7 +225,13 @@
         std::erase_if(minion.finished,
                       [&](const RunEnd &end) { return end.number <= directive.acknowledgedEnd; });
         for (const StartOrder &order : directive.starts)
-            minion.runs.try_emplace({order.task, order.run}, leader_.clock.now());
+            minion.runs.try_emplace({order.task, order.run}).first->second.weight = order.weight;
+        for (const ImageInterference &pair : directive.interference)
+            minion.pace.learn(pair);
+        for (const JobWeight &weight : directive.weights) {
+            for (auto &[key, run] : minion.runs)
+                run.weight = key.first.job == weight.job ? weight.weight : run.weight;
+        }
         for (const StopOrder &order : directive.stops) {
             const RunKey key{order.task, order.run};
             if (!minion.runs.contains(key))
@@ -153,15 +240,20 @@
             finish(minion, key, RunEndKind::Stopped);
         }
         std::uint64_t claimed = 0;
-        for (const auto &[key, begun] : minion.runs)
+        for (const auto &[key, run] : minion.runs)
             claimed += stepOf(key).filling ? 0 : stepOf(key).milliCores;
         if (claimed > minion.milliCores)
             overCapacity_ = std::max(overCapacity_, claimed - minion.milliCores);
     }
     void exchange()
     {
+        const bool isPaceDue = leader_.clock.now() >= nextPace_;
+        if (isPaceDue)
+            nextPace_ = leader_.clock.now() + PaceInterval;
         for (Minion &minion : minions_) {
             endDone(minion);
+            if (isPaceDue)
+                pace(minion);
             leader_.report(minion.agent, reportFor(minion));
         }
         // Ends and starts are committed as separate batches.
@@ -180,6 +272,10 @@
     std::vector<Minion> minions_;
     std::uint64_t overCapacity_ = 0;
     std::uint64_t stops_ = 0;
+    Interference interference_;
+    TimePoint nextPace_{};
+    double servingTime_ = 0;
+    double overTarget_ = 0;
 };
 
 } // namespace Oleander::Testing
