Jobs: Rank by the progress of the runs and by an expected value

Cause: the remaining length of a job counted each step that was not done in full, so a job whose last step began in good time was ranked as late, and throttled to an eighth of its weight, shortly before it ended; its value fell in steps at the objective and at three times it, although lengths are known to about a third. The remaining work now counts the progress that the minions list, and the value falls gradually around both limits.

--- a/Source/Jobs/joborder.h
+++ b/Source/Jobs/joborder.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Jobs/jobbook.h"
+#include "Jobs/machinetable.h"
 #include "Jobs/workestimates.h"
 
 #include <cstdint>
@@ -39,9 +40,10 @@
     double weight = 0;
 };
 
-/** Ranks the job \a id of \a book at the calendar time \a nowMs. */
+/** Ranks the job \a id of \a book at the calendar time \a nowMs, with the progress of its runs in
+ * \a machines. */
 RankedJob rankJob(const std::string &id, const Job &job, const JobBook &book,
-                  const WorkEstimates &estimates, std::int64_t nowMs);
+                  const WorkEstimates &estimates, const MachineTable &machines, std::int64_t nowMs);
 
 /**
  * Orders the open jobs of \a book for placement at the calendar time \a nowMs.
@@ -53,13 +55,23 @@
  * run, so the one with the smallest share is first. No job is dropped.
  */
 std::vector<RankedJob> orderJobs(const JobBook &book, const WorkEstimates &estimates,
-                                 std::int64_t nowMs);
+                                 const MachineTable &machines, std::int64_t nowMs);
+
+/**
+ * Returns the fraction of its value that a job is expected to have.
+ *
+ * \a latenessMs is the predicted completion minus the objective \a objectiveMs. A job keeps a small
+ * part of its value up to three times the objective. The prediction is uncertain, so the fraction
+ * falls gradually around both limits. With steps in place of it, a job that is a moment behind
+ * would be throttled shortly before it completes.
+ */
+double expectedValue(double latenessMs, double objectiveMs);
 
 /**
  * Returns the value that a job can still gain per unit of remaining work.
  *
- * \a work and \a remainingWork are in core-milliseconds; \a meanWork is the mean work of the jobs
- * of its queue.
+ * \a expectedValue is the fraction of its value that the job is expected to have. \a work and
+ * \a remainingWork are in core-milliseconds; \a meanWork is the mean work of the jobs of its queue.
  *
  * Filling tasks request more processor time than the other tasks leave, all day long. Round-robin
  * or concurrent execution would make all of their jobs late. Ordering by value per remaining work
@@ -67,6 +79,6 @@
  * objective yield to those that can. As on the platform, the value of a job grows with its work, so
  * that large jobs are not starved.
  */
-double jobWeight(JobRank rank, double work, double remainingWork, double meanWork);
+double jobWeight(double expectedValue, double work, double remainingWork, double meanWork);
 
 } // namespace Oleander::Jobs
--- a/Source/Jobs/jobscheduler.cpp
+++ b/Source/Jobs/jobscheduler.cpp
@@ -4,6 +4,7 @@
 #include "Jobs/ownlatency.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace Oleander::Jobs {
 
@@ -259,14 +260,18 @@
     }
 }
 
-double JobScheduler::weightOf(const std::string &id, std::int64_t nowMs) const
+double JobScheduler::weightOf(const std::string &id, std::int64_t nowMs)
 {
-    const Job &job = *book_.find(id);
-    return rankJob(id, job, book_, estimates_, nowMs).weight;
+    if (std::exchange(weightsAtMs_, nowMs) != nowMs)
+        weights_.clear();
+    const auto [known, first] = weights_.try_emplace(id, 0);
+    if (first)
+        known->second = rankJob(id, *book_.find(id), book_, estimates_, machines_, nowMs).weight;
+    return known->second;
 }
 
 void JobScheduler::addPacing(const MinionLife &life, std::int64_t nowMs,
-                             MachineDirective &directive) const
+                             MachineDirective &directive)
 {
     const auto runs = book_.activeRuns().find(life);
     if (runs == book_.activeRuns().end())
--- a/Source/Jobs/jobscheduler.h
+++ b/Source/Jobs/jobscheduler.h
@@ -84,8 +84,9 @@
                    const Machine &machine, MachineDirective &directive);
     /** Adds the interference between the images on the minion \a life and the weights of the jobs
      * that have filling runs there. */
-    void addPacing(const MinionLife &life, std::int64_t nowMs, MachineDirective &directive) const;
-    double weightOf(const std::string &id, std::int64_t nowMs) const;
+    void addPacing(const MinionLife &life, std::int64_t nowMs, MachineDirective &directive);
+    /** Weight of the job \a id; computed once for each \a nowMs. */
+    double weightOf(const std::string &id, std::int64_t nowMs);
     bool mustStop(const RunKey &key) const;
     /** True if \a key has to leave the machine because it drains or is disturbed. */
     bool mustEvacuate(TimePoint now, const Machine &machine, const RunKey &key) const;
@@ -112,6 +113,9 @@
     /** Filling runs that are being stopped in order to continue on another minion. */
     std::set<RunKey> movingRuns_;
     std::vector<RunMove> moves_;
+    /** Weights of jobs at weightsAtMs_. */
+    std::map<std::string, double> weights_;
+    std::int64_t weightsAtMs_ = 0;
     TimePoint nextSweep_{};
 };
 
--- a/Source/Jobs/taskplacer.cpp
+++ b/Source/Jobs/taskplacer.cpp
@@ -96,7 +96,7 @@
     if (candidates_.empty())
         return {};
     applyReservations();
-    std::vector<RankedJob> ordered = orderJobs(book_, estimates_, nowMs);
+    std::vector<RankedJob> ordered = orderJobs(book_, estimates_, machines_, nowMs);
     for (const Pass pass : {Pass::Prioritized, Pass::Other}) {
         for (const RankedJob &ranked : ordered)
             placeJob(ranked, pass);
--- a/Source/Jobs/workestimates.cpp
+++ b/Source/Jobs/workestimates.cpp
@@ -22,8 +22,7 @@
 
 } // namespace
 
-std::int64_t criticalPathMs(const Job &job, const std::vector<double> &durations,
-                            bool remainingOnly)
+std::int64_t criticalPathMs(const Job &job, const std::vector<double> &durations)
 {
     std::vector<double> ends(job.steps.size(), 0);
     double longest = 0;
@@ -31,21 +30,19 @@
         double start = 0;
         for (const std::uint32_t earlier : job.steps[i].dependsOn)
             start = std::max(start, ends[earlier]);
-        const bool counts = !remainingOnly || !job.isStepDone(i);
-        ends[i] = start + (counts ? durations[i] : 0);
+        ends[i] = start + durations[i];
         longest = std::max(longest, ends[i]);
     }
     return std::llround(longest);
 }
 
-double jobWork(const Job &job, const std::vector<double> &durations, bool remainingOnly)
+double jobWork(const Job &job, const std::vector<double> &durations)
 {
     double work = 0;
     for (std::uint32_t i = 0; i < job.steps.size(); ++i) {
         const StepSpec &step = job.steps[i];
-        const std::uint32_t tasks = remainingOnly ? step.count - job.doneCounts[i] : step.count;
         if (!step.longRunning)
-            work += tasks * (step.milliCores / MilliCores) * durations[i];
+            work += step.count * (step.milliCores / MilliCores) * durations[i];
     }
     return work;
 }
@@ -104,7 +101,7 @@
             sum.declared += std::log(step.estimateMs);
             sum.steps += 1;
         }
-        sum.work += jobWork(job, taskDurations(id, job), false);
+        sum.work += jobWork(job, taskDurations(id, job));
         sum.jobs += 1;
     }
     for (const auto &[name, sum] : sums) {
--- a/Source/Jobs/workestimates.h
+++ b/Source/Jobs/workestimates.h
@@ -10,12 +10,10 @@
 namespace Oleander::Jobs {
 
 /** Returns the duration in milliseconds of the longest dependency chain of \a job, whose steps take
- * \a durations. With \a remainingOnly, steps that are done count as zero. */
-std::int64_t criticalPathMs(const Job &job, const std::vector<double> &durations,
-                            bool remainingOnly);
-/** Returns the work of \a job in core-milliseconds. With \a remainingOnly, tasks that are done are
- * excluded. Long-running steps count as zero. */
-double jobWork(const Job &job, const std::vector<double> &durations, bool remainingOnly);
+ * \a durations. */
+std::int64_t criticalPathMs(const Job &job, const std::vector<double> &durations);
+/** Returns the work of \a job in core-milliseconds. Long-running steps count as zero. */
+double jobWork(const Job &job, const std::vector<double> &durations);
 
 /**
  * \class WorkEstimates
--- a/Tests/Jobs/jobordertest.cpp
+++ b/Tests/Jobs/jobordertest.cpp
@@ -1,8 +1,10 @@
 #include "Jobs/joborder.h"
 
 #include "jobfixture.h"
+#include "Jobs/remainingwork.h"
 
 #include <algorithm>
+#include <cmath>
 
 using namespace Oleander;
 using namespace Oleander::Testing;
@@ -64,7 +66,7 @@
     longRunningStep.longRunning = true;
     book.submit("lasting", {longRunningStep});
     book.submit("fresh", {step(1)});
-    const auto ordered = orderJobs(book.book, WorkEstimates(), book.nowMs);
+    const auto ordered = orderJobs(book.book, WorkEstimates(), MachineTable({}), book.nowMs);
     REQUIRE(ordered.size() == 4);
     CHECK(ordered[0].id == "fresh");
     CHECK(ordered[1].id == "lasting");
@@ -78,7 +80,7 @@
     const auto weight = [&](const std::string &id) {
         WorkEstimates estimates;
         estimates.refresh(book.book);
-        const auto ordered = orderJobs(book.book, estimates, book.nowMs);
+        const auto ordered = orderJobs(book.book, estimates, MachineTable({}), book.nowMs);
         return std::ranges::find(ordered, id, &RankedJob::id)->weight;
     };
     book.submit("small", {step(2)});
@@ -121,8 +123,41 @@
     book.submit("j", {step(1), step(1, 1'000, {0}), step(1)});
     const Job &job = *book.book.find("j");
     const std::vector<double> durations = WorkEstimates().taskDurations("j", job);
-    CHECK(criticalPathMs(job, durations, false) == 2'000);
+    CHECK(criticalPathMs(job, durations) == 2'000);
     REQUIRE(book.start({"j", 0, 0}, 1, LifeA));
     book.end({"j", 0, 0}, 1, LifeA, RunEndKind::Done);
-    CHECK(criticalPathMs(job, durations, true) == 1'000);
+    CHECK(remainingWork("j", job, durations, MachineTable({})).criticalPathMs == 1'000);
+}
+
+TEST_CASE("The remaining work counts the progress that the minions list")
+{
+    SchedulerFixture leader;
+    leader.report("agent-a", reportOf(LifeA, 1'000));
+    leader.directive("agent-a");
+    leader.submit("j", {step(2), step(1, 1'000, {0})});
+    REQUIRE(leader.decide().starts.size() == 2);
+    const Job &job = *leader.book.find("j");
+    const auto remaining = [&] {
+        return remainingWork("j", job, {1'000.0, 1'000.0}, leader.scheduler.machines());
+    };
+    const double workAtStart = remaining().work;
+    CHECK(remaining().criticalPathMs == Approx(2'000));
+    MachineReport report = reportOf(LifeA, 1'500);
+    report.running = {{{"j", 0, 0}, 1, "", 90, 1'000, true}, {{"j", 0, 1}, 1, "", 40, 1'000, true}};
+    leader.report("agent-a", report);
+    // The step ends with its slowest task.
+    CHECK(remaining().criticalPathMs == Approx(1'600));
+    CHECK(remaining().work < workAtStart);
+}
+
+TEST_CASE("The value of a job falls gradually around its objective")
+{
+    constexpr double Objective = 10'000;
+    CHECK(expectedValue(-Objective, Objective) > 0.95);
+    CHECK(expectedValue(0, Objective) == Approx(0.575).margin(0.01));
+    CHECK(expectedValue(Objective, Objective) == Approx(0.15).margin(0.05));
+    CHECK(expectedValue(4 * Objective, Objective) == Approx(0.01).margin(0.01));
+    // A moment of lateness changes little.
+    CHECK(expectedValue(100, Objective) > 0.95 * expectedValue(-100, Objective));
+    CHECK(std::isfinite(expectedValue(1e12, 0)));
 }
--- a/Tests/Jobs/workestimatestest.cpp
+++ b/Tests/Jobs/workestimatestest.cpp
@@ -33,8 +33,8 @@
     for (int i = 0; i < 10; ++i)
         estimates.observe("j", job, 0, 2'000);
     CHECK(estimates.taskDurationMs("j", job, 0) == Approx(2'000));
-    CHECK(criticalPathMs(job, estimates.taskDurations("j", job), false) == 2'000);
-    CHECK(jobWork(job, estimates.taskDurations("j", job), false) == Approx(8'000));
+    CHECK(criticalPathMs(job, estimates.taskDurations("j", job)) == 2'000);
+    CHECK(jobWork(job, estimates.taskDurations("j", job)) == Approx(8'000));
 }
 
 TEST_CASE("Declared durations that predict poorly have little weight")
