Jobs: Exempt unknown pairs and starved jobs from the limit for one task

Cause, found by reading: a filling task of more than ten cores was never placed beside a service whose pair with its image had not been observed (0.015 per core is assumed), so it could not be observed either; and a job that interferes strongly with every service waited for ever. Pairs without observations are no longer limited, and a job that has had no run for 1.5 s is limited by the available time only.

Two tests, both seen to fail before.

--- a/Source/Jobs/interferencetable.cpp
+++ b/Source/Jobs/interferencetable.cpp
@@ -104,8 +104,11 @@
                                        const std::vector<ServingSample> &serving) const
 {
     double cores = std::numeric_limits<double>::max();
-    for (const ServingSample &other : serving)
-        cores = std::min(cores, MaxTaskIncrease / interferencePerCore(image, other.image));
+    for (const ServingSample &other : serving) {
+        const auto known = interferencePerCore_.find({image, other.image});
+        if (known != interferencePerCore_.end())
+            cores = std::min(cores, MaxTaskIncrease / known->second);
+    }
     return cores;
 }
 
--- a/Source/Jobs/interferencetable.h
+++ b/Source/Jobs/interferencetable.h
@@ -53,7 +53,8 @@
     double availableCores(const std::string &image, const std::vector<ServingSample> &serving,
                           const FillingCores &present) const;
     /** Returns how many cores of \a image one task may use beside \a serving. A strongly
-     * interfering task would take the headroom that several others could use. */
+     * interfering task would take the headroom that several others could use. Pairs without
+     * observations are not limited; otherwise a large task would never be observed. */
     double maxTaskCores(const std::string &image, const std::vector<ServingSample> &serving) const;
     /** Estimates the latency ratio of \a sample without the filling tasks that use \a used. */
     double latencyRatioWithoutFilling(const ServingSample &sample, const FillingCores &used) const;
--- a/Source/Jobs/taskplacer.cpp
+++ b/Source/Jobs/taskplacer.cpp
@@ -151,7 +151,7 @@
         if (queue == nullptr)
             continue;
         Candidate *best = chooseMinion(step, queue->service, job.tasks[ref.step][ref.index],
-                                       queue->maxAttempts, false, {});
+                                       queue->maxAttempts, FillingLimit::TaskInterference, {});
         if (best == nullptr)
             full.insert({ref.job, ref.step});
         if (best == nullptr || best == run.at)
@@ -225,7 +225,8 @@
     }
     // On a claimed service the task would only disturb serving tasks and use capacity of jobs that
     // can still meet their objective.
-    bool urgent = spec.filling && isStarved(*ranked.job, nowMs_) && isMostlyIdle(queue->service);
+    const bool starved = spec.filling && isStarved(*ranked.job, nowMs_);
+    bool urgent = starved && isMostlyIdle(queue->service);
     bool full = false;
     for (std::uint32_t index = 0; index < tasks.size(); ++index) {
         const Task &task = tasks[index];
@@ -240,8 +241,12 @@
         // fit the others are skipped unless they have a reservation.
         if (full && !reserved)
             continue;
-        Candidate *best = chooseMinion(spec, queue->service, task, queue->maxAttempts,
-                                       std::exchange(urgent, false), spread);
+        // A task that interferes strongly everywhere would otherwise wait forever.
+        FillingLimit limit = starved ? FillingLimit::Available : FillingLimit::TaskInterference;
+        if (std::exchange(urgent, false))
+            limit = FillingLimit::None;
+        Candidate *best =
+            chooseMinion(spec, queue->service, task, queue->maxAttempts, limit, spread);
         if (best == nullptr && reserved)
             applyReservation(ref, spec);
         full = full || (best == nullptr && !reserved);
@@ -328,7 +333,7 @@
 
 TaskPlacer::Candidate *TaskPlacer::chooseMinion(const StepSpec &step, const std::string &service,
                                                 const Task &task, std::uint32_t maxAttempts,
-                                                bool urgent,
+                                                FillingLimit fillingLimit,
                                                 const std::map<MinionLife, std::uint32_t> &spread)
 {
     const bool lastAttempt = !step.longRunning && task.failures + 1 >= maxAttempts;
@@ -351,8 +356,10 @@
         std::int64_t score = -free;
         if (step.filling) {
             const FillingCapacity &capacity = fillingCapacity(candidate, step.image);
-            const std::int64_t limit = std::min(capacity.available, capacity.perTask);
-            if (!urgent && limit < static_cast<std::int64_t>(step.milliCores))
+            const auto milliCores = static_cast<std::int64_t>(step.milliCores);
+            if (fillingLimit != FillingLimit::None && capacity.available < milliCores)
+                continue;
+            if (fillingLimit == FillingLimit::TaskInterference && capacity.perTask < milliCores)
                 continue;
             score = capacity.available;
         }
--- a/Source/Jobs/taskplacer.h
+++ b/Source/Jobs/taskplacer.h
@@ -77,6 +77,16 @@
         std::vector<const StepSpec *> reserved;
     };
 
+    /** What limits the placement of a filling task on a minion. */
+    enum class FillingLimit {
+        /** The available processor time, and the interference of the task itself. */
+        TaskInterference,
+        /** The available processor time. */
+        Available,
+        /** Nothing. */
+        None,
+    };
+
     /** Passes over the jobs, in this order. */
     enum class Pass { Prioritized, Other, Filling };
 
@@ -90,7 +100,7 @@
     void placeJob(const RankedJob &ranked, Pass pass);
     void placeStep(const RankedJob &ranked, std::uint32_t step, Pass pass);
     Candidate *chooseMinion(const StepSpec &step, const std::string &service, const Task &task,
-                            std::uint32_t maxAttempts, bool urgent,
+                            std::uint32_t maxAttempts, FillingLimit fillingLimit,
                             const std::map<MinionLife, std::uint32_t> &spread);
     /** True if \a tasks tasks of \a step fit on \a service. */
     bool hasCapacityFor(std::uint64_t tasks, const StepSpec &step,
--- a/Tests/Jobs/interferencetest.cpp
+++ b/Tests/Jobs/interferencetest.cpp
@@ -116,6 +116,52 @@
     CHECK(learned.interferencePerCore("quiet", "web") < 0.01);
 }
 
+TEST_CASE("A task that interferes strongly with every service is placed once its job is starved")
+{
+    constexpr double LoudPerCore = 0.08;
+    SchedulerFixture leader;
+    LearnedInterference learned;
+    learned.interference = {{"loud", "web", LoudPerCore}};
+    leader.scheduler.interference().importLearned(learned);
+    StepSpec serving = step(1, 30'000);
+    serving.longRunning = true;
+    serving.targetLatencyMs = 100;
+    serving.image = "web";
+    leader.submit("s", {serving});
+    StepSpec filling = step(2, 4'000);
+    filling.filling = true;
+    filling.image = "loud";
+    const auto report = [&](std::uint64_t clockMs) {
+        leader.report("agent-a", reportOf(LifeA, clockMs, 40'000));
+        leader.directive("agent-a");
+    };
+    report(1'000);
+    REQUIRE(leader.decide().starts.size() == 1);
+    leader.submit("f", {filling});
+    CHECK(leader.decide().starts.empty());
+    leader.advance(1'600ms);
+    report(2'600);
+    CHECK_FALSE(leader.decide().starts.empty());
+}
+
+TEST_CASE("A large task of an image without observations is placed beside a service")
+{
+    SchedulerFixture leader;
+    StepSpec serving = step(1, 6'000);
+    serving.longRunning = true;
+    serving.targetLatencyMs = 100;
+    serving.image = "web";
+    leader.submit("s", {serving});
+    leader.report("agent-a", reportOf(LifeA, 1'000, 40'000));
+    leader.directive("agent-a");
+    REQUIRE(leader.decide().starts.size() == 1);
+    StepSpec filling = step(1, 16'000);
+    filling.filling = true;
+    filling.image = "unknown";
+    leader.submit("f", {filling});
+    CHECK(leader.decide().starts.size() == 1);
+}
+
 TEST_CASE("A table that imports learned values gives the same results as the exporting table")
 {
     InterferenceTable table;
