Storage: Log what a control host reads from its data folder at start

After a loss of power a control host refused its disk because a record was missing, and the logs could not tell whether the process before it had read that record. control.storage-opened tells it at each start.

--- a/Source/Entry/replicatask.cpp
+++ b/Source/Entry/replicatask.cpp
@@ -37,6 +37,13 @@
                  {{"bytes", std::to_string(folder->tornBytes())}});
     }
     StoredReplica stored = folder->takeStored();
+    logEvent(LogEvent::StorageOpened, Step::Restart, options.name,
+             {{"segments", std::to_string(folder->segmentCount())},
+              {"bytes", std::to_string(folder->logBytes())},
+              {"last_record", std::to_string(folder->lastSequence())},
+              {"last_index", std::to_string(stored.snapshot.index + stored.entries.size())},
+              {"snapshot", std::to_string(stored.snapshot.index)},
+              {"term", std::to_string(stored.hardState.term)}});
     if (stored.snapshot.index > 0) {
         if (auto restored = machine.restore(*stored.snapshot.data); !restored)
             return restored;
--- a/Source/Runtime/logevent.cpp
+++ b/Source/Runtime/logevent.cpp
@@ -64,6 +64,7 @@
     {LogEvent::StorageStalled, LogLevel::Error, "control.storage-stalled"},
     {LogEvent::StorageResumed, LogLevel::Info, "control.storage-resumed"},
     {LogEvent::LeaderFollowed, LogLevel::Info, "control.leader-followed"},
+    {LogEvent::StorageOpened, LogLevel::Info, "control.storage-opened"},
 
     {LogEvent::RecordAccepted, LogLevel::Info, "record.accepted"},
     {LogEvent::RecordRefused, LogLevel::Info, "record.refused"},
--- a/Source/Runtime/logevent.h
+++ b/Source/Runtime/logevent.h
@@ -65,6 +65,7 @@
     StorageStalled = 4010,
     StorageResumed = 4011,
     LeaderFollowed = 4012,
+    StorageOpened = 4013,
 
     RecordAccepted = 5000,
     RecordRefused = 5001,
--- a/Source/Storage/datafolder.h
+++ b/Source/Storage/datafolder.h
@@ -36,6 +36,9 @@
     bool mayForm() const { return mayForm_; }
     /** Bytes of an incomplete record that were cut from the end of the log when it was opened. */
     std::uint64_t tornBytes() const { return tornBytes_; }
+    /** Sequence number of the last record; 0 if there is none. */
+    std::uint64_t lastSequence() const { return nextSequence_ - 1; }
+    std::size_t segmentCount() const { return segments_.size(); }
     const std::string &path() const { return path_; }
     /** Total size of all log segments. */
     std::uint64_t logBytes() const;
