tests: Lose power after a kill, with a disk that keeps only what was synced

SimulatedDisk replaces fsync() and fdatasync() of the test program: a kill leaves what was written, as the caches of the system do, and a loss of power takes what was not synced.

--- a/Tests/Storage/datafoldertest.cpp
+++ b/Tests/Storage/datafoldertest.cpp
@@ -6,22 +6,6 @@
 
 namespace {
 
-std::vector<std::string> commandsOf(const StoredReplica &stored)
-{
-    std::vector<std::string> commands;
-    for (const LogEntry &entry : stored.entries)
-        commands.push_back(entry.bytes);
-    return commands;
-}
-
-DataFolder openFolder(const TestFolder &folder)
-{
-    auto result = DataFolder::open(folder.path());
-    INFO((result ? std::string() : result.error().text()));
-    REQUIRE(result.has_value());
-    return std::move(*result);
-}
-
 using Commands = std::vector<std::string>;
 
 } // namespace
--- /dev/null
+++ b/Tests/Storage/powerlosstest.cpp
@@ -0,0 +1,102 @@
+#include "Storage/simulateddisk.h"
+#include "Storage/testfolder.h"
+
+using namespace Oleander;
+
+namespace {
+
+/** What a replica would rely on after a start. */
+struct Contents
+{
+    HardState hardState;
+    std::uint64_t snapshotIndex = 0;
+    std::vector<std::string> commands;
+
+    bool operator==(const Contents &) const = default;
+};
+
+Contents contentsOf(const TestFolder &folder)
+{
+    const StoredReplica stored = openFolder(folder).takeStored();
+    return {stored.hardState, stored.snapshot.index, commandsOf(stored)};
+}
+
+/** Fails the test on an error; REQUIRE would also catch ProcessKilled. */
+void requireDone(const Result<void> &result)
+{
+    REQUIRE(result.has_value());
+}
+
+/** Two starts with writes, snapshots of both kinds and removal of files. */
+void runReplica(const TestFolder &folder)
+{
+    {
+        DataFolder data = openFolder(folder);
+        requireDone(data.write({hardStateOf(1, 77), entriesAt(1, {"one", "two"})}));
+        requireDone(data.write({hardStateOf(2, 77), entriesAt(2, {"other", "three"}, 2)}));
+        requireDone(data.saveSnapshot(snapshotAt(2, 2, "state")));
+    }
+    DataFolder data = openFolder(folder);
+    requireDone(data.write({entriesAt(4, {"four"}, 2)}));
+    requireDone(data.removeObsoleteFiles(2));
+    WriteBatch received;
+    received.snapshot = snapshotAt(9, 3, "received");
+    requireDone(data.write({hardStateOf(3, 77), received, entriesAt(10, {"ten"}, 3)}));
+    requireDone(data.write({entriesAt(11, {"eleven"}, 3)}));
+}
+
+/** Runs \a run and returns true if the sync after \a syncs more killed it. */
+bool killsWithin(SimulatedDisk &disk, unsigned syncs, const std::function<void()> &run)
+{
+    disk.killAfter(syncs);
+    bool killed = false;
+    try {
+        run();
+    } catch (const ProcessKilled &) {
+        killed = true;
+    }
+    disk.stopKilling();
+    return killed;
+}
+
+} // namespace
+
+TEST_CASE("A record found after a kill is not lost by a later loss of power")
+{
+    const TestFolder folder;
+    SimulatedDisk disk(folder.root());
+    {
+        DataFolder data = openFolder(folder);
+        REQUIRE(data.write({hardStateOf(1, 77), entriesAt(1, {"one"})}));
+        REQUIRE(
+            killsWithin(disk, 0, [&] { static_cast<void>(data.write({entriesAt(2, {"two"})})); }));
+    }
+    REQUIRE(contentsOf(folder).commands == std::vector<std::string>{"one", "two"});
+    SECTION("nothing is written after the restart") {}
+    SECTION("the log continues in a new segment")
+    {
+        DataFolder data = openFolder(folder);
+        REQUIRE(data.write({entriesAt(3, {"three"})}));
+    }
+    const Contents before = contentsOf(folder);
+    disk.losePower();
+    CHECK(contentsOf(folder) == before);
+}
+
+TEST_CASE("What a start finds after a kill at any sync is not lost by a later loss of power")
+{
+    bool killed = true;
+    for (unsigned first = 0; killed; ++first) {
+        bool killedAgain = true;
+        for (unsigned second = 0; killedAgain; ++second) {
+            const TestFolder folder;
+            SimulatedDisk disk(folder.root());
+            killed = killsWithin(disk, first, [&] { runReplica(folder); });
+            killedAgain = killsWithin(disk, second, [&] { openFolder(folder); });
+            INFO("killed at sync " << first << ", then at sync " << second);
+            const Contents before = contentsOf(folder);
+            disk.losePower();
+            CHECK(contentsOf(folder) == before);
+        }
+    }
+}
--- /dev/null
+++ b/Tests/Storage/simulateddisk.cpp
@@ -0,0 +1,171 @@
+#include "Storage/simulateddisk.h"
+
+#include "Storage/testfolder.h"
+
+#include <fcntl.h>
+#include <sys/stat.h>
+#include <sys/syscall.h>
+#include <unistd.h>
+
+#include <array>
+#include <utility>
+
+namespace Oleander {
+
+namespace {
+
+SimulatedDisk *currentDisk = nullptr;
+
+ino_t inodeOf(const std::string &path)
+{
+    struct stat status = {};
+    REQUIRE(::lstat(path.c_str(), &status) == 0);
+    return status.st_ino;
+}
+
+std::string pathOf(int descriptor)
+{
+    const std::string link = "/proc/self/fd/" + std::to_string(descriptor);
+    std::array<char, 4096> target{};
+    const ssize_t length = ::readlink(link.c_str(), target.data(), target.size());
+    return length < 0 ? std::string()
+                      : std::string(target.data(), static_cast<std::size_t>(length));
+}
+
+} // namespace
+
+SimulatedDisk::SimulatedDisk(std::string root) : root_(std::move(root))
+{
+    REQUIRE(currentDisk == nullptr);
+    currentDisk = this;
+    rootInode_ = inodeOf(root_);
+    markAllSynced(root_);
+}
+
+SimulatedDisk::~SimulatedDisk()
+{
+    currentDisk = nullptr;
+    for (const int descriptor : kept_)
+        ::close(descriptor);
+}
+
+void SimulatedDisk::countSync()
+{
+    if (!remainingSyncs_)
+        return;
+    if (*remainingSyncs_ == 0)
+        throw ProcessKilled();
+    --*remainingSyncs_;
+}
+
+bool SimulatedDisk::sync(int descriptor)
+{
+    const std::string path = pathOf(descriptor);
+    if (path.rfind(root_, 0) != 0)
+        return false;
+    countSync();
+    struct stat status = {};
+    REQUIRE(::fstat(descriptor, &status) == 0);
+    if (S_ISDIR(status.st_mode))
+        syncEntries(path, status.st_ino);
+    else
+        files_[status.st_ino] = fileBytes("/proc/self/fd/" + std::to_string(descriptor));
+    return true;
+}
+
+void SimulatedDisk::keep(const std::string &path)
+{
+    kept_.push_back(::open(path.c_str(), O_PATH | O_CLOEXEC | O_NOFOLLOW));
+    REQUIRE(kept_.back() >= 0);
+}
+
+void SimulatedDisk::syncEntries(const std::string &folder, ino_t inode)
+{
+    Entries entries;
+    for (const auto &item : std::filesystem::directory_iterator(folder)) {
+        const ino_t child = inodeOf(item.path());
+        entries[item.path().filename()] = child;
+        if (item.is_directory())
+            folders_.try_emplace(child);
+        keep(item.path());
+    }
+    folders_[inode] = std::move(entries);
+}
+
+void SimulatedDisk::markAllSynced(const std::string &folder)
+{
+    syncEntries(folder, inodeOf(folder));
+    for (const auto &item : std::filesystem::directory_iterator(folder)) {
+        if (item.is_directory())
+            markAllSynced(item.path());
+        else
+            files_[inodeOf(item.path())] = fileBytes(item.path());
+    }
+}
+
+void SimulatedDisk::losePower(const Survives &survives)
+{
+    restore(root_, rootInode_, survives);
+    for (const int descriptor : kept_)
+        ::close(descriptor);
+    kept_.clear();
+    folders_.clear();
+    files_.clear();
+    markAllSynced(root_);
+}
+
+void SimulatedDisk::restore(const std::string &folder, ino_t inode, const Survives &survives)
+{
+    Entries present;
+    for (const auto &item : std::filesystem::directory_iterator(folder))
+        present[item.path().filename()] = inodeOf(item.path());
+    Entries restored = folders_[inode];
+    Entries names = present;
+    names.insert(restored.begin(), restored.end());
+    for (const auto &[name, unused] : names) {
+        const auto before = restored.find(name);
+        const auto after = present.find(name);
+        const bool changed =
+            before == restored.end() || after == present.end() || before->second != after->second;
+        if (!changed || !survives())
+            continue;
+        restored.erase(name);
+        if (after != present.end())
+            restored[name] = after->second;
+    }
+    // Removed or renamed folders are restored from what was synced of them, like files.
+    for (const auto &[name, child] : restored) {
+        const std::string path = folder + "/" + name;
+        const auto found = present.find(name);
+        const bool inPlace = found != present.end() && found->second == child;
+        if (!inPlace)
+            std::filesystem::remove_all(path);
+        if (folders_.contains(child)) {
+            std::filesystem::create_directory(path);
+            restore(path, child, survives);
+        } else {
+            setFileBytes(path, files_[child]);
+        }
+    }
+    for (const auto &[name, unused] : present) {
+        if (!restored.contains(name))
+            std::filesystem::remove_all(folder + "/" + name);
+    }
+}
+
+} // namespace Oleander
+
+// These definitions take precedence over those of the C library in this program.
+extern "C" int fsync(int descriptor)
+{
+    if (Oleander::currentDisk != nullptr && Oleander::currentDisk->sync(descriptor))
+        return 0;
+    return static_cast<int>(::syscall(SYS_fsync, descriptor));
+}
+
+extern "C" int fdatasync(int descriptor)
+{
+    if (Oleander::currentDisk != nullptr && Oleander::currentDisk->sync(descriptor))
+        return 0;
+    return static_cast<int>(::syscall(SYS_fdatasync, descriptor));
+}
--- a/Tests/Storage/testfolder.h
+++ b/Tests/Storage/testfolder.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Control/replicaoutput.h"
+#include "Storage/datafolder.h"
 
 #include <catch2/catch.hpp>
 #include <sys/resource.h>
@@ -11,6 +12,7 @@
 #include <fstream>
 #include <iterator>
 #include <string>
+#include <vector>
 
 namespace Oleander {
 
@@ -32,6 +34,7 @@
     TestFolder(const TestFolder &) = delete;
     TestFolder &operator=(const TestFolder &) = delete;
 
+    const std::string &root() const { return root_; }
     std::string path() const { return root_ + "/data"; }
     /** Path of log segment \a number. */
     std::string segment(int number) const
@@ -76,6 +79,14 @@
     file << bytes;
 }
 
+inline DataFolder openFolder(const TestFolder &folder)
+{
+    auto result = DataFolder::open(folder.path());
+    INFO((result ? std::string() : result.error().text()));
+    REQUIRE(result.has_value());
+    return std::move(*result);
+}
+
 /** Returns a batch that writes one entry per command, starting at \a firstIndex. */
 inline WriteBatch entriesAt(std::uint64_t firstIndex, std::initializer_list<std::string> commands,
                             std::uint64_t term = 1)
@@ -94,6 +105,14 @@
     return batch;
 }
 
+inline std::vector<std::string> commandsOf(const StoredReplica &stored)
+{
+    std::vector<std::string> commands;
+    for (const LogEntry &entry : stored.entries)
+        commands.push_back(entry.bytes);
+    return commands;
+}
+
 inline Snapshot snapshotAt(std::uint64_t index, std::uint64_t term, const std::string &data)
 {
     return {index, term, Membership{{{"a", 1, true}}}, std::make_shared<const std::string>(data)};
