Storage: Sync what was loaded before a replica relies on it

Cause: a process that is killed between a write and its sync leaves a record that only the system's cache holds. The next process read it, counted it as stored (it votes and acknowledges on it) and went on in a new segment, and only that one was ever synced. A loss of power took the record; the next start then found a gap in the log and refused the whole folder. With one disk lost, no majority was left.

Class of fault: state that is read at a start and relied on without being known to be on the disk. Everything that open() loads is synced now, files and names, before it is used.

--- a/Source/Storage/datafolder.cpp
+++ b/Source/Storage/datafolder.cpp
@@ -157,7 +157,7 @@
             return loaded;
         nextSegmentNumber_ = number + 1;
     }
-    return finishLoad();
+    return syncLoaded().and_then([&] { return finishLoad(); });
 }
 
 Result<void> DataFolder::loadSnapshot(std::uint64_t index)
@@ -193,7 +193,7 @@
             auto file = StorageFile::openExisting(path);
             if (!file)
                 return tl::make_unexpected(file.error());
-            return file->truncate(offset).and_then([&] { return file->sync(); });
+            return file->truncate(offset);
         }
         const std::size_t size = found->size;
         if (auto replayed = replay(path, offset, std::move(*found)); !replayed)
@@ -240,6 +240,20 @@
     return {};
 }
 
+Result<void> DataFolder::syncLoaded()
+{
+    // A process that was killed may have left data that only the system's cache holds, in files and
+    // in the names of files.
+    for (const Segment &segment : segments_) {
+        auto file = StorageFile::openExisting(segmentPath(segment.number));
+        if (!file)
+            return tl::make_unexpected(file.error());
+        if (auto synced = file->sync(); !synced)
+            return synced;
+    }
+    return syncFolder(logFolder());
+}
+
 Result<void> DataFolder::finishLoad()
 {
     std::vector<LogEntry> &entries = stored_.entries;
--- a/Source/Storage/datafolder.h
+++ b/Source/Storage/datafolder.h
@@ -22,7 +22,10 @@
 class DataFolder
 {
 public:
-    /** Opens \a path, creating it if necessary, and locks it against other processes. */
+    /**
+     * Opens \a path, creating it if necessary, and locks it against other processes. Everything that
+     * is loaded is on disk when this returns.
+     */
     static Result<DataFolder> open(const std::string &path);
     /**
      * Moves the damaged log to a subfolder and opens the folder as an empty one, marked so that its
@@ -64,6 +67,7 @@
     Result<void> loadSnapshot(std::uint64_t index);
     Result<void> loadSegment(std::uint64_t number, bool last);
     Result<void> replay(const std::string &file, std::size_t offset, DecodedRecord found);
+    Result<void> syncLoaded();
     Result<void> finishLoad();
     Result<void> startSegment();
     Result<void> appendRecords(const std::vector<WriteBatch> &batches, std::uint64_t &sequence);
