Storage: Sync the names of all folders that are created for the data folder

Cause: create_directories() may create several levels, but only the name of the last one was synced. After a loss of power the data folder was gone with all that had been acknowledged, and the host came back as if its disk had been lost. Each created level is synced now, and so is the name of the folder that the first one is created in, as the process may have been killed there before.

Test: a data folder three levels deep, killed at each sync of its first start; before, the log was empty after the loss of power for each kill ("killed at sync 0" to 3). The simulated disk no longer syncs folders elsewhere.

--- a/Source/Storage/datafolder.cpp
+++ b/Source/Storage/datafolder.cpp
@@ -54,15 +54,22 @@
     return names;
 }
 
+/** Creates \a folder and its missing parents, and syncs the name of each. */
 Result<void> createFolder(const std::string &folder)
 {
+    const std::string parent = std::filesystem::absolute(folder).parent_path().string();
     std::error_code error;
-    std::filesystem::create_directories(folder, error);
+    if (!std::filesystem::exists(folder)) {
+        // The name of an existing parent is synced too: a process may have been killed after it
+        // created the parent.
+        if (auto created = createFolder(parent); !created)
+            return created;
+        std::filesystem::create_directory(folder, error);
+    }
     if (error) {
         return fail(Failure::Io, Step::Restart, {},
                     fmt::format("Cannot create \"{}\": {}.", folder, error.message()));
     }
-    const std::string parent = std::filesystem::absolute(folder).parent_path().string();
     return syncFolder(parent);
 }
 
--- a/Tests/Storage/powerlosstest.cpp
+++ b/Tests/Storage/powerlosstest.cpp
@@ -100,3 +100,17 @@
         }
     }
 }
+
+TEST_CASE("A data folder below folders that it created is not lost by a loss of power")
+{
+    bool killed = true;
+    for (unsigned syncs = 0; killed; ++syncs) {
+        const TestFolder folder("/region/host/data");
+        SimulatedDisk disk(folder.root());
+        killed = killsWithin(disk, syncs, [&] { openFolder(folder); });
+        REQUIRE(openFolder(folder).write({entriesAt(1, {"one"})}));
+        disk.losePower();
+        INFO("killed at sync " << syncs);
+        CHECK(contentsOf(folder).commands == std::vector<std::string>{"one"});
+    }
+}
--- a/Tests/Storage/simulateddisk.cpp
+++ b/Tests/Storage/simulateddisk.cpp
@@ -58,19 +58,21 @@
     --*remainingSyncs_;
 }
 
-bool SimulatedDisk::sync(int descriptor)
+void SimulatedDisk::sync(int descriptor)
 {
     const std::string path = pathOf(descriptor);
     if (path.rfind(root_, 0) != 0)
-        return false;
+        return;
     countSync();
     struct stat status = {};
     REQUIRE(::fstat(descriptor, &status) == 0);
-    if (S_ISDIR(status.st_mode))
+    if (S_ISDIR(status.st_mode)) {
         syncEntries(path, status.st_ino);
-    else
-        files_[status.st_ino] = fileBytes("/proc/self/fd/" + std::to_string(descriptor));
-    return true;
+        return;
+    }
+    files_[status.st_ino] = fileBytes("/proc/self/fd/" + std::to_string(descriptor));
+    kept_.push_back(::dup(descriptor));
+    REQUIRE(kept_.back() >= 0);
 }
 
 void SimulatedDisk::keep(const std::string &path)
@@ -158,14 +160,16 @@
 // These definitions take precedence over those of the C library in this program.
 extern "C" int fsync(int descriptor)
 {
-    if (Oleander::currentDisk != nullptr && Oleander::currentDisk->sync(descriptor))
-        return 0;
-    return static_cast<int>(::syscall(SYS_fsync, descriptor));
+    if (Oleander::currentDisk == nullptr)
+        return static_cast<int>(::syscall(SYS_fsync, descriptor));
+    Oleander::currentDisk->sync(descriptor);
+    return 0;
 }
 
 extern "C" int fdatasync(int descriptor)
 {
-    if (Oleander::currentDisk != nullptr && Oleander::currentDisk->sync(descriptor))
-        return 0;
-    return static_cast<int>(::syscall(SYS_fdatasync, descriptor));
+    if (Oleander::currentDisk == nullptr)
+        return static_cast<int>(::syscall(SYS_fdatasync, descriptor));
+    Oleander::currentDisk->sync(descriptor);
+    return 0;
 }
--- a/Tests/Storage/simulateddisk.h
+++ b/Tests/Storage/simulateddisk.h
@@ -38,8 +38,8 @@
     void stopKilling() { remainingSyncs_.reset(); }
     /** Restores the synced state. Not to be called while files below the folder are open. */
     void losePower(const Survives &survives = [] { return false; });
-    /** Called by the replaced functions; false if the descriptor is of another folder. */
-    bool sync(int descriptor);
+    /** Called by the replaced functions; does nothing for files elsewhere. */
+    void sync(int descriptor);
 
 private:
     using Entries = std::map<std::string, ino_t>;
--- a/Tests/Storage/testfolder.h
+++ b/Tests/Storage/testfolder.h
@@ -20,7 +20,8 @@
 class TestFolder
 {
 public:
-    TestFolder()
+    /** \a name is the path of the data folder in the temporary folder. */
+    explicit TestFolder(std::string name = "/data") : name_(std::move(name))
     {
         std::string pattern = (std::filesystem::temp_directory_path() / "oleander-XXXXXX").string();
         REQUIRE(::mkdtemp(pattern.data()) != nullptr);
@@ -35,7 +36,7 @@
     TestFolder &operator=(const TestFolder &) = delete;
 
     const std::string &root() const { return root_; }
-    std::string path() const { return root_ + "/data"; }
+    std::string path() const { return root_ + name_; }
     /** Path of log segment \a number. */
     std::string segment(int number) const
     {
@@ -44,6 +45,7 @@
     }
 
 private:
+    std::string name_;
     std::string root_;
 };
 
