Storage: Sync the removal of each segment before the next one is removed

After a loss of power any of the removals may be missing, so a middle segment could be gone and an earlier one still there.

--- a/Source/Storage/datafolder.cpp
+++ b/Source/Storage/datafolder.cpp
@@ -374,6 +374,9 @@
         if (auto removed = removeFile(segmentPath(segments_.front().number)); !removed)
             return removed;
         segments_.erase(segments_.begin());
+        // Keeps the order of the removals on disk: a gap between segments is damage.
+        if (auto synced = syncFolder(logFolder()); !synced)
+            return synced;
     }
     const auto names = listFolder(logFolder());
     if (!names)
--- a/Tests/Storage/powerlosstest.cpp
+++ b/Tests/Storage/powerlosstest.cpp
@@ -114,3 +114,29 @@
         CHECK(contentsOf(folder).commands == std::vector<std::string>{"one"});
     }
 }
+
+TEST_CASE("A loss of power while old segments are removed leaves a log that can be read")
+{
+    constexpr std::uint64_t Segments = 4;
+    for (unsigned seed = 0; seed < 16; ++seed) {
+        const TestFolder folder;
+        SimulatedDisk disk(folder.root());
+        for (std::uint64_t i = 1; i <= Segments; ++i)
+            REQUIRE(openFolder(folder).write({entriesAt(i, {std::to_string(i)})}));
+        {
+            DataFolder data = openFolder(folder);
+            REQUIRE(data.write({entriesAt(Segments + 1, {"last"})}));
+            REQUIRE(data.saveSnapshot(snapshotAt(Segments, 1, "state")));
+            killsWithin(disk, seed / 4,
+                        [&] { static_cast<void>(data.removeObsoleteFiles(Segments)); });
+        }
+        // Each removed name that is not synced reaches the disk or does not.
+        unsigned bits = seed;
+        disk.losePower([&] {
+            bits = bits * 1'103'515'245U + 12'345U;
+            return (bits >> 16U) % 2 == 0;
+        });
+        INFO("seed " << seed);
+        CHECK(contentsOf(folder).commands == std::vector<std::string>{"last"});
+    }
+}
