Fleet: Report which runs a minion had just started when it crashed

The agent alone knows what the minion confirmed. It now reports each instance that ended without notice with the runs started within 100 ms before its connection broke (within 2 s if there are none), and whether the minion had confirmed each start; minion.lapsed gives the counts. No decision depends on it yet.

Tests: the two new ones of MinionTask.

--- a/Source/Fleet/miniontask.cpp
+++ b/Source/Fleet/miniontask.cpp
@@ -24,6 +24,11 @@
 constexpr Duration DepartureTimeout = std::chrono::milliseconds(800);
 /** Minimum remaining time of the lease for sending a start, in milliseconds. */
 constexpr std::uint64_t MinLeaseMs = 200;
+/** Time from the start of a run to the crash of the minion within which the run is a likely cause.
+ * It covers the interval of the polls, which notice the crash. */
+constexpr Duration CrashWindow = std::chrono::milliseconds(100);
+/** The same for a crash without any start in CrashWindow. */
+constexpr Duration SlowCrashWindow = std::chrono::seconds(2);
 /** Polls wait for ends of runs, so they use a connection of their own and never delay an order. */
 constexpr std::size_t PollConnections = 1;
 constexpr std::size_t OrderConnections = 4;
@@ -95,8 +100,17 @@
 {
     if (!hasMinion_)
         return;
+    const bool isCrash = !minion_.draining && !departedAt_;
+    const MinionCrash crash = isCrash ? describeCrash() : MinionCrash();
     logEvent(LogEvent::MinionLapsed, Step::Leave, minion_.life.name,
-             {{"born_ms", minion_.life.bornMs}, {"why", why}, {"runs", running_.size()}});
+             {{"born_ms", minion_.life.bornMs},
+              {"why", why},
+              {"runs", running_.size()},
+              {"crash", isCrash ? 1 : 0},
+              {"suspects", crash.suspects.size()},
+              {"immediate", crash.isImmediate ? 1 : 0}});
+    if (isCrash)
+        crashes_.push_back(crash);
     hasMinion_ = false;
     endedInstances_.push_back(minion_.life);
     latestEndedInstance_ = minion_.life;
@@ -106,6 +120,8 @@
     acknowledgedEnd_ = 0;
     hasRunList_ = false;
     refusedPolls_ = 0;
+    failingSince_.reset();
+    startedAt_.clear();
     highestEndNumber_ = 0;
     running_.clear();
     finished_.clear();
@@ -118,6 +134,24 @@
     reportNeeded.emit();
 }
 
+MinionCrash MinionTask::describeCrash() const
+{
+    MinionCrash crash;
+    crash.life = minion_.life;
+    const TimePoint crashedAt = failingSince_.value_or(loop_.clock().now());
+    for (const Duration window : {CrashWindow, SlowCrashWindow}) {
+        for (const auto &[key, startedAt] : startedAt_) {
+            if (startedAt + window >= crashedAt)
+                crash.suspects.push_back(
+                    {key.first, key.second, !undeliveredStarts_.contains(key)});
+        }
+        crash.isImmediate = window == CrashWindow;
+        if (!crash.suspects.empty())
+            break;
+    }
+    return crash;
+}
+
 void MinionTask::handleDeparture(const MinionDeparture &departure)
 {
     if (hasMinion_ && departure.name == minion_.life.name && !departedAt_) {
@@ -135,6 +169,7 @@
     term_ = directive.term;
     if (directive.acknowledgedReport > 0 && directive.acknowledgedReport >= latestEventReport_) {
         endedInstances_.clear();
+        crashes_.clear();
         std::erase_if(refusals_, [](const auto &item) { return item.second.isConfirmed; });
     }
     if (!hasMinion_ || directive.life != minion_.life)
@@ -182,6 +217,7 @@
     if (start.validUntilMs < minionClockMs_ + MinLeaseMs)
         return abandonStart(key);
     start.isInFlight = true;
+    startedAt_.try_emplace(key, loop_.clock().now());
     orderClient_->call(
         codec_.startRequest(minion_.life.name, start.order, term_, start.validUntilMs), CallTimeout,
         [this, key, instance = instanceNumber_](const HttpCallResult &result) {
@@ -202,12 +238,15 @@
     if (!result) {
         if (result.error().mayHaveBeenSent)
             unansweredStarts_[key] = found->second.validUntilMs;
+        else if (!unansweredStarts_.contains(key))
+            startedAt_.erase(key);
         return;
     }
     switch (codec_.decodeOrderResult(*result)) {
     case OrderResult::Done:
         undeliveredStarts_.erase(found);
         unansweredStarts_.erase(key);
+        startedAt_.insert_or_assign(key, loop_.clock().now());
         break;
     case OrderResult::Refused:
     case OrderResult::Busy:
@@ -231,6 +270,7 @@
     // A minion never starts a run that it has already been told to stop.
     if (unansweredStarts_.contains(key))
         return sendStop({key.first, key.second});
+    startedAt_.erase(key);
     refusals_[key] = {pollNumber_, false};
 }
 
@@ -317,7 +357,9 @@
 
 void MinionTask::onPollFailure(const HttpCallError &error)
 {
-    nextPollAt_ = loop_.clock().now() + PollRetryInterval;
+    const TimePoint now = loop_.clock().now();
+    nextPollAt_ = now + PollRetryInterval;
+    failingSince_ = failingSince_.value_or(now);
     refusedPolls_ = isConnectionRefused(error) ? refusedPolls_ + 1 : 0;
     if (refusedPolls_ >= RefusedPollsUntilGone)
         return endInstance("no process listens at its address");
@@ -331,6 +373,7 @@
 void MinionTask::applyRunLists(std::uint64_t number, RunLists lists)
 {
     const TimePoint now = loop_.clock().now();
+    failingSince_.reset();
     minionClockMs_ = std::max(minionClockMs_, lists.clockMs);
     bool hasChanges = !hasRunList_ || lists.running.size() != running_.size();
     for (const RunEnd &end : lists.finished) {
@@ -343,8 +386,10 @@
     std::set<Jobs::RunKey> present;
     for (const RunStatus &status : running_)
         present.insert({status.task, status.run});
-    for (const RunEnd &end : finished_)
+    for (const RunEnd &end : finished_) {
         present.insert({end.task, end.run});
+        startedAt_.erase({end.task, end.run});
+    }
     for (const Jobs::RunKey &key : present)
         undeliveredStarts_.erase(key);
     std::erase_if(unansweredStarts_, [this](const auto &item) {
@@ -362,6 +407,8 @@
         }
         ++it;
     }
+    std::erase_if(startedAt_,
+                  [&](const auto &item) { return now > item.second + SlowCrashWindow; });
     std::erase_if(startOrders_, [&](const auto &item) {
         return !present.contains(item.first) && !undeliveredStarts_.contains(item.first);
     });
@@ -403,6 +450,7 @@
     MachineReport report;
     report.sequence = sequence;
     report.ended = endedInstances_;
+    report.crashes = crashes_;
     report.hasMinion = hasMinion_;
     if (!hasMinion_)
         latestEventReport_ = endedInstances_.empty() ? latestEventReport_ : sequence;
--- a/Source/Protocol/jobmessages.h
+++ b/Source/Protocol/jobmessages.h
@@ -97,6 +97,41 @@
     f(v.reachable);
 }
 
+/** A run that may have crashed its minion. */
+struct CrashSuspect
+{
+    TaskRef task;
+    std::uint32_t run = 0;
+    /** True if the minion has confirmed the start. */
+    bool hasStarted = false;
+};
+
+template<typename F>
+void visitFields(F &&f, Fields<CrashSuspect> auto &&v)
+{
+    f(v.task);
+    f(v.run);
+    f(v.hasStarted);
+}
+
+/** An instance of a minion that ended without notice. */
+struct MinionCrash
+{
+    MinionLife life;
+    /** Latest runs that the minion started, or may have started, before the crash. */
+    std::vector<CrashSuspect> suspects;
+    /** True if the suspects had started so shortly before that one of them is likely the cause. */
+    bool isImmediate = false;
+};
+
+template<typename F>
+void visitFields(F &&f, Fields<MinionCrash> auto &&v)
+{
+    f(v.life);
+    f(v.suspects);
+    f(v.isImmediate);
+}
+
 /** Agent to leader: the state of the minion on the agent's machine and of its runs. */
 struct MachineReport
 {
@@ -120,6 +155,8 @@
     std::vector<RunEnd> refused;
     /** Share of their requested processor time that filling runs may use, in percent. */
     std::uint32_t fillingPercent = 100;
+    /** Those of \a ended that ended without notice. */
+    std::vector<MinionCrash> crashes;
 };
 
 template<typename F>
@@ -136,6 +173,7 @@
     f(v.undelivered);
     f(v.refused);
     f(v.fillingPercent);
+    f(v.crashes);
 }
 
 /** Order to start a run on a minion, with the data that its agent needs for throttling. */
--- a/Tests/Fleet/miniontasktest.cpp
+++ b/Tests/Fleet/miniontasktest.cpp
@@ -132,3 +132,35 @@
     CHECK(minion.starts.size() == 1);
     CHECK(minion.stops == 0);
 }
+
+TEST_CASE("A crash is reported with the runs that the minion had just started")
+{
+    Fixture minion;
+    minion.sendDirective(6'000, true);
+    minion.runUntil([&] { return minion.starts.size() == 1; });
+    // Another instance at the same address shows that the first one has ended.
+    MinionAnnouncement announcement;
+    announcement.minion.life = {"i-2", Born + 1};
+    announcement.sequence = 1;
+    minion.task.handleAnnouncement(announcement);
+    const MachineReport report = minion.task.makeReport(++minion.reports);
+    REQUIRE(report.crashes.size() == 1);
+    CHECK(report.crashes.front().life == MinionLife{"i-1", Born});
+    REQUIRE(report.crashes.front().suspects.size() == 1);
+    CHECK(report.crashes.front().suspects.front().task == First);
+}
+
+TEST_CASE("The end of a minion that announced its departure is not reported as a crash")
+{
+    Fixture minion;
+    minion.sendDirective(6'000, true);
+    minion.runUntil([&] { return minion.starts.size() == 1; });
+    minion.task.handleDeparture({"i-1"});
+    MinionAnnouncement announcement;
+    announcement.minion.life = {"i-2", Born + 1};
+    announcement.sequence = 1;
+    minion.task.handleAnnouncement(announcement);
+    const MachineReport report = minion.task.makeReport(++minion.reports);
+    CHECK(report.ended.size() == 1);
+    CHECK(report.crashes.empty());
+}
