Jobs: Give up tasks that crash the minions that start them

Cause: the end of a run by a crash was committed as Lost, which counts nowhere, and the task was decided again within half a second. The class of fault: an attempt whose outcome nobody reports is not counted as one.

Now an end by a crash says how many runs may be its cause. A task under suspicion starts only where no other start happens within 200 ms, before or after, so that the next crash shows whether it is the cause; suspects keep at most a third of the minions from other tasks, and the minion with the oldest start is kept free for them. A task is given up, and its job shown as failed, after two crashes under it if it was the only possible cause of one, and in any case after four. A run that ends in another way clears its task. The counts are in the replicated state, so a new leader goes on with them.

--- a/Source/Fleet/jobservice.cpp
+++ b/Source/Fleet/jobservice.cpp
@@ -260,7 +260,8 @@
                   {"step", runEnd.end.task.step},
                   {"index", runEnd.end.task.index},
                   {"run", runEnd.end.run},
-                  {"how", static_cast<unsigned>(runEnd.end.kind)}});
+                  {"how", static_cast<unsigned>(runEnd.end.kind)},
+                  {"crash_suspects", runEnd.crashSuspects}});
         processMetrics()
             .counter("oleander_runs_ended_total", "Ends of runs by how, as in run.ended.",
                      {{"how", std::to_string(static_cast<unsigned>(runEnd.end.kind))}})
--- a/Source/Jobs/jobbook.cpp
+++ b/Source/Jobs/jobbook.cpp
@@ -8,6 +8,12 @@
 
 namespace {
 
+/** Crashed minions after which a task is given up if one of the crashes is certainly its own. */
+constexpr std::uint32_t CrashesUntilGivenUp = 2;
+/** Crashed minions after which a task is given up in any case; the platform forbids a third start
+ * after three. */
+constexpr std::uint32_t MaxCrashes = 4;
+
 /** Serialized content of a snapshot; new fields are appended at the end. */
 struct SnapshotContent
 {
@@ -26,6 +32,11 @@
 
 } // namespace
 
+bool Task::isGivenUp() const
+{
+    return crashes >= MaxCrashes || (crashes >= CrashesUntilGivenUp && certainCrashes > 0);
+}
+
 bool Job::isLongRunning() const
 {
     return std::ranges::any_of(steps, &StepSpec::longRunning);
@@ -109,6 +120,7 @@
     job.state = state;
     job.endedAtMs = atMs;
     openJobs_.erase(id);
+    std::erase_if(crashSuspects_, [&](const TaskRef &ref) { return ref.job == id; });
 }
 
 Task *JobBook::findTask(const TaskRef &ref)
@@ -120,6 +132,23 @@
     return &found->second.tasks[ref.step][ref.index];
 }
 
+void JobBook::countCrash(const MinionRunEnd &runEnd, Task &task)
+{
+    if (runEnd.crashSuspects > 0) {
+        const bool isOnlySuspect = runEnd.crashSuspects == 1;
+        ++task.suspectedCrashes;
+        task.crashes += isOnlySuspect || runEnd.hasStarted ? 1 : 0;
+        task.certainCrashes += isOnlySuspect ? 1 : 0;
+        crashSuspects_.insert(runEnd.end.task);
+    } else if (runEnd.end.kind != RunEndKind::Lost && runEnd.end.kind != RunEndKind::Refused) {
+        // The minion has executed the run and survived.
+        task.suspectedCrashes = 0;
+        task.crashes = 0;
+        task.certainCrashes = 0;
+        crashSuspects_.erase(runEnd.end.task);
+    }
+}
+
 void JobBook::end(const MinionRunEnd &runEnd, std::int64_t atMs)
 {
     Task *task = findTask(runEnd.end.task);
@@ -142,6 +171,9 @@
         task->checkpoint = runEnd.end.checkpoint;
     if (task->done || job.hasEnded())
         return;
+    countCrash(runEnd, *task);
+    if (task->isGivenUp() && task->active.empty())
+        return finish(runEnd.end.task.job, job, JobState::Failed, atMs);
     const StepSpec &step = job.steps[runEnd.end.task.step];
     if (runEnd.end.kind == RunEndKind::Failed && !step.longRunning) {
         ++task->failures;
@@ -170,7 +202,7 @@
     const StepSpec &step = job.steps[start.task.step];
     const QueueSpec *spec = queue(job.queue);
     const bool allowed =
-        !job.hasEnded() && !task->done && start.run == task->lastRun + 1
+        !job.hasEnded() && !task->done && !task->isGivenUp() && start.run == task->lastRun + 1
         && (task->active.empty() || step.speculative)
         && (step.longRunning || spec == nullptr || task->failures < spec->maxAttempts)
         && job.isStepReady(start.task.step);
@@ -258,13 +290,17 @@
 void JobBook::rebuildIndexes()
 {
     openJobs_.clear();
+    crashSuspects_.clear();
     activeRuns_.clear();
     for (const auto &[id, job] : jobs_) {
         if (!job.hasEnded())
             openJobs_.insert(id);
         for (std::uint32_t step = 0; step < job.tasks.size(); ++step) {
             for (std::uint32_t index = 0; index < job.tasks[step].size(); ++index) {
-                for (const ActiveRun &run : job.tasks[step][index].active)
+                const Task &task = job.tasks[step][index];
+                if (task.suspectedCrashes > 0 && !job.hasEnded())
+                    crashSuspects_.insert({id, step, index});
+                for (const ActiveRun &run : task.active)
                     activeRuns_[run.minion].insert({{id, step, index}, run.run});
             }
         }
--- a/Source/Jobs/jobbook.h
+++ b/Source/Jobs/jobbook.h
@@ -38,6 +38,15 @@
     bool done = false;
     std::string checkpoint;
     std::vector<ActiveRun> active;
+    /** Consecutive runs that may have crashed their minion. */
+    std::uint32_t suspectedCrashes = 0;
+    /** Those of them that the minion certainly started. */
+    std::uint32_t crashes = 0;
+    /** Those of them without another run that may have caused the crash. */
+    std::uint32_t certainCrashes = 0;
+
+    /** True if the task has crashed so many minions that it must not start again. */
+    bool isGivenUp() const;
 };
 
 template<typename F>
@@ -48,6 +57,9 @@
     f(v.done);
     f(v.checkpoint);
     f(v.active);
+    f(v.suspectedCrashes);
+    f(v.crashes);
+    f(v.certainCrashes);
 }
 
 struct Job
@@ -120,6 +132,8 @@
     const StepSpec *findStep(const TaskRef &ref) const;
     /** Jobs that have not ended. */
     const std::set<std::string> &openJobs() const { return openJobs_; }
+    /** Tasks of open jobs that may have crashed a minion. */
+    const std::set<TaskRef> &crashSuspects() const { return crashSuspects_; }
     /** Active runs by minion life. */
     const std::map<MinionLife, std::set<RunKey>> &activeRuns() const { return activeRuns_; }
     /** Returns the active run \a key, or null. */
@@ -133,6 +147,7 @@
     void submit(const Submission &submission, std::int64_t atMs);
     void cancel(const std::string &id, std::int64_t atMs);
     void end(const MinionRunEnd &runEnd, std::int64_t atMs);
+    void countCrash(const MinionRunEnd &runEnd, Task &task);
     bool start(const RunStart &start, std::int64_t atMs);
     void finish(const std::string &id, Job &job, JobState state, std::int64_t atMs);
     Task *findTask(const TaskRef &ref);
@@ -144,6 +159,7 @@
     std::map<std::string, QueueSpec> queues_;
     std::map<std::string, Job> jobs_;
     std::set<std::string> openJobs_;
+    std::set<TaskRef> crashSuspects_;
     std::map<MinionLife, std::set<RunKey>> activeRuns_;
 };
 
--- a/Source/Jobs/jobcommand.h
+++ b/Source/Jobs/jobcommand.h
@@ -40,6 +40,10 @@
 {
     MinionLife minion;
     RunEnd end;
+    /** Number of runs that may have crashed the minion if this is one of them, otherwise 0. */
+    std::uint32_t crashSuspects = 0;
+    /** True if the minion certainly started the run; only set for a lost run. */
+    bool hasStarted = false;
 };
 
 template<typename F>
@@ -47,6 +51,8 @@
 {
     f(v.minion);
     f(v.end);
+    f(v.crashSuspects);
+    f(v.hasStarted);
 }
 
 /** The decision to start a run on one life of a minion. */
--- a/Source/Jobs/machinetable.cpp
+++ b/Source/Jobs/machinetable.cpp
@@ -33,6 +33,21 @@
     return std::chrono::duration<double, std::milli>(time).count() * share;
 }
 
+/** Adds to \a runEnd what \a crash says about its run. */
+void addCrash(MinionRunEnd &runEnd, const MinionCrash &crash)
+{
+    const auto suspect = std::ranges::find_if(crash.suspects, [&](const CrashSuspect &candidate) {
+        return candidate.task == runEnd.end.task && candidate.run == runEnd.end.run;
+    });
+    if (suspect == crash.suspects.end())
+        return;
+    runEnd.crashSuspects = static_cast<std::uint32_t>(crash.suspects.size());
+    // Some time after the start the minion may have crashed for another reason.
+    if (!crash.isImmediate)
+        ++runEnd.crashSuspects;
+    runEnd.hasStarted = runEnd.hasStarted || suspect->hasStarted;
+}
+
 } // namespace
 
 std::optional<double> RunView::durationMs() const
@@ -67,18 +82,23 @@
 MinionRunEnd MachineTable::lostRunEnd(const MinionLife &life, const RunKey &key) const
 {
     MinionRunEnd runEnd{life, {0, key.first, key.second, RunEndKind::Lost, {}}};
-    if (const RunView *listed = findRun(life, key))
+    if (const RunView *listed = findRun(life, key)) {
         runEnd.end.checkpoint = listed->checkpoint;
+        runEnd.hasStarted = true;
+    }
     return runEnd;
 }
 
-void MachineTable::endLife(const MinionLife &life, const JobBook &book,
+void MachineTable::endLife(const MinionLife &life, const MinionCrash *crash, const JobBook &book,
                            std::vector<MinionRunEnd> &runEnds)
 {
     const auto runs = book.activeRuns().find(life);
     if (runs != book.activeRuns().end()) {
-        for (const RunKey &key : runs->second)
-            runEnds.push_back(lostRunEnd(life, key));
+        for (const RunKey &key : runs->second) {
+            MinionRunEnd &runEnd = runEnds.emplace_back(lostRunEnd(life, key));
+            if (crash != nullptr)
+                addCrash(runEnd, *crash);
+        }
     }
     machines_.erase(life);
 }
@@ -87,8 +107,10 @@
                                                const MachineReport &report, const JobBook &book)
 {
     std::vector<MinionRunEnd> runEnds;
-    for (const MinionLife &life : report.ended)
-        endLife(life, book, runEnds);
+    for (const MinionLife &life : report.ended) {
+        const auto crash = std::ranges::find(report.crashes, life, &MinionCrash::life);
+        endLife(life, crash == report.crashes.end() ? nullptr : &*crash, book, runEnds);
+    }
     if (!report.hasMinion)
         return runEnds;
     const MinionLife &life = report.minion.life;
@@ -99,7 +121,7 @@
             earlier.push_back(other);
     }
     for (const MinionLife &other : earlier)
-        endLife(other, book, runEnds);
+        endLife(other, nullptr, book, runEnds);
     Machine &machine = machines_[life];
     machine.agent = agent;
     machine.minion = report.minion;
--- a/Source/Jobs/machinetable.h
+++ b/Source/Jobs/machinetable.h
@@ -121,7 +121,9 @@
     const LeaseOptions &options() const { return options_; }
 
 private:
-    void endLife(const MinionLife &life, const JobBook &book, std::vector<MinionRunEnd> &runEnds);
+    /** Ends all runs on \a life; \a crash is null unless the minion crashed. */
+    void endLife(const MinionLife &life, const MinionCrash *crash, const JobBook &book,
+                 std::vector<MinionRunEnd> &runEnds);
     void updateRuns(TimePoint now, Machine &machine, const MachineReport &report,
                     const JobBook &book);
     MinionRunEnd lostRunEnd(const MinionLife &life, const RunKey &key) const;
--- a/Source/Jobs/taskplacer.cpp
+++ b/Source/Jobs/taskplacer.cpp
@@ -27,6 +27,11 @@
 constexpr Duration StalledAfter = std::chrono::milliseconds(1'000);
 /** Maximum progress in percent that a move may lose. */
 constexpr std::uint32_t MaxLostPercent = 10;
+/** Time between the start of a crash suspect and any other start on its minion; twice the time
+ * within which agents attribute a crash to a start, since orders take some time. */
+constexpr std::int64_t IsolationMs = 200;
+/** Share of the minions that crash suspects may keep from other tasks. */
+constexpr std::size_t IsolatedMinionsDivisor = 3;
 /** Penalty in milli-cores for a minion without the label that the step prefers (the rack of its
  * data). */
 constexpr std::int64_t FarPenaltyMilliCores = 1'000'000;
@@ -97,6 +102,8 @@
         return {};
     applyReservations();
     std::vector<RankedJob> ordered = orderJobs(book_, estimates_, machines_, nowMs);
+    if (!book_.crashSuspects().empty())
+        placeCrashSuspects(ordered);
     for (const Pass pass : {Pass::Prioritized, Pass::Other}) {
         for (const RankedJob &ranked : ordered)
             placeJob(ranked, pass);
@@ -109,6 +116,66 @@
     return std::move(starts_);
 }
 
+void TaskPlacer::placeCrashSuspects(const std::vector<RankedJob> &ordered)
+{
+    const std::set<TaskRef> &suspects = book_.crashSuspects();
+    for (Candidate &candidate : candidates_) {
+        const auto runs = book_.activeRuns().find(*candidate.life);
+        if (runs == book_.activeRuns().end())
+            continue;
+        for (const RunKey &key : runs->second) {
+            const std::int64_t startedAtMs = book_.activeRun(key)->startedAtMs;
+            candidate.lastStartAtMs = std::max(candidate.lastStartAtMs, startedAtMs);
+            if (suspects.contains(key.first) && nowMs_ < startedAtMs + IsolationMs)
+                candidate.isIsolated = true;
+        }
+    }
+    for (const RankedJob &ranked : ordered) {
+        for (auto ref = suspects.lower_bound({ranked.id, 0, 0});
+             ref != suspects.end() && ref->job == ranked.id; ++ref)
+            placeCrashSuspect(ranked, *ref);
+    }
+}
+
+std::size_t TaskPlacer::isolatedCandidates() const
+{
+    return static_cast<std::size_t>(std::ranges::count_if(candidates_, &Candidate::isIsolated));
+}
+
+void TaskPlacer::placeCrashSuspect(const RankedJob &ranked, const TaskRef &ref)
+{
+    const QueueSpec *queue = book_.queue(ranked.job->queue);
+    const Task &task = ranked.job->tasks[ref.step][ref.index];
+    const StepSpec &step = ranked.job->steps[ref.step];
+    if (queue == nullptr || task.done || !task.active.empty() || !ranked.job->isStepReady(ref.step)
+        || isolatedCandidates()
+               >= std::max<std::size_t>(1, candidates_.size() / IsolatedMinionsDivisor))
+        return;
+    const auto spread = spreadOf(ranked, ref.step);
+    const bool reserved = releaseReservation(ref, step);
+    Candidate *best = nullptr;
+    for (Candidate &candidate : candidates_) {
+        if (!suits(candidate, step, queue->service, task, queue->maxAttempts, spread)
+            || (step.filling
+                && fillingCapacity(candidate, step.image).available
+                       < static_cast<std::int64_t>(step.milliCores)))
+            continue;
+        // The minion with the oldest start stays the same until the suspect starts there.
+        if (best == nullptr || candidate.lastStartAtMs < best->lastStartAtMs)
+            best = &candidate;
+    }
+    if (reserved)
+        applyReservation(ref, step);
+    if (best == nullptr)
+        return;
+    best->isIsolated = true;
+    if (nowMs_ < best->lastStartAtMs + IsolationMs)
+        return;
+    addTask(*best, step);
+    starts_.push_back({ref, task.lastRun + 1, *best->life});
+    started_.insert(ref);
+}
+
 bool TaskPlacer::isStalled(const RunView &run, const StepSpec &step) const
 {
     return step.filling && run.measurement == 0 && now_ > run.progressAt + StalledAfter
@@ -214,15 +281,7 @@
         return;
     const bool due = nowMs_ >= ranked.job->acceptedAtMs + ReservationPlanner::ReservationDelayMs;
     const std::vector<Task> &tasks = ranked.job->tasks[step];
-    std::map<MinionLife, std::uint32_t> spread;
-    for (const Task &task : tasks) {
-        for (const ActiveRun &run : task.active)
-            ++spread[run.minion];
-    }
-    for (const RunStart &start : starts_) {
-        if (start.task.job == ranked.id && start.task.step == step)
-            ++spread[start.minion];
-    }
+    std::map<MinionLife, std::uint32_t> spread = spreadOf(ranked, step);
     // On a claimed service the task would only disturb serving tasks and use capacity of jobs that
     // can still meet their objective.
     const bool starved = spec.filling && isStarved(*ranked.job, nowMs_);
@@ -231,7 +290,8 @@
     for (std::uint32_t index = 0; index < tasks.size(); ++index) {
         const Task &task = tasks[index];
         const TaskRef ref{ranked.id, step, index};
-        if (task.done || !task.active.empty() || started_.contains(ref))
+        if (task.done || !task.active.empty() || started_.contains(ref)
+            || task.suspectedCrashes > 0)
             continue;
         if (pass == Pass::Prioritized && !planner_.isPrioritized(ref, spec, task)
             && !(due && hasCapacityFor(PriorityCapacityTasks, spec, queue->service)))
@@ -259,6 +319,21 @@
     }
 }
 
+std::map<MinionLife, std::uint32_t> TaskPlacer::spreadOf(const RankedJob &ranked,
+                                                         std::uint32_t step) const
+{
+    std::map<MinionLife, std::uint32_t> spread;
+    for (const Task &task : ranked.job->tasks[step]) {
+        for (const ActiveRun &run : task.active)
+            ++spread[run.minion];
+    }
+    for (const RunStart &start : starts_) {
+        if (start.task.job == ranked.id && start.task.step == step)
+            ++spread[start.minion];
+    }
+    return spread;
+}
+
 bool TaskPlacer::hasCapacityFor(std::uint64_t tasks, const StepSpec &step,
                                 const std::string &service) const
 {
@@ -331,23 +406,31 @@
     candidate.fillingCapacity.clear();
 }
 
+bool TaskPlacer::suits(const Candidate &candidate, const StepSpec &step, const std::string &service,
+                       const Task &task, std::uint32_t maxAttempts,
+                       const std::map<MinionLife, std::uint32_t> &spread) const
+{
+    const MinionReport &minion = candidate.machine->minion;
+    if (candidate.isIsolated || minion.service != service || !hasLabel(minion, step.requiredLabel)
+        || !fits(candidate, step))
+        return false;
+    const auto here = spread.find(*candidate.life);
+    if (step.maxPerMinion > 0 && here != spread.end() && here->second >= step.maxPerMinion)
+        return false;
+    const bool lastAttempt = !step.longRunning && task.failures + 1 >= maxAttempts;
+    return !lastAttempt || !candidate.machine->health.isDoubtful(now_);
+}
+
 TaskPlacer::Candidate *TaskPlacer::chooseMinion(const StepSpec &step, const std::string &service,
                                                 const Task &task, std::uint32_t maxAttempts,
                                                 FillingLimit fillingLimit,
                                                 const std::map<MinionLife, std::uint32_t> &spread)
 {
-    const bool lastAttempt = !step.longRunning && task.failures + 1 >= maxAttempts;
     Candidate *best = nullptr;
     std::int64_t bestScore = 0;
     for (Candidate &candidate : candidates_) {
         const MinionReport &minion = candidate.machine->minion;
-        if (minion.service != service || !hasLabel(minion, step.requiredLabel)
-            || !fits(candidate, step))
-            continue;
-        const auto here = spread.find(*candidate.life);
-        if (step.maxPerMinion > 0 && here != spread.end() && here->second >= step.maxPerMinion)
-            continue;
-        if (lastAttempt && candidate.machine->health.isDoubtful(now_))
+        if (!suits(candidate, step, service, task, maxAttempts, spread))
             continue;
         const auto free = static_cast<std::int64_t>(minion.milliCores)
                           - static_cast<std::int64_t>(candidate.use.claim.milliCores);
--- a/Source/Jobs/taskplacer.h
+++ b/Source/Jobs/taskplacer.h
@@ -75,6 +75,10 @@
         std::map<std::string, FillingCapacity> fillingCapacity;
         /** Steps of the tasks that have a reservation here. */
         std::vector<const StepSpec *> reserved;
+        /** Calendar time of the latest start in milliseconds; computed if there are suspects. */
+        std::int64_t lastStartAtMs = 0;
+        /** True if no other task may start here in this pass, because a suspect starts. */
+        bool isIsolated = false;
     };
 
     /** What limits the placement of a filling task on a minion. */
@@ -96,6 +100,17 @@
     /** Removes the reservation of \a ref from its minion for this pass; returns false if there is
      * none. */
     bool releaseReservation(const TaskRef &ref, const StepSpec &step);
+    /** Starts tasks that may have crashed a minion, each without another start on its minion
+     * shortly before or after, so that another crash shows whether it is the cause. */
+    void placeCrashSuspects(const std::vector<RankedJob> &ordered);
+    void placeCrashSuspect(const RankedJob &ranked, const TaskRef &ref);
+    std::size_t isolatedCandidates() const;
+    /** Number of active runs of \a step on each minion. */
+    std::map<MinionLife, std::uint32_t> spreadOf(const RankedJob &ranked, std::uint32_t step) const;
+    /** True if \a candidate may take \a task of \a step, apart from the limits of filling tasks. */
+    bool suits(const Candidate &candidate, const StepSpec &step, const std::string &service,
+               const Task &task, std::uint32_t maxAttempts,
+               const std::map<MinionLife, std::uint32_t> &spread) const;
     /** Places the tasks of the ready steps of \a ranked that belong to \a pass. */
     void placeJob(const RankedJob &ranked, Pass pass);
     void placeStep(const RankedJob &ranked, std::uint32_t step, Pass pass);
--- /dev/null
+++ b/Tests/Jobs/crashsuspecttest.cpp
@@ -0,0 +1,121 @@
+#include "simulatedfleet.h"
+
+using namespace Oleander;
+using namespace Oleander::Testing;
+
+namespace {
+
+/** A job of one task whose runs end by crashes of minions. */
+struct CrashFixture : BookFixture
+{
+    TaskRef task{"a", 0, 0};
+    std::uint32_t run = 0;
+
+    CrashFixture() { submit("a", {step(1)}); }
+
+    /** Starts the task and ends the run by a crash with \a suspects possible causes. */
+    void crash(std::uint32_t suspects, bool hasStarted = true)
+    {
+        REQUIRE(start(task, ++run, LifeA));
+        MinionRunEnd runEnd{LifeA, {0, task, run, RunEndKind::Lost, {}}, suspects, hasStarted};
+        JobBatch batch;
+        batch.ends.push_back(std::move(runEnd));
+        apply(std::move(batch));
+    }
+};
+
+} // namespace
+
+TEST_CASE("A task is given up after two crashes if one is certainly its own")
+{
+    CrashFixture fixture;
+    fixture.crash(3);
+    CHECK(fixture.state("a") == JobState::Running);
+    fixture.crash(1);
+    CHECK(fixture.state("a") == JobState::Failed);
+    CHECK_FALSE(fixture.start(fixture.task, fixture.run + 1, LifeB));
+}
+
+TEST_CASE("A task is not given up for crashes that another run may have caused")
+{
+    CrashFixture fixture;
+    for (int i = 0; i < 3; ++i)
+        fixture.crash(2);
+    CHECK(fixture.state("a") == JobState::Running);
+}
+
+TEST_CASE("A task is started at most four times if each start may have crashed its minion")
+{
+    CrashFixture fixture;
+    for (int i = 0; i < 4; ++i)
+        fixture.crash(2);
+    CHECK(fixture.state("a") == JobState::Failed);
+}
+
+TEST_CASE("A start that the minion has not confirmed does not count towards giving up")
+{
+    CrashFixture fixture;
+    fixture.crash(2, false);
+    fixture.crash(1);
+    CHECK(fixture.state("a") == JobState::Running);
+    fixture.crash(2);
+    CHECK(fixture.state("a") == JobState::Failed);
+}
+
+TEST_CASE("A run that ends without a crash clears its task of earlier crashes")
+{
+    CrashFixture fixture;
+    fixture.crash(1);
+    CHECK(fixture.book.crashSuspects().contains(fixture.task));
+    REQUIRE(fixture.start(fixture.task, ++fixture.run, LifeB));
+    fixture.end(fixture.task, fixture.run, LifeB, RunEndKind::Stopped);
+    CHECK(fixture.book.crashSuspects().empty());
+    fixture.crash(1);
+    CHECK(fixture.state("a") == JobState::Running);
+}
+
+TEST_CASE("Crashes are counted across a snapshot")
+{
+    CrashFixture fixture;
+    fixture.crash(1);
+    const std::string bytes = fixture.book.snapshot();
+    fixture.book = JobBook();
+    REQUIRE(fixture.book.restore(bytes));
+    CHECK(fixture.book.crashSuspects().contains(fixture.task));
+    fixture.crash(2);
+    CHECK(fixture.state("a") == JobState::Failed);
+}
+
+TEST_CASE("Tasks that crash their minions are given up and the jobs beside them complete")
+{
+    constexpr int Jobs = 60;
+    constexpr int CrashingEvery = 10;
+    SimulatedFleet fleet(std::vector<std::uint32_t>(8, 16'000));
+    const auto isCrashing = [](int i) { return i % CrashingEvery == CrashingEvery / 2; };
+    for (int i = 0; i < Jobs; ++i) {
+        const std::string id = "job-" + std::to_string(i);
+        if (isCrashing(i))
+            fleet.setCrashing(id);
+        fleet.leader().submit(id, {step(isCrashing(i) ? 1 : 6)});
+    }
+    fleet.pass(40s);
+    for (int i = 0; i < Jobs; ++i) {
+        const std::string id = "job-" + std::to_string(i);
+        INFO(id);
+        CHECK(fleet.leader().state(id) == (isCrashing(i) ? JobState::Failed : JobState::Completed));
+        // The platform forbids a third start after three crashes.
+        CHECK(fleet.crashesBy(id) <= 5);
+    }
+}
+
+TEST_CASE("A crash suspect starts alone although its minion receives other tasks all the time")
+{
+    SimulatedFleet fleet({16'000});
+    fleet.setCrashing("crashing");
+    fleet.leader().submit("crashing", {step(1)});
+    int submitted = 0;
+    fleet.pass(20s,
+               [&] { fleet.leader().submit("job-" + std::to_string(submitted++), {step(1)}); });
+    CHECK(fleet.leader().state("crashing") == JobState::Failed);
+    CHECK(fleet.crashesBy("crashing") <= 3);
+}
--- a/Tests/Jobs/simulatedfleet.h
+++ b/Tests/Jobs/simulatedfleet.h
@@ -7,6 +7,7 @@
 #include <cmath>
 #include <map>
 #include <numbers>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -60,6 +61,16 @@
         pass(time, [] {});
     }
 
+    /** Makes every run of the job \a id crash its minion at its start. The minion is back, as
+     * another instance, after CrashDowntime. */
+    void setCrashing(const std::string &id) { crashingJobs_.insert(id); }
+    /** Number of minions that the runs of the job \a id have crashed. */
+    unsigned crashesBy(const std::string &id) const
+    {
+        const auto found = crashes_.find(id);
+        return found == crashes_.end() ? 0 : found->second;
+    }
+
     /** Ends the run of \a task as failed. */
     void fail(const TaskRef &task)
     {
@@ -118,7 +129,12 @@
         std::map<RunKey, Run> runs;
         std::vector<RunEnd> finished;
         PaceController pace;
+        /** Time until the minion is back after a crash. */
+        Duration downtime{};
+        std::vector<MinionCrash> crashes;
     };
+    static constexpr Duration CrashDowntime = std::chrono::seconds(3);
+    static constexpr Duration CrashWindow = std::chrono::milliseconds(100);
     /** Period in which the load of a service rises and falls. */
     static constexpr double LoadPeriodS = 12;
     static constexpr Duration PaceInterval = std::chrono::milliseconds(200);
@@ -159,8 +175,24 @@
         return static_cast<std::uint32_t>(spec.targetLatencyMs
                                           * latencyRatio(minion, spec, key.first.job));
     }
+    /** Ends the instance of \a minion and reports its youngest runs, as its agent does. */
+    void crash(Minion &minion)
+    {
+        MinionCrash crash{minion.life, {}, true};
+        for (const auto &[key, run] : minion.runs) {
+            if (run.elapsed <= CrashWindow)
+                crash.suspects.push_back({key.first, key.second, true});
+        }
+        minion.crashes.push_back(std::move(crash));
+        minion.runs.clear();
+        minion.finished.clear();
+        minion.lastEnd = 0;
+        ++minion.life.bornMs;
+        minion.downtime = CrashDowntime;
+    }
     void execute(Minion &minion)
     {
+        minion.downtime -= Step;
         for (auto &[key, run] : minion.runs) {
             run.elapsed += Step;
             run.executed += Step * run.percent / 100;
@@ -218,10 +250,18 @@
             report.running.push_back(status);
         }
         report.finished = minion.finished;
+        report.hasMinion = minion.downtime <= Duration{};
+        report.crashes = minion.crashes;
+        for (const MinionCrash &crash : minion.crashes)
+            report.ended.push_back(crash.life);
         return report;
     }
     void carryOut(Minion &minion, const MachineDirective &directive)
     {
+        if (directive.acknowledgedReport > 0)
+            minion.crashes.clear();
+        if (directive.life != minion.life || minion.downtime > Duration{})
+            return;
         std::erase_if(minion.finished,
                       [&](const RunEnd &end) { return end.number <= directive.acknowledgedEnd; });
         for (const StartOrder &order : directive.starts)
@@ -239,6 +279,12 @@
             ++stops_;
             finish(minion, key, RunEndKind::Stopped);
         }
+        for (const StartOrder &order : directive.starts) {
+            if (!crashingJobs_.contains(order.task.job))
+                continue;
+            ++crashes_[order.task.job];
+            return crash(minion);
+        }
         std::uint64_t claimed = 0;
         for (const auto &[key, run] : minion.runs)
             claimed += stepOf(key).filling ? 0 : stepOf(key).milliCores;
@@ -272,6 +318,8 @@
     std::vector<Minion> minions_;
     std::uint64_t overCapacity_ = 0;
     std::uint64_t stops_ = 0;
+    std::set<std::string> crashingJobs_;
+    std::map<std::string, unsigned> crashes_;
     Interference interference_;
     TimePoint nextPace_{};
     double servingTime_ = 0;
