Jobs: Count a job as pending until a minion has started one of its runs

Cause: a job counted as running from the decision of its first start. If the minion was gone before it received the order, the job waited on without being counted. It is pending again now once its last such run has ended; an end says whether the minion had started the run, from the confirmed start or from the list of the minion. A listed run that is lost and not suspected of a crash also clears its task of earlier crashes.

--- a/Source/Jobs/jobbook.cpp
+++ b/Source/Jobs/jobbook.cpp
@@ -14,6 +14,13 @@
  * after three. */
 constexpr std::uint32_t MaxCrashes = 4;
 
+/** True unless the minion certainly started the run. */
+bool mayNotHaveStarted(const MinionRunEnd &runEnd)
+{
+    const RunEndKind kind = runEnd.end.kind;
+    return !runEnd.hasStarted && (kind == RunEndKind::Lost || kind == RunEndKind::Refused);
+}
+
 /** Serialized content of a snapshot; new fields are appended at the end. */
 struct SnapshotContent
 {
@@ -42,6 +49,13 @@
     return std::ranges::any_of(steps, &StepSpec::longRunning);
 }
 
+bool Job::hasActiveRuns() const
+{
+    return std::ranges::any_of(tasks, [](const std::vector<Task> &step) {
+        return std::ranges::any_of(step, [](const Task &task) { return !task.active.empty(); });
+    });
+}
+
 bool Job::isStepReady(std::uint32_t step) const
 {
     return std::ranges::all_of(steps[step].dependsOn,
@@ -140,7 +154,7 @@
         task.crashes += isOnlySuspect || runEnd.hasStarted ? 1 : 0;
         task.certainCrashes += isOnlySuspect ? 1 : 0;
         crashSuspects_.insert(runEnd.end.task);
-    } else if (runEnd.end.kind != RunEndKind::Lost && runEnd.end.kind != RunEndKind::Refused) {
+    } else if (!mayNotHaveStarted(runEnd)) {
         // The minion has executed the run and survived.
         task.suspectedCrashes = 0;
         task.crashes = 0;
@@ -171,6 +185,9 @@
         task->checkpoint = runEnd.end.checkpoint;
     if (task->done || job.hasEnded())
         return;
+    job.hasBegun = job.hasBegun || !mayNotHaveStarted(runEnd);
+    if (!job.hasBegun && !job.hasActiveRuns())
+        job.state = JobState::Queued;
     countCrash(runEnd, *task);
     if (task->isGivenUp() && task->active.empty())
         return finish(runEnd.end.task.job, job, JobState::Failed, atMs);
--- a/Source/Jobs/jobbook.h
+++ b/Source/Jobs/jobbook.h
@@ -76,11 +76,14 @@
     std::int64_t changedAtMs = 0;
     /** Number of done tasks of each step. */
     std::vector<std::uint32_t> doneCounts;
+    /** True if a minion has certainly started one of the runs that have ended. */
+    bool hasBegun = false;
 
     /** True if a step of the job runs until the job is cancelled. */
     bool isLongRunning() const;
     bool hasEnded() const { return state != JobState::Queued && state != JobState::Running; }
     bool isStepDone(std::uint32_t step) const { return doneCounts[step] == steps[step].count; }
+    bool hasActiveRuns() const;
     /** True if every step that \a step depends on is done. */
     bool isStepReady(std::uint32_t step) const;
 };
@@ -97,6 +100,7 @@
     f(v.endedAtMs);
     f(v.doneCounts);
     f(v.changedAtMs);
+    f(v.hasBegun);
 }
 
 /** Key of a run: its task and its run number. */
--- a/Source/Jobs/taskplacer.cpp
+++ b/Source/Jobs/taskplacer.cpp
@@ -39,13 +39,7 @@
 /** True if no task of \a job has a run and the job has not changed recently. */
 bool isStarved(const Job &job, std::int64_t nowMs)
 {
-    for (const auto &step : job.tasks) {
-        for (const Task &task : step) {
-            if (!task.active.empty())
-                return false;
-        }
-    }
-    return nowMs > job.changedAtMs + StarvedAfterMs;
+    return !job.hasActiveRuns() && nowMs > job.changedAtMs + StarvedAfterMs;
 }
 
 } // namespace
--- a/Tests/Jobs/jobbooktest.cpp
+++ b/Tests/Jobs/jobbooktest.cpp
@@ -20,6 +20,30 @@
     CHECK(book.book.pendingJobs("press") == 0);
 }
 
+TEST_CASE("A job is pending again if a crashed minion never started its runs")
+{
+    BookFixture book;
+    book.submit("j", {step(2)});
+    const auto lose = [&](const TaskRef &task, std::uint32_t run, bool hasStarted) {
+        JobBatch batch;
+        batch.ends.push_back({LifeA, {0, task, run, RunEndKind::Lost, {}}, 0, hasStarted});
+        book.apply(std::move(batch));
+    };
+    REQUIRE(book.start(First, 1, LifeA));
+    REQUIRE(book.start({"j", 0, 1}, 1, LifeA));
+    lose(First, 1, false);
+    CHECK(book.book.pendingJobs("press") == 0);
+    lose({"j", 0, 1}, 1, false);
+    CHECK(book.book.pendingJobs("press") == 1);
+    REQUIRE(book.start(First, 2, LifeB));
+    book.end(First, 2, LifeB, RunEndKind::Refused);
+    CHECK(book.book.pendingJobs("press") == 1);
+    REQUIRE(book.start(First, 3, LifeA));
+    lose(First, 3, true);
+    CHECK(book.book.pendingJobs("press") == 0);
+    CHECK(book.state("j") == JobState::Running);
+}
+
 TEST_CASE("A step starts only after every task of the steps before it is done")
 {
     BookFixture book;
