--- a/Source/Storage/datafolder.h
+++ b/Source/Storage/datafolder.h
@@ -23,8 +23,8 @@
 {
 public:
     /**
-     * Opens \a path, creating it if necessary, and locks it against other processes. Everything that
-     * is loaded is on disk when this returns.
+     * Opens \a path, creating it if necessary, and locks it against other processes. Everything
+     * that is loaded is on disk when this returns.
      */
     static Result<DataFolder> open(const std::string &path);
     /**
