Storage: Keep the segment that holds the hard state while the last one is empty

A control host whose process was killed just after it had started a segment, or whose disk was full then, could forget its term, its vote and its incarnation at a later start: it might vote twice in one term, and its group no longer knew it.

Cause: each segment begins with the hard state, and removeObsoleteFiles() relies on this to remove all but the last one. A segment is empty until its first write succeeds.

Nothing is removed now while the last segment has no record. A record counts only after its sync or after the sync at a start, so at each removal the hard state is on disk in a segment that stays. An empty segment is removed with the others after the next write. Removing it at the start instead would add a removal that has to be synced in order, and would not help when the disk is full.

--- a/Source/Storage/datafolder.cpp
+++ b/Source/Storage/datafolder.cpp
@@ -370,7 +370,9 @@
 
 Result<void> DataFolder::removeObsoleteFiles(std::uint64_t index)
 {
-    while (segments_.size() > 1 && segments_.front().lastIndex <= index) {
+    // As long as the last segment has no record, only the one before it holds the hard state.
+    while (segments_.size() > 1 && segments_.back().bytes > 0
+           && segments_.front().lastIndex <= index) {
         if (auto removed = removeFile(segmentPath(segments_.front().number)); !removed)
             return removed;
         segments_.erase(segments_.begin());
--- a/Tests/Storage/powerlosstest.cpp
+++ b/Tests/Storage/powerlosstest.cpp
@@ -140,3 +140,39 @@
         CHECK(contentsOf(folder).commands == std::vector<std::string>{"last"});
     }
 }
+
+TEST_CASE("The hard state outlives the removal of segments while the last segment is empty")
+{
+    const TestFolder folder;
+    SimulatedDisk disk(folder.root());
+    REQUIRE(openFolder(folder).write({hardStateOf(5, 77), entriesAt(1, {"one", "two"})}));
+    const auto takeSnapshot = [](DataFolder &data) {
+        REQUIRE(data.saveSnapshot(snapshotAt(2, 1, "state")));
+        REQUIRE(data.removeObsoleteFiles(2));
+    };
+    SECTION("a process was killed before the first write to the segment")
+    {
+        {
+            DataFolder data = openFolder(folder);
+            REQUIRE(killsWithin(disk, 0,
+                                [&] { static_cast<void>(data.write({entriesAt(3, {"three"})})); }));
+        }
+        DataFolder data = openFolder(folder);
+        takeSnapshot(data);
+    }
+    SECTION("the disk was full at the first write to the segment")
+    {
+        DataFolder data = openFolder(folder);
+        {
+            const FileSizeLimit full(0);
+            REQUIRE_FALSE(data.write({entriesAt(3, {"three"})}));
+        }
+        takeSnapshot(data);
+    }
+    REQUIRE(fileBytes(folder.segment(2)).empty());
+    disk.losePower();
+    const HardState found = contentsOf(folder).hardState;
+    CHECK(found.term == 5);
+    CHECK(found.votedFor == "a");
+    CHECK(found.incarnation == 77);
+}
