--- a/Source/Control/replicafollower.cpp
+++ b/Source/Control/replicafollower.cpp
@@ -120,6 +120,9 @@
     commitIndex_ = snapshot_.index;
     emittedIndex_ = snapshot_.index;
     syncedIndex_ = snapshot_.index;
+    // The indexes of later writes are those of the replaced log.
+    for (PendingWrite &write : pendingWrites_)
+        write.lastIndex = snapshot_.index;
     matchedIndex_ = std::max(matchedIndex_, snapshot_.index);
     output_.restore = snapshot_;
 }
--- a/Tests/Control/replicatest.cpp
+++ b/Tests/Control/replicatest.cpp
@@ -462,3 +462,36 @@
     fixture.receive("b", request, 9);
     CHECK(fixture.replica.log().lastIndex() == last + 1);
 }
+
+TEST_CASE("What follows a received snapshot is acknowledged only once it is synced")
+{
+    StoredReplica stored = ReplicaFixture::storedGroup();
+    for (int i = 0; i < 9; ++i)
+        stored.entries.push_back({1, EntryKind::Command, "old"});
+    ReplicaFixture fixture(stored);
+    SnapshotChunk chunk;
+    chunk.index = 5;
+    chunk.indexTerm = 2;
+    chunk.membership = threeVoters();
+    chunk.bytes = "state";
+    chunk.totalBytes = chunk.bytes.size();
+    fixture.receive("b", chunk, 2);
+    const std::uint64_t install = fixture.written;
+    // The term changes while the snapshot is written.
+    fixture.receive("c", AppendRequest{}, 3);
+    const std::uint64_t term = fixture.written;
+    REQUIRE(term > install);
+    fixture.replica.writesSynced(fixture.now, install);
+    fixture.replica.writesSynced(fixture.now, term);
+    fixture.collect();
+    AppendRequest append;
+    append.previousIndex = 5;
+    append.previousTerm = 2;
+    append.entries = {{3, EntryKind::Command, "new"}};
+    fixture.receive("c", append, 3);
+    REQUIRE(fixture.replica.log().lastIndex() == 6);
+    for (const AppendReply &reply : fixture.sent<AppendReply>())
+        CHECK(reply.matchIndex <= 5);
+    fixture.sync();
+    CHECK(fixture.sent<AppendReply>().back().matchIndex == 6);
+}
