Storage: Report a data folder that cannot be examined as an error

A control host whose data folder has a name that is too long, or lies in a folder that cannot be searched, ended with an uncaught exception in place of an error that names the folder.

Cause: createFolder() called exists() and absolute() without an error code, so that they threw.

Test: a name of 300 characters; before, "unexpected exception with message: filesystem error: status: File name too long".

--- a/Source/Storage/datafolder.cpp
+++ b/Source/Storage/datafolder.cpp
@@ -57,9 +57,9 @@
 /** Creates \a folder and its missing parents, and syncs the name of each. */
 Result<void> createFolder(const std::string &folder)
 {
-    const std::string parent = std::filesystem::absolute(folder).parent_path().string();
     std::error_code error;
-    if (!std::filesystem::exists(folder)) {
+    const std::string parent = std::filesystem::absolute(folder, error).parent_path().string();
+    if (!error && !std::filesystem::exists(folder, error) && !error) {
         // The name of an existing parent is synced too: a process may have been killed after it
         // created the parent.
         if (auto created = createFolder(parent); !created)
--- a/Tests/Storage/datafoldertest.cpp
+++ b/Tests/Storage/datafoldertest.cpp
@@ -107,6 +107,15 @@
     CHECK_FALSE(openFolder(folder).mayForm());
 }
 
+TEST_CASE("A folder whose name is too long is an error")
+{
+    const TestFolder folder("/" + std::string(300, 'x'));
+    const auto refused = DataFolder::open(folder.path());
+    REQUIRE_FALSE(refused.has_value());
+    CHECK(refused.error().code == Failure::Io);
+    CHECK(refused.error().detail.find(folder.path()) != std::string::npos);
+}
+
 TEST_CASE("A folder cannot be opened twice at the same time")
 {
     const TestFolder folder;
