Storage: Start although the name of an older folder above the data folder cannot be synced

A control host did not start the first time if the folder above the parent of its data folder could not be opened for reading, or lies on a file system that syncs no folders.

Cause: besides the names that it creates, createFolder() syncs the name of the folder in which it creates the first one, as a killed process may have created that too. It took a failure there for one that matters.

Test: a start whose sync of such a folder fails; before, "CHECK( opens() ) ... false". Still refused are a start that cannot sync the name of the data folder or of a folder that it creates. A created folder whose name cannot be synced is removed, as the next start would not know that its name must be synced.

--- a/Source/Storage/datafolder.cpp
+++ b/Source/Storage/datafolder.cpp
@@ -59,18 +59,25 @@
 {
     std::error_code error;
     const std::string parent = std::filesystem::absolute(folder, error).parent_path().string();
+    bool created = false;
     if (!error && !std::filesystem::exists(folder, error) && !error) {
-        // The name of an existing parent is synced too: a process may have been killed after it
-        // created the parent.
-        if (auto created = createFolder(parent); !created)
-            return created;
-        std::filesystem::create_directory(folder, error);
+        std::error_code ignored;
+        const bool parentExists = std::filesystem::exists(parent, ignored);
+        // The name of an existing parent is synced too, if possible: a process may have been killed
+        // after it created the parent.
+        if (auto prepared = createFolder(parent); !prepared && !parentExists)
+            return prepared;
+        created = std::filesystem::create_directory(folder, error);
     }
     if (error) {
         return fail(Failure::Io, Step::Restart, {},
                     fmt::format("Cannot create \"{}\": {}.", folder, error.message()));
     }
-    return syncFolder(parent);
+    auto synced = syncFolder(parent);
+    // The next start would take it for a folder that was always there.
+    if (!synced && created)
+        std::filesystem::remove(folder, error);
+    return synced;
 }
 
 tl::unexpected<Error> corruptionError(const std::string &file, std::size_t offset,
--- a/Tests/Storage/powerlosstest.cpp
+++ b/Tests/Storage/powerlosstest.cpp
@@ -115,6 +115,31 @@
     }
 }
 
+TEST_CASE("Only the names that a start has created and that of the data folder must be synced")
+{
+    const TestFolder folder("/region/host/data");
+    SimulatedDisk disk(folder.root());
+    const auto opens = [&] { return DataFolder::open(folder.path()).has_value(); };
+    SECTION("the name of a folder that was there is not synced")
+    {
+        std::filesystem::create_directories(folder.root() + "/region/host");
+        disk.failSyncsOf(folder.root() + "/region");
+        CHECK(opens());
+    }
+    SECTION("the name of the data folder is not synced")
+    {
+        std::filesystem::create_directories(folder.path());
+        disk.failSyncsOf(folder.root() + "/region/host");
+        CHECK_FALSE(opens());
+    }
+    SECTION("the name of a created folder is not synced")
+    {
+        disk.failSyncsOf(folder.root());
+        CHECK_FALSE(opens());
+        CHECK_FALSE(opens());
+    }
+}
+
 TEST_CASE("A loss of power while old segments are removed leaves a log that can be read")
 {
     constexpr std::uint64_t Segments = 4;
--- a/Tests/Storage/simulateddisk.cpp
+++ b/Tests/Storage/simulateddisk.cpp
@@ -8,6 +8,7 @@
 #include <unistd.h>
 
 #include <array>
+#include <cerrno>
 #include <utility>
 
 namespace Oleander {
@@ -58,21 +59,24 @@
     --*remainingSyncs_;
 }
 
-void SimulatedDisk::sync(int descriptor)
+bool SimulatedDisk::sync(int descriptor)
 {
     const std::string path = pathOf(descriptor);
     if (path.rfind(root_, 0) != 0)
-        return;
+        return true;
+    if (path == failingPath_)
+        return false;
     countSync();
     struct stat status = {};
     REQUIRE(::fstat(descriptor, &status) == 0);
     if (S_ISDIR(status.st_mode)) {
         syncEntries(path, status.st_ino);
-        return;
+        return true;
     }
     files_[status.st_ino] = fileBytes("/proc/self/fd/" + std::to_string(descriptor));
     kept_.push_back(::dup(descriptor));
     REQUIRE(kept_.back() >= 0);
+    return true;
 }
 
 void SimulatedDisk::keep(const std::string &path)
@@ -157,19 +161,29 @@
 
 } // namespace Oleander
 
+namespace {
+
+int syncSimulated(int descriptor)
+{
+    if (Oleander::currentDisk->sync(descriptor))
+        return 0;
+    errno = EIO;
+    return -1;
+}
+
+} // namespace
+
 // These definitions take precedence over those of the C library in this program.
 extern "C" int fsync(int descriptor)
 {
     if (Oleander::currentDisk == nullptr)
         return static_cast<int>(::syscall(SYS_fsync, descriptor));
-    Oleander::currentDisk->sync(descriptor);
-    return 0;
+    return syncSimulated(descriptor);
 }
 
 extern "C" int fdatasync(int descriptor)
 {
     if (Oleander::currentDisk == nullptr)
         return static_cast<int>(::syscall(SYS_fdatasync, descriptor));
-    Oleander::currentDisk->sync(descriptor);
-    return 0;
+    return syncSimulated(descriptor);
 }
--- a/Tests/Storage/simulateddisk.h
+++ b/Tests/Storage/simulateddisk.h
@@ -36,10 +36,12 @@
     void killAfter(unsigned count) { remainingSyncs_ = count; }
     /** Ends killAfter(). */
     void stopKilling() { remainingSyncs_.reset(); }
+    /** From now on, syncs of \a path alone fail; none fails if it is empty. */
+    void failSyncsOf(std::string path) { failingPath_ = std::move(path); }
     /** Restores the synced state. Not to be called while files below the folder are open. */
     void losePower(const Survives &survives = [] { return false; });
-    /** Called by the replaced functions; does nothing for files elsewhere. */
-    void sync(int descriptor);
+    /** Called by the replaced functions. Returns false if the sync fails. */
+    bool sync(int descriptor);
 
 private:
     using Entries = std::map<std::string, ino_t>;
@@ -53,6 +55,7 @@
     std::string root_;
     ino_t rootInode_ = 0;
     std::optional<unsigned> remainingSyncs_;
+    std::string failingPath_;
     /** Synced names of each folder. */
     std::map<ino_t, Entries> folders_;
     /** Synced contents of each file. */
