Storage: Keep the order of removals after one that could not be synced

Cause: removeObsoleteFiles() forgot a segment before its removal was synced. When that sync failed, the next call went on with the next segment, and only the later removal may have reached the disk.

Test: two calls whose syncs fail, then a loss of power that keeps only the later change; before, "segment 3 is damaged at offset 0: the record has sequence number 5, expected 3".

The folder is synced before each removal now, so all earlier ones are on disk, whichever call made them. The last removal may stay unsynced: a segment that comes back joins the ones that follow it.

--- a/Source/Storage/datafolder.cpp
+++ b/Source/Storage/datafolder.cpp
@@ -380,12 +380,12 @@
     // As long as the last segment has no record, only the one before it holds the hard state.
     while (segments_.size() > 1 && segments_.back().bytes > 0
            && segments_.front().lastIndex <= index) {
-        if (auto removed = removeFile(segmentPath(segments_.front().number)); !removed)
-            return removed;
-        segments_.erase(segments_.begin());
         // Keeps the order of the removals on disk: a gap between segments is damage.
         if (auto synced = syncFolder(logFolder()); !synced)
             return synced;
+        if (auto removed = removeFile(segmentPath(segments_.front().number)); !removed)
+            return removed;
+        segments_.erase(segments_.begin());
     }
     const auto names = listFolder(logFolder());
     if (!names)
--- a/Tests/Storage/powerlosstest.cpp
+++ b/Tests/Storage/powerlosstest.cpp
@@ -166,6 +166,27 @@
     }
 }
 
+TEST_CASE("No segment is removed before the removal of the one before it is synced")
+{
+    const TestFolder folder;
+    SimulatedDisk disk(folder.root());
+    for (std::uint64_t i = 1; i <= 3; ++i)
+        REQUIRE(openFolder(folder).write({entriesAt(i, {std::to_string(i)})}));
+    {
+        DataFolder data = openFolder(folder);
+        REQUIRE(data.write({entriesAt(4, {"last"})}));
+        REQUIRE(data.saveSnapshot(snapshotAt(3, 1, "state")));
+        disk.failSyncsOf(folder.path() + "/log");
+        CHECK_FALSE(data.removeObsoleteFiles(3));
+        CHECK_FALSE(data.removeObsoleteFiles(3));
+        disk.failSyncsOf({});
+    }
+    // The first change of a name is lost, the second one reaches the disk.
+    bool survives = true;
+    disk.losePower([&] { return survives = !survives; });
+    CHECK(contentsOf(folder).commands == std::vector<std::string>{"last"});
+}
+
 TEST_CASE("The hard state outlives the removal of segments while the last segment is empty")
 {
     const TestFolder folder;
