tests: Lose power after a damaged log was set aside and after each step of a replica

A damaged log is set aside with a kill at each sync and at each sync of the next start; after the loss of power the replica never may form a group. What each step of a replica has stored is there after a loss of power with no start in between.

The simulated disk counts as present only once it is complete, since a check that fails in its constructor left a dangling pointer. killsWithin() is isKilledAtSync() now, and contents are printed when they differ.

--- a/Tests/Storage/powerlosstest.cpp
+++ b/Tests/Storage/powerlosstest.cpp
@@ -1,10 +1,17 @@
 #include "Storage/simulateddisk.h"
 #include "Storage/testfolder.h"
 
+#include <array>
+#include <functional>
+#include <optional>
+#include <ostream>
+
 using namespace Oleander;
 
 namespace {
 
+constexpr unsigned ReplicaSteps = 7;
+
 /** What a replica would rely on after a start. */
 struct Contents
 {
@@ -13,6 +20,13 @@
     std::vector<std::string> commands;
 
     bool operator==(const Contents &) const = default;
+    friend std::ostream &operator<<(std::ostream &stream, const Contents &contents)
+    {
+        stream << "term " << contents.hardState.term << ", snapshot " << contents.snapshotIndex;
+        for (const std::string &command : contents.commands)
+            stream << ", " << command;
+        return stream;
+    }
 };
 
 Contents contentsOf(const TestFolder &folder)
@@ -27,26 +41,38 @@
     REQUIRE(result.has_value());
 }
 
-/** Two starts with writes, snapshots of both kinds and removal of files. */
-void runReplica(const TestFolder &folder)
+/** Two starts with writes, snapshots of both kinds and removal of files; ends after \a steps. */
+void runReplica(const TestFolder &folder, unsigned steps = ReplicaSteps)
 {
-    {
-        DataFolder data = openFolder(folder);
-        requireDone(data.write({hardStateOf(1, 77), entriesAt(1, {"one", "two"})}));
-        requireDone(data.write({hardStateOf(2, 77), entriesAt(2, {"other", "three"}, 2)}));
-        requireDone(data.saveSnapshot(snapshotAt(2, 2, "state")));
-    }
-    DataFolder data = openFolder(folder);
-    requireDone(data.write({entriesAt(4, {"four"}, 2)}));
-    requireDone(data.removeObsoleteFiles(2));
     WriteBatch received;
     received.snapshot = snapshotAt(9, 3, "received");
-    requireDone(data.write({hardStateOf(3, 77), received, entriesAt(10, {"ten"}, 3)}));
-    requireDone(data.write({entriesAt(11, {"eleven"}, 3)}));
+    std::optional<DataFolder> data;
+    const std::array<std::function<Result<void>()>, ReplicaSteps> calls{
+        [&] {
+            return data->write({hardStateOf(1, 77), entriesAt(1, {"one", "two"})});
+        },
+        [&] {
+            return data->write({hardStateOf(2, 77), entriesAt(2, {"other", "three"}, 2)});
+        },
+        [&] { return data->saveSnapshot(snapshotAt(2, 2, "state")); },
+        [&] {
+            data.reset();
+            data = openFolder(folder);
+            return data->write({entriesAt(4, {"four"}, 2)});
+        },
+        [&] { return data->removeObsoleteFiles(2); },
+        [&] {
+            return data->write({hardStateOf(3, 77), received, entriesAt(10, {"ten"}, 3)});
+        },
+        [&] { return data->write({entriesAt(11, {"eleven"}, 3)}); },
+    };
+    data = openFolder(folder);
+    for (unsigned i = 0; i < steps; ++i)
+        requireDone(calls.at(i)());
 }
 
 /** Runs \a run and returns true if the sync after \a syncs more killed it. */
-bool killsWithin(SimulatedDisk &disk, unsigned syncs, const std::function<void()> &run)
+bool isKilledAtSync(SimulatedDisk &disk, unsigned syncs, const std::function<void()> &run)
 {
     disk.killAfter(syncs);
     bool killed = false;
@@ -68,8 +94,8 @@
     {
         DataFolder data = openFolder(folder);
         REQUIRE(data.write({hardStateOf(1, 77), entriesAt(1, {"one"})}));
-        REQUIRE(
-            killsWithin(disk, 0, [&] { static_cast<void>(data.write({entriesAt(2, {"two"})})); }));
+        REQUIRE(isKilledAtSync(disk, 0,
+                               [&] { static_cast<void>(data.write({entriesAt(2, {"two"})})); }));
     }
     REQUIRE(contentsOf(folder).commands == std::vector<std::string>{"one", "two"});
     SECTION("nothing is written after the restart") {}
@@ -91,8 +117,8 @@
         for (unsigned second = 0; killedAgain; ++second) {
             const TestFolder folder;
             SimulatedDisk disk(folder.root());
-            killed = killsWithin(disk, first, [&] { runReplica(folder); });
-            killedAgain = killsWithin(disk, second, [&] { openFolder(folder); });
+            killed = isKilledAtSync(disk, first, [&] { runReplica(folder); });
+            killedAgain = isKilledAtSync(disk, second, [&] { openFolder(folder); });
             INFO("killed at sync " << first << ", then at sync " << second);
             const Contents before = contentsOf(folder);
             disk.losePower();
@@ -101,13 +127,58 @@
     }
 }
 
+TEST_CASE("What a step has stored is not lost by a loss of power with no start in between")
+{
+    for (unsigned steps = 0; steps <= ReplicaSteps; ++steps) {
+        const TestFolder undisturbed;
+        runReplica(undisturbed, steps);
+        const TestFolder folder;
+        SimulatedDisk disk(folder.root());
+        runReplica(folder, steps);
+        disk.losePower();
+        INFO(steps << " steps");
+        CHECK(contentsOf(folder) == contentsOf(undisturbed));
+    }
+}
+
+TEST_CASE("A replica whose damaged log was set aside never forms a group after a loss of power")
+{
+    const auto start = [](const TestFolder &folder) {
+        auto opened = DataFolder::open(folder.path());
+        if (!opened)
+            opened = DataFolder::openAfterDamage(folder.path());
+        REQUIRE(opened.has_value());
+        return opened->mayForm();
+    };
+    bool killed = true;
+    for (unsigned first = 0; killed; ++first) {
+        bool killedAgain = true;
+        for (unsigned second = 0; killedAgain; ++second) {
+            const TestFolder folder;
+            REQUIRE(openFolder(folder).write({entriesAt(1, {"one"})}));
+            REQUIRE(openFolder(folder).write({entriesAt(2, {"two"})}));
+            setFileBytes(folder.segment(1), "damaged");
+            SimulatedDisk disk(folder.root());
+            killed = isKilledAtSync(disk, first, [&] {
+                static_cast<void>(DataFolder::openAfterDamage(folder.path()));
+            });
+            bool mayForm = false;
+            killedAgain = isKilledAtSync(disk, second, [&] { mayForm = start(folder); });
+            INFO("killed at sync " << first << ", then at sync " << second);
+            CHECK_FALSE(mayForm);
+            disk.losePower();
+            CHECK_FALSE(start(folder));
+        }
+    }
+}
+
 TEST_CASE("A data folder below folders that it created is not lost by a loss of power")
 {
     bool killed = true;
     for (unsigned syncs = 0; killed; ++syncs) {
         const TestFolder folder("/region/host/data");
         SimulatedDisk disk(folder.root());
-        killed = killsWithin(disk, syncs, [&] { openFolder(folder); });
+        killed = isKilledAtSync(disk, syncs, [&] { openFolder(folder); });
         REQUIRE(openFolder(folder).write({entriesAt(1, {"one"})}));
         disk.losePower();
         INFO("killed at sync " << syncs);
@@ -143,7 +214,8 @@
 TEST_CASE("A loss of power while old segments are removed leaves a log that can be read")
 {
     constexpr std::uint64_t Segments = 4;
-    for (unsigned seed = 0; seed < 16; ++seed) {
+    constexpr unsigned SeedsPerSync = 4;
+    for (unsigned seed = 0; seed < Segments * SeedsPerSync; ++seed) {
         const TestFolder folder;
         SimulatedDisk disk(folder.root());
         for (std::uint64_t i = 1; i <= Segments; ++i)
@@ -152,14 +224,15 @@
             DataFolder data = openFolder(folder);
             REQUIRE(data.write({entriesAt(Segments + 1, {"last"})}));
             REQUIRE(data.saveSnapshot(snapshotAt(Segments, 1, "state")));
-            killsWithin(disk, seed / 4,
-                        [&] { static_cast<void>(data.removeObsoleteFiles(Segments)); });
+            isKilledAtSync(disk, seed / SeedsPerSync,
+                           [&] { static_cast<void>(data.removeObsoleteFiles(Segments)); });
         }
-        // Each removed name that is not synced reaches the disk or does not.
-        unsigned bits = seed;
+        // Each removed name that is not synced reaches the disk or does not. The lower bits of a
+        // linear congruential generator repeat after a few steps.
+        std::uint32_t randomBits = seed;
         disk.losePower([&] {
-            bits = bits * 1'103'515'245U + 12'345U;
-            return (bits >> 16U) % 2 == 0;
+            randomBits = randomBits * 1'103'515'245U + 12'345U;
+            return (randomBits >> 16U) % 2 == 0;
         });
         INFO("seed " << seed);
         CHECK(contentsOf(folder).commands == std::vector<std::string>{"last"});
@@ -200,8 +273,8 @@
     {
         {
             DataFolder data = openFolder(folder);
-            REQUIRE(killsWithin(disk, 0,
-                                [&] { static_cast<void>(data.write({entriesAt(3, {"three"})})); }));
+            REQUIRE(isKilledAtSync(
+                disk, 0, [&] { static_cast<void>(data.write({entriesAt(3, {"three"})})); }));
         }
         DataFolder data = openFolder(folder);
         takeSnapshot(data);
--- a/Tests/Storage/simulateddisk.cpp
+++ b/Tests/Storage/simulateddisk.cpp
@@ -38,9 +38,10 @@
 SimulatedDisk::SimulatedDisk(std::string root) : root_(std::move(root))
 {
     REQUIRE(currentDisk == nullptr);
-    currentDisk = this;
     rootInode_ = inodeOf(root_);
     markAllSynced(root_);
+    // Last, as no destructor runs if a check above fails.
+    currentDisk = this;
 }
 
 SimulatedDisk::~SimulatedDisk()
--- a/Tests/Storage/simulateddisk.h
+++ b/Tests/Storage/simulateddisk.h
@@ -18,8 +18,8 @@
  * \class SimulatedDisk
  * \brief Records what this process syncs below a folder, so that a loss of power can take the rest.
  *
- * Replaces fsync() and fdatasync() of the test program within its scope. At most one exists at a
- * time.
+ * Replaces fsync() and fdatasync() of the test program within its scope. Syncs of files elsewhere
+ * succeed and do nothing. At most one exists at a time.
  */
 class SimulatedDisk
 {
