--- a/Tests/Storage/simulateddisk.cpp
+++ b/Tests/Storage/simulateddisk.cpp
@@ -142,7 +142,7 @@
     }
     // Removed or renamed folders are restored from what was synced of them, like files.
     for (const auto &[name, child] : restored) {
-        const std::string path = folder + "/" + name;
+        const std::string path = (std::filesystem::path(folder) / name).string();
         const auto found = present.find(name);
         const bool inPlace = found != present.end() && found->second == child;
         if (!inPlace)
@@ -156,7 +156,7 @@
     }
     for (const auto &[name, unused] : present) {
         if (!restored.contains(name))
-            std::filesystem::remove_all(folder + "/" + name);
+            std::filesystem::remove_all(std::filesystem::path(folder) / name);
     }
 }
 
