--- a/Tests/Jobs/overloadtest.cpp
+++ b/Tests/Jobs/overloadtest.cpp
@@ -37,7 +37,10 @@
     std::vector<StepSpec> steps;
     const std::uint32_t count = between(1, 3);
     for (std::uint32_t i = 0; i < count; ++i) {
-        StepSpec spec = step(between(3, 12), between(20, 60) * 100);
+        // Compilers evaluate the arguments of one call in different orders.
+        const std::uint32_t tasks = between(3, 12);
+        const std::uint32_t milliCores = between(20, 60) * 100;
+        StepSpec spec = step(tasks, milliCores);
         spec.estimateMs = between(800, 4'000);
         spec.filling = true;
         spec.image = "image-" + std::to_string(random() % 4);
