--- a/Source/Storage/datafolder.cpp
+++ b/Source/Storage/datafolder.cpp
@@ -280,12 +280,15 @@
     }
     const std::uint64_t covered = snapshotIndex + 1 - firstReplayedIndex_;
     if (!entries.empty() && covered > 0) {
-        // If the log lacks the last entry of the snapshot or has another one at its index, a
-        // received snapshot has replaced the log.
+        // If the log lacks the last entry of the snapshot or has another one at its index, the
+        // snapshot has replaced the log.
         const bool continuesSnapshot =
             covered <= entries.size() && entries[covered - 1].term == stored_.snapshot.term;
         const std::uint64_t dropped = continuesSnapshot ? covered : entries.size();
         entries.erase(entries.begin(), entries.begin() + static_cast<std::ptrdiff_t>(dropped));
+        // Otherwise the next start would add later entries to the ones dropped here.
+        if (!continuesSnapshot)
+            unrecordedReset_ = LogReset{snapshotIndex, stored_.snapshot.term};
     }
     stored_.hardState = hardState_;
     return {};
@@ -348,6 +351,7 @@
     if (segment.bytes == 0) {
         LogRecord firstRecord;
         firstRecord.hardState = hardState;
+        firstRecord.reset = unrecordedReset_;
         bytes += encodeLogRecord(sequence++, firstRecord);
     }
     for (const WriteBatch &batch : batches) {
@@ -364,6 +368,7 @@
     auto written = currentSegment_.append(bytes).and_then([&] { return currentSegment_.sync(); });
     if (!written)
         return written;
+    unrecordedReset_.reset();
     hardState_ = hardState;
     segment.lastIndex = lastIndex;
     segment.bytes += bytes.size();
--- a/Source/Storage/datafolder.h
+++ b/Source/Storage/datafolder.h
@@ -6,6 +6,7 @@
 #include "Storage/storagefile.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -83,6 +84,8 @@
     std::uint64_t tornBytes_ = 0;
     bool mayForm_ = true;
     HardState hardState_;
+    /** Reset of the log that was found at the start without a record; written with the next one. */
+    std::optional<LogReset> unrecordedReset_;
     std::vector<Segment> segments_;
     StorageFile currentSegment_;
     std::uint64_t nextSequence_ = 1;
--- a/Tests/Storage/datafoldertest.cpp
+++ b/Tests/Storage/datafoldertest.cpp
@@ -192,6 +192,20 @@
     CHECK(commandsOf(openFolder(folder).takeStored()).empty());
 }
 
+TEST_CASE("What follows a received snapshot is kept although a crash prevented its log record")
+{
+    const TestFolder folder;
+    {
+        DataFolder data = openFolder(folder);
+        REQUIRE(data.write({entriesAt(1, {"one", "two", "three"})}));
+        REQUIRE(data.saveSnapshot(snapshotAt(2, 4, "state")));
+    }
+    REQUIRE(openFolder(folder).write({entriesAt(3, {"next"}, 4)}));
+    CHECK(commandsOf(openFolder(folder).takeStored()) == Commands{"next"});
+    REQUIRE(openFolder(folder).write({entriesAt(4, {"last"}, 4)}));
+    CHECK(commandsOf(openFolder(folder).takeStored()) == Commands{"next", "last"});
+}
+
 TEST_CASE("A snapshot ahead of the synced log is followed by the entries after it")
 {
     const TestFolder folder;
