tests: Let no forwarder take a port that was handed out to a process

Cause found: the ports of the processes are handed out before the processes start, and nothing holds them in between. Each forwarder then let the system pick a port of the same host, which may be one of these; the process can't listen on it and ends.

Test: "No forwarder takes a port that was handed out to a process that has not started yet" hands out 10,000 ports and starts 20 forwarders. Before: 17 of 20 took one of them, such as forwardertest.cpp:74: FAILED: CHECK_FALSE( handedOut.contains(forwarder.address()) ), !true, 127.104.79.3:42017 Now none does.

Why it works: a forwarder gets its port from the list of those handed out, so neither it nor a later process can get one that is taken. The constructor takes the host, so no caller can ask the system for a port.

--- a/Tests/Support/Selftest/forwardertest.cpp
+++ b/Tests/Support/Selftest/forwardertest.cpp
@@ -8,6 +8,9 @@
 #include <poll.h>
 #include <sys/socket.h>
 
+#include <set>
+#include <string>
+
 using namespace Oleander::Testing;
 
 namespace {
@@ -32,7 +35,7 @@
 {
     const std::string host = Loopback::nextHost();
     const Socket listener = Socket::listeningOn(host + ":0");
-    Forwarder forwarder(host + ":0", listener.address());
+    Forwarder forwarder(host, listener.address());
     const Socket dialer = Socket::connectedTo(forwarder.address());
     const Socket target(accept(listener.descriptor(), nullptr, nullptr));
     REQUIRE(dialer.valid());
@@ -57,6 +60,21 @@
     CHECK(std::chrono::steady_clock::now() - start >= std::chrono::milliseconds(50));
 }
 
+TEST_CASE("No forwarder takes a port that was handed out to a process that has not started yet")
+{
+    // Most of the ports that the kernel assigns, so that a forwarder without this rule takes one.
+    constexpr std::size_t HandedOut = 10'000;
+    const std::string host = Loopback::nextHost();
+    std::set<std::string> handedOut;
+    while (handedOut.size() < HandedOut)
+        handedOut.insert(Loopback::freeAddress(host));
+    for (int i = 0; i < 20; ++i) {
+        const Forwarder forwarder(host, host + ":1");
+        INFO(forwarder.address());
+        CHECK_FALSE(handedOut.contains(forwarder.address()));
+    }
+}
+
 TEST_CASE("Test programs get hosts of 127.0.0.0/8 and free ports")
 {
     const auto first = Loopback::nextHost();
--- a/Tests/Support/cluster.cpp
+++ b/Tests/Support/cluster.cpp
@@ -185,10 +185,10 @@
 {
     if (!options_.forwardLinks)
         return address;
-    const std::string listen = address.substr(0, address.rfind(':')) + ":0";
+    const std::string host = address.substr(0, address.rfind(':'));
     auto &forwarder = links_[{from, to}];
     if (!forwarder)
-        forwarder = std::make_unique<Forwarder>(listen, address);
+        forwarder = std::make_unique<Forwarder>(host, address);
     return forwarder->address();
 }
 
--- a/Tests/Support/forwarder.cpp
+++ b/Tests/Support/forwarder.cpp
@@ -1,5 +1,6 @@
 #include "Support/forwarder.h"
 
+#include "Support/loopback.h"
 #include "Support/socket.h"
 
 #include <fcntl.h>
@@ -180,9 +181,11 @@
     }
 }
 
-Forwarder::Forwarder(const std::string &listen, std::string target)
+Forwarder::Forwarder(const std::string &host, std::string target)
     : private_(std::make_unique<Private>())
 {
+    // The kernel alone could assign a port that is handed out to a process but not in use yet.
+    const std::string listen = Loopback::freeAddress(host);
     private_->target = std::move(target);
     private_->listener = Socket::listeningOn(listen);
     if (!private_->listener.valid())
--- a/Tests/Support/forwarder.h
+++ b/Tests/Support/forwarder.h
@@ -20,8 +20,8 @@
 class Forwarder
 {
 public:
-    /** Listens on \a listen ("HOST:PORT", port 0 for any) and connects to \a target. */
-    Forwarder(const std::string &listen, std::string target);
+    /** Listens on a free port of \a host and connects to \a target. */
+    Forwarder(const std::string &host, std::string target);
     ~Forwarder();
     Forwarder(const Forwarder &) = delete;
     Forwarder &operator=(const Forwarder &) = delete;
