tests: Wait for the event that a configuration is in force everywhere

What was seen: "The answer says that a configuration is in force everywhere, or on whom it waits" failed in 2 of 30 runs, two at a time beside builds (load 15 to 19): configurationinforcetest.cpp:99: FAILED: CHECK_THAT( events.output, Contains("is in force everywhere") ) with the answers "Configuration 4 ..." and "Configuration 6 is in force everywhere" and events 1 to 4 without it.

Cause: the test was wrong. The entry that took the change answers as soon as it knows that the version is in force everywhere; the event is recorded by the leader at its own next check (every sixth of the lease, 0.5 s). The test read the events once and relied on the healed agent to take longer. A trial that read the events right after the answer missed the event in 12 of 12 changes; it came 0.40 to 0.61 s after the answer each time. The event of version 4 may never be recorded, since the next version replaces it.

Change: the check waits for the event, as the test does for the agent, and asks for it with the version of the last change, where any version was enough before. An event that is never recorded, or with another version, fails.

--- a/Tests/Cli/configurationinforcetest.cpp
+++ b/Tests/Cli/configurationinforcetest.cpp
@@ -95,8 +95,16 @@
     fixture.cluster.heal();
     const auto version = cut["version"].get<std::uint64_t>();
     CHECK(waitFor([&] { return fixture.isInForceAt(1, version, "agent-2"); }));
-    const auto events = fixture.cluster.operate(2, {"events"});
-    CHECK_THAT(events.output, Contains("is in force everywhere"));
+    // The leader records the event at its own next check, which may follow the answer.
+    const std::string event =
+        "Configuration " + std::to_string(version) + " is in force everywhere";
+    CommandResult events;
+    waitFor([&] {
+        events = fixture.cluster.operate(2, {"events", "--output=json"});
+        return events.output.find(event) != std::string::npos;
+    });
+    INFO(events.errors);
+    CHECK_THAT(events.output, Contains(event));
 }
 
 TEST_CASE("A cut-off entry refuses with not-run and rejoins with the version in force")
