tests: Let a minion that does not answer fail the count of its runs

RequestPath::runCount() left out a minion that had ended and took a call without an answer as 0 runs, so a stand-in that had died after the request looks the same as a second minion that ran it.

Change: each minion must answer; otherwise the test fails at that place and shows whether the minion runs or how it ended, and what it wrote. No case of these tests counts runs after it has ended a minion.

--- a/Tests/RequestPath/requestpath.cpp
+++ b/Tests/RequestPath/requestpath.cpp
@@ -113,10 +113,10 @@
 {
     int total = 0;
     for (const auto &agent : agents_) {
-        if (!agent->minion->running())
-            continue;
         const auto reply = httpCall(agent->minionAddress, {"GET", "/standin/runs/" + request});
-        total += reply ? std::stoi(reply->body) : 0;
+        INFO(agent->minionAddress << ' ' << agent->minion->describe());
+        REQUIRE(reply);
+        total += std::stoi(reply->body);
     }
     return total;
 }
--- a/Tests/RequestPath/requestpath.h
+++ b/Tests/RequestPath/requestpath.h
@@ -57,7 +57,8 @@
                                                 std::vector<CallHeader> headers = {});
     ChildProcess &minion(std::size_t agent) { return *agents_.at(agent)->minion; }
     void startMinion(std::size_t agent);
-    /** How often the running minions executed the request with this Standin-Request header. */
+    /** How often the minions executed the request with this Standin-Request header; a minion that
+     * does not answer fails the test. */
     int runCount(const std::string &request);
     /** Number of requests that the agents count as running at their minions. */
     std::size_t runningRequests();
