Fleet: Send orders and leases only on connections to the instance that they are meant for

The agent then reports that life as ended, the leader counts the run as lost and starts the task elsewhere: two runs of one task at work, until the new life's list brings the stop. The new life's clock starts anew, so the start's deadline is far in its future and nothing but the platform's maximum bounds the run; the lease that the start brings also outlasts what the leader counts on.

Cause: Oleanderusher-Expected-Instance names the id only, and the agent sent a call on whatever connection was open or new. A poll carried the lease and the acknowledged end of the earlier life to the new one in the same way, and a call that waited for a connection could still go out after the new life had been announced.

The tests play a minion that restarts under its id and failed in each of the four variants (with and without a connection for orders, with and without an announcement):

A start is never carried out by a later instance under the same id miniontasktest.cpp:211: FAILED: CHECK( minion.starts.empty() ) with expansion: false An instance never gets the lease or the acknowledged end of an earlier one miniontasktest.cpp:225: FAILED: CHECK_FALSE( poll.contains("deadlineMs") ) with expansion: !true miniontasktest.cpp:226: FAILED: CHECK( poll.at("ackCursor") == 0 ) with expansion: 7 == 0

A TCP connection stays with the process that accepted it, and the lists of a minion name its birth. HttpClient can now check each new connection with a request of its own before a call uses it; the agent asks for the lists, without a lease or an acknowledged end, and accepts the birth that it means. A connection that was closed in between is checked again. Each instance has clients of its own, so that no waiting call outlives its instance. So the end of an instance is certain for all its runs, as the leader takes it, and none has to be held back. A call whose connection did not pass counts as not sent, and only a refused connection counts as a minion that is gone.

Each new connection to the minion costs one more call, on the same machine.

--- a/Source/Fleet/miniontask.cpp
+++ b/Source/Fleet/miniontask.cpp
@@ -52,10 +52,8 @@
 } // namespace
 
 MinionTask::MinionTask(EventLoop &loop, const FleetCodec &codec, const std::string &address)
-    : loop_(loop), codec_(codec), tickTimer_(loop, [this] { tick(); })
+    : loop_(loop), codec_(codec), address_(address), tickTimer_(loop, [this] { tick(); })
 {
-    pollClient_ = std::make_unique<HttpClient>(loop, address, PollConnections);
-    orderClient_ = std::make_unique<HttpClient>(loop, address, OrderConnections);
     tickTimer_.startEvery(TickInterval);
 }
 
@@ -91,11 +89,32 @@
     announcementSequence_ = announcement.sequence;
     minionClockMs_ = announcement.clockMs;
     nextPollAt_ = {};
+    pollClient_ = makeClient(PollConnections);
+    orderClient_ = makeClient(OrderConnections);
     logEvent(LogEvent::MinionAnnounced, Step::Join, minion_.life.name,
              {{"born_ms", minion_.life.bornMs}, {"milli_cores", minion_.milliCores}});
     reportNeeded.emit();
 }
 
+std::unique_ptr<HttpClient> MinionTask::makeClient(std::size_t maxConnections)
+{
+    ConnectionCheck check;
+    // The lease and the acknowledged ends are valid for one instance only.
+    check.request = [this] { return codec_.pollRequest(minion_.life.name, PollOrder{}, term_); };
+    check.accepts = [this, instance = instanceNumber_](const HttpResponse &response) {
+        return isCurrentInstance(instance) && isFromInstance(response);
+    };
+    return std::make_unique<HttpClient>(loop_, address_, maxConnections, std::move(check));
+}
+
+bool MinionTask::isFromInstance(const HttpResponse &response)
+{
+    const auto lists = codec_.decodeRunLists(response);
+    if (lists && lists->bornMs > minion_.life.bornMs)
+        endInstance("another instance answered at its address");
+    return hasMinion_ && lists && lists->bornMs == minion_.life.bornMs;
+}
+
 void MinionTask::endInstance(const char *why)
 {
     if (!hasMinion_)
@@ -112,6 +131,10 @@
     if (isCrash)
         crashes_.push_back(crash);
     hasMinion_ = false;
+    // This function may be called by a callback of a client.
+    for (auto *client : {&pollClient_, &orderClient_})
+        loop_.post([ended = std::shared_ptr<HttpClient>(std::move(*client))] {});
+    isPolling_ = false;
     endedInstances_.push_back(minion_.life);
     latestEndedInstance_ = minion_.life;
     departedAt_.reset();
@@ -324,9 +347,10 @@
     const std::uint64_t number = ++pollNumber_;
     pollClient_->call(codec_.pollRequest(minion_.life.name, order, term_), order.wait + CallTimeout,
                       [this, number, instance = instanceNumber_](const HttpCallResult &result) {
+                          if (!isCurrentInstance(instance))
+                              return;
                           isPolling_ = false;
-                          if (isCurrentInstance(instance))
-                              onPollAnswer(number, result);
+                          onPollAnswer(number, result);
                       });
 }
 
@@ -359,6 +383,9 @@
 {
     const TimePoint now = loop_.clock().now();
     nextPollAt_ = now + PollRetryInterval;
+    // The process listens but did not answer with its lists.
+    if (error.error.code == Failure::WrongIncarnation)
+        return logEvent(LogEvent::FrameMalformed, error.error);
     failingSince_ = failingSince_.value_or(now);
     refusedPolls_ = isConnectionRefused(error) ? refusedPolls_ + 1 : 0;
     if (refusedPolls_ >= RefusedPollsUntilGone)
--- a/Source/Fleet/miniontask.h
+++ b/Source/Fleet/miniontask.h
@@ -58,6 +58,10 @@
     };
 
     void startInstance(const MinionAnnouncement &announcement);
+    /** Returns a client whose connections reach only the current instance. */
+    std::unique_ptr<HttpClient> makeClient(std::size_t maxConnections);
+    /** True if \a response comes from the current instance; ends it if a later one answered. */
+    bool isFromInstance(const HttpResponse &response);
     void endInstance(const char *why);
     void tick();
     void pollRuns();
@@ -82,6 +86,9 @@
 
     EventLoop &loop_;
     const FleetCodec &codec_;
+    std::string address_;
+    /** Clients of the current instance. A call names only the id, which a later instance may have
+     * too; an open connection stays with the process that accepted it. */
     std::unique_ptr<HttpClient> pollClient_;
     std::unique_ptr<HttpClient> orderClient_;
 
--- a/Source/Runtime/httpclient.cpp
+++ b/Source/Runtime/httpclient.cpp
@@ -64,6 +64,8 @@
         evhttp_connection *native = nullptr;
         CallId call = 0;
         bool bytesSent = false;
+        /** True once the ConnectionCheck, if there is one, has accepted the open connection. */
+        bool isAccepted = false;
     };
 
     struct Call
@@ -79,6 +81,7 @@
     EventLoop &loop;
     std::string address;
     std::size_t maxConnections;
+    std::optional<ConnectionCheck> check;
     SocketAddress parsed;
     CallId lastId = 0;
     std::map<CallId, std::unique_ptr<Call>> calls;
@@ -89,6 +92,10 @@
     Connection *acquireConnection();
     void discard(Connection *connection);
     void start(Call &call, Connection *connection);
+    /** Sends \a request for \a call: its own request, or the check of its connection. */
+    void send(Call &call, const HttpRequest &request);
+    /** Sends the request of \a call if the check accepts \a response. */
+    void completeCheck(Call *call, const HttpResponse &response);
     void startWaiting();
     void complete(Call *call, evhttp_request *native);
     void expire(CallId id);
@@ -103,6 +110,12 @@
         *static_cast<bool *>(flag) = true;
 }
 
+// evhttp opens a closed connection again for the next request.
+bool isOpen(evhttp_connection *native)
+{
+    return bufferevent_getfd(evhttp_connection_get_bufferevent(native)) >= 0;
+}
+
 // An idle connection with unread bytes holds data that belongs to no request, and one at its end
 // was closed by the peer; neither may be used for another request.
 bool isReusable(evhttp_connection *native)
@@ -125,8 +138,10 @@
         auto &connection = *it++;
         if (connection.call != 0)
             continue;
-        if (isReusable(connection.native))
+        if (isReusable(connection.native)) {
+            connection.isAccepted = connection.isAccepted && isOpen(connection.native);
             return &connection;
+        }
         discard(&connection);
     }
     if (connections.size() >= maxConnections)
@@ -160,6 +175,14 @@
 {
     call.connection = connection;
     connection->call = call.id;
+    if (!check)
+        connection->isAccepted = true;
+    send(call, connection->isAccepted ? call.request : check->request());
+}
+
+void HttpClient::Private::send(Call &call, const HttpRequest &request)
+{
+    Connection *connection = call.connection;
     connection->bytesSent = false;
     evhttp_request *native = evhttp_request_new(
         [](evhttp_request *answer, void *argument) {
@@ -168,21 +191,21 @@
         },
         &call);
     evkeyvalq *headers = evhttp_request_get_output_headers(native);
-    if (call.request.header("Host").empty())
+    if (request.header("Host").empty())
         evhttp_add_header(headers, "Host", address.c_str());
-    for (const auto &field : call.request.headers)
+    for (const auto &field : request.headers)
         evhttp_add_header(headers, field.name.c_str(), field.value.c_str());
     // evhttp adds Content-Length only for POST and PUT.
-    const std::string length = std::to_string(call.request.body.size());
-    if (!call.request.body.empty() && call.request.header("Content-Length").empty())
+    const std::string length = std::to_string(request.body.size());
+    if (!request.body.empty() && request.header("Content-Length").empty())
         evhttp_add_header(headers, "Content-Length", length.c_str());
-    evbuffer_add(evhttp_request_get_output_buffer(native), call.request.body.data(),
-                 call.request.body.size());
-    std::string uri = call.request.path;
-    if (!call.request.query.empty())
-        uri += '?' + call.request.query;
+    evbuffer_add(evhttp_request_get_output_buffer(native), request.body.data(),
+                 request.body.size());
+    std::string uri = request.path;
+    if (!request.query.empty())
+        uri += '?' + request.query;
     const CallId id = call.id;
-    const auto method = httpMethod(call.request.method);
+    const auto method = httpMethod(request.method);
     if (evhttp_make_request(connection->native, native, method.value_or(EVHTTP_REQ_GET),
                             uri.c_str())
         == 0)
@@ -215,10 +238,16 @@
 void HttpClient::Private::complete(Call *call, evhttp_request *native)
 {
     Connection *connection = call->connection;
-    const bool sent = connection->bytesSent;
+    // Bytes of the check are none of the request.
+    const bool sent = connection->isAccepted && connection->bytesSent;
+    const bool isCheckSent = !connection->isAccepted && connection->bytesSent;
     const CallId id = call->id;
     if (native == nullptr || evhttp_request_get_response_code(native) == 0) {
         discard(connection);
+        if (isCheckSent)
+            return finish(id, tl::make_unexpected(callError(
+                                  Failure::Io, Step::Connect, address, false,
+                                  "The connection was closed before it passed its check.")));
         const char *detail = sent
                                  ? "The connection was closed before the complete response arrived."
                                  : "The connection to the peer could not be established.";
@@ -227,6 +256,8 @@
                                                         address, sent, detail)));
     }
     HttpResponse response = readResponse(native);
+    if (!connection->isAccepted)
+        return completeCheck(call, response);
     if (!hasDeclaredEnd(native, call->request.method, response.status)) {
         discard(connection);
         return finish(
@@ -240,13 +271,26 @@
     finish(id, std::move(response));
 }
 
+void HttpClient::Private::completeCheck(Call *call, const HttpResponse &response)
+{
+    Connection *connection = call->connection;
+    if (check->accepts(response) && isOpen(connection->native) && isReusable(connection->native)) {
+        connection->isAccepted = true;
+        return send(*call, call->request);
+    }
+    discard(connection);
+    finish(call->id,
+           tl::make_unexpected(callError(Failure::WrongIncarnation, Step::Connect, address, false,
+                                         "The connection did not pass its check.")));
+}
+
 void HttpClient::Private::expire(CallId id)
 {
     const auto found = calls.find(id);
     if (found == calls.end())
         return;
     Connection *connection = found->second->connection;
-    const bool sent = connection != nullptr && connection->bytesSent;
+    const bool sent = connection != nullptr && connection->isAccepted && connection->bytesSent;
     if (connection != nullptr) {
         evhttp_connection_free(connection->native);
         connections.remove_if([&](const auto &item) { return &item == connection; });
@@ -272,8 +316,9 @@
         startWaiting();
 }
 
-HttpClient::HttpClient(EventLoop &loop, std::string address, std::size_t maxConnections)
-    : private_(new Private{loop, std::move(address), maxConnections})
+HttpClient::HttpClient(EventLoop &loop, std::string address, std::size_t maxConnections,
+                       std::optional<ConnectionCheck> check)
+    : private_(new Private{loop, std::move(address), maxConnections, std::move(check)})
 {
     if (auto parsed = parseSocketAddress(private_->address))
         private_->parsed = *parsed;
--- a/Source/Runtime/httpclient.h
+++ b/Source/Runtime/httpclient.h
@@ -6,6 +6,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace Oleander {
@@ -20,11 +21,19 @@
 /** A complete response, or the reason why there is none. */
 using HttpCallResult = tl::expected<HttpResponse, HttpCallError>;
 
+/** A request that is sent first on each new connection and decides whether calls may use it. */
+struct ConnectionCheck
+{
+    std::function<HttpRequest()> request;
+    std::function<bool(const HttpResponse &)> accepts;
+};
+
 /**
  * \class HttpClient
  * \brief HTTP client for one server with a connection pool over evhttp; never retries a request.
  *
- * A response is complete only if it has a declared length or its final chunk was received.
+ * A response is complete only if it has a declared length or its final chunk was received. With a
+ * ConnectionCheck, a call is sent only on a connection that was accepted and has stayed open since.
  */
 class HttpClient
 {
@@ -32,7 +41,8 @@
     using Callback = std::function<void(HttpCallResult)>;
     using CallId = std::uint64_t;
 
-    HttpClient(EventLoop &loop, std::string address, std::size_t maxConnections);
+    HttpClient(EventLoop &loop, std::string address, std::size_t maxConnections,
+               std::optional<ConnectionCheck> check = std::nullopt);
     ~HttpClient();
     HttpClient(const HttpClient &) = delete;
     HttpClient &operator=(const HttpClient &) = delete;
--- a/Tests/Fleet/miniontasktest.cpp
+++ b/Tests/Fleet/miniontasktest.cpp
@@ -24,35 +24,62 @@
 {
     EventLoop loop;
     std::string address = Loopback::freeAddress(Loopback::nextHost());
-    HttpServer server{loop, HttpLimits{},
-                      [this](const std::shared_ptr<HttpExchange> &exchange) { handle(exchange); }};
+    std::uint64_t born = Born;
+    std::unique_ptr<HttpServer> server;
     MinionTask task{loop, Platform::platformCodec(), address};
     std::uint64_t clockMs = 1'000;
+    std::uint64_t acknowledgedEnd = 0;
     /** HTTP status of the answers to starts; 0 for no answer. */
     unsigned startStatus = 200;
     bool answersStops = true;
     std::vector<Json> starts;
+    std::vector<Json> polls;
     std::size_t stops = 0;
     std::vector<std::shared_ptr<HttpExchange>> unansweredRequests;
     std::uint64_t reports = 0;
 
     Fixture()
     {
-        REQUIRE(server.listen(address));
+        listen();
+        announce();
+    }
+
+    void announce()
+    {
         MinionAnnouncement announcement;
-        announcement.minion.life = {"i-1", Born};
+        announcement.minion.life = {"i-1", born};
         announcement.minion.milliCores = 1'000;
         announcement.sequence = 1;
         announcement.clockMs = clockMs;
         task.handleAnnouncement(announcement);
     }
 
+    void listen()
+    {
+        server = std::make_unique<HttpServer>(
+            loop, HttpLimits{},
+            [this](const std::shared_ptr<HttpExchange> &exchange) { handle(exchange); });
+        REQUIRE(server->listen(address));
+    }
+
+    /** Crashes the minion and starts it again under its id; its clock starts anew. */
+    void restart()
+    {
+        server.reset();
+        ++born;
+        clockMs = 1;
+        starts.clear();
+        polls.clear();
+        listen();
+    }
+
     void handle(const std::shared_ptr<HttpExchange> &exchange)
     {
         const std::string &path = exchange->request().path;
         Json body = {{"clockMs", clockMs}};
         if (path.ends_with("hold")) {
-            body["born"] = Born;
+            polls.push_back(Json::parse(exchange->request().body));
+            body["born"] = born;
             body["running"] = Json::array();
             body["finished"] = Json::array();
             return exchange->respond({200, {}, body.dump()});
@@ -69,16 +96,17 @@
         unansweredRequests.push_back(exchange);
     }
 
-    void sendDirective(std::uint64_t holdUntilMs, bool start)
+    void sendDirective(std::uint64_t holdUntilMs, bool start, std::uint32_t run = 1)
     {
         MachineDirective directive;
         directive.term = 1;
         directive.life = {"i-1", Born};
         directive.holdUntilMs = holdUntilMs;
+        directive.acknowledgedEnd = acknowledgedEnd;
         if (start) {
             StartOrder order;
             order.task = First;
-            order.run = 1;
+            order.run = run;
             directive.starts.push_back(order);
         }
         task.handleDirective(directive);
@@ -164,3 +192,37 @@
     CHECK(report.ended.size() == 1);
     CHECK(report.crashes.empty());
 }
+
+TEST_CASE("A start is never carried out by a later instance under the same id")
+{
+    // Its runs count as lost, so the leader starts the task elsewhere.
+    Fixture minion;
+    const bool isConnected = GENERATE(false, true);
+    const bool isAnnounced = GENERATE(false, true);
+    minion.sendDirective(6'000, isConnected);
+    minion.runUntil([&] { return !minion.polls.empty() && minion.starts.empty() != isConnected; });
+    minion.restart();
+    minion.sendDirective(6'000, true, 2);
+    if (isAnnounced)
+        minion.announce();
+    minion.runUntil([&] {
+        return !minion.polls.empty() && !minion.task.makeReport(++minion.reports).ended.empty();
+    });
+    CHECK(minion.starts.empty());
+}
+
+TEST_CASE("An instance never gets the lease or the acknowledged end of an earlier one")
+{
+    Fixture minion;
+    minion.acknowledgedEnd = 7;
+    minion.sendDirective(6'000, false);
+    minion.runUntil(
+        [&] { return !minion.polls.empty() && minion.polls.back().contains("deadlineMs"); });
+    minion.restart();
+    minion.runUntil([&] { return !minion.task.makeReport(++minion.reports).ended.empty(); });
+    CHECK_FALSE(minion.polls.empty());
+    for (const Json &poll : minion.polls) {
+        CHECK_FALSE(poll.contains("deadlineMs"));
+        CHECK(poll.at("ackCursor") == 0);
+    }
+}
--- a/Tests/Runtime/httptest.cpp
+++ b/Tests/Runtime/httptest.cpp
@@ -1,6 +1,7 @@
 #include "Runtime/address.h"
 #include "Runtime/httpclient.h"
 #include "Runtime/httpserver.h"
+#include "Support/loopback.h"
 #include "Support/rununtil.h"
 
 #include <arpa/inet.h>
@@ -12,6 +13,7 @@
 #include <thread>
 
 using namespace Oleander;
+using Testing::Loopback;
 using Testing::RunLimit;
 
 namespace {
@@ -183,6 +185,59 @@
     CHECK(bodies == std::vector<std::string>{"one", "one"});
 }
 
+TEST_CASE("A call is not sent on a connection that its check did not accept")
+{
+    // A connection that was closed between two calls is replaced by one that has to be checked.
+    Fixture fixture;
+    std::vector<std::string> paths;
+    const auto listen = [&](const std::string &address) {
+        auto server = std::make_unique<HttpServer>(
+            fixture.loop, HttpLimits{}, [&](const std::shared_ptr<HttpExchange> &exchange) {
+                paths.push_back(exchange->request().path);
+                exchange->respond({200, {}, "x"});
+            });
+        REQUIRE(server->listen(address));
+        return server;
+    };
+    const std::string address = Loopback::freeAddress(Loopback::nextHost());
+    auto server = listen(address);
+    bool isAccepted = true;
+    HttpClient client(fixture.loop, address, 1,
+                      ConnectionCheck{[] {
+                                          return HttpRequest{"GET", "/check"};
+                                      },
+                                      [&](const HttpResponse &response) {
+                                          return isAccepted && response.body == "x";
+                                      }});
+    const auto call = [&] {
+        std::optional<HttpCallResult> result;
+        client.call({"POST", "/call"}, RunLimit,
+                    [&](HttpCallResult answer) { result = std::move(answer); });
+        fixture.runUntil([&] { return result.has_value(); });
+        return *result;
+    };
+    CHECK(call().has_value());
+    CHECK(call().has_value());
+    CHECK(paths == std::vector<std::string>{"/check", "/call", "/call"});
+
+    isAccepted = false;
+    paths.clear();
+    server = nullptr;
+    server = listen(address);
+    const bool closeIsSeen = GENERATE(false, true);
+    if (closeIsSeen) {
+        const TimePoint start = fixture.loop.clock().now();
+        fixture.runUntil(
+            [&] { return fixture.loop.clock().now() > start + std::chrono::milliseconds(50); });
+    }
+    for (int i = 0; i < 2; ++i) {
+        const HttpCallResult result = call();
+        REQUIRE_FALSE(result.has_value());
+        CHECK_FALSE(result.error().mayHaveBeenSent);
+    }
+    CHECK(paths == std::vector<std::string>{"/check", "/check"});
+}
+
 TEST_CASE("A call that times out reports whether the request may have been sent")
 {
     Fixture fixture;
