Fleet: Confirm the refusal of a stopped start although the stop is repeated

Callers saw nothing of a cancelled job's start that its minion had not received, but its capacity stayed claimed: the leader orders such a stop every 400 ms until the agent reports the start as refused, and the agent reports it once a poll begun after the stop does not list the run. Each answered stop began that wait anew, and a poll of an idle minion lasts 400 ms.

"A stop that is ordered again and again does not delay the refusal of its start forever" failed before:

Tests/Support/rununtil.h:24: FAILED: REQUIRE( done() ) with expansion: false

It passes now. The first answered stop keeps the minion from starting the run; a later one adds nothing, so the wait counts from the first.

--- a/Source/Fleet/miniontask.cpp
+++ b/Source/Fleet/miniontask.cpp
@@ -317,7 +317,8 @@
         return;
     undeliveredStarts_.erase(key);
     unansweredStarts_.erase(key);
-    refusals_[key] = {pollNumber_, false};
+    // A repeated stop adds nothing; it must not defer the confirmation to yet another poll.
+    refusals_.try_emplace(key, Refusal{pollNumber_, false});
 }
 
 void MinionTask::tick()
--- a/Source/Jobs/jobscheduler.cpp
+++ b/Source/Jobs/jobscheduler.cpp
@@ -4,6 +4,7 @@
 #include "Jobs/ownlatency.h"
 
 #include <algorithm>
+#include <optional>
 #include <utility>
 
 namespace Oleander::Jobs {
@@ -231,6 +232,12 @@
     const auto runs = book_.activeRuns().find(life);
     static const std::set<RunKey> None;
     const std::set<RunKey> &active = runs == book_.activeRuns().end() ? None : runs->second;
+    std::optional<Claim> claim;
+    const auto exceedsCapacity = [&] {
+        if (!claim)
+            claim = claimOf(active);
+        return !claim->isWithin(machine.minion);
+    };
     for (const RunKey &key : active) {
         const auto view = machine.running.find(key);
         const bool isOrderKnown = view != machine.running.end() && view->second.isOrderKnown;
@@ -243,6 +250,14 @@
             || movingRuns_.contains(key)) {
             if (recordOrderIfDue(now, key))
                 directive.stops.push_back({key.first, key.second});
+        } else if (view == machine.running.end() && exceedsCapacity()) {
+            // The minion has shrunk since the start was decided. A run that the latest report could
+            // not list may be at work and is not stopped.
+            if (machine.listedAt != machine.reportedAt)
+                continue;
+            claim->remove(stepOf(key));
+            if (recordOrderIfDue(now, key))
+                directive.stops.push_back({key.first, key.second});
         } else if (machine.leaseUntilMs > 0 && !isOrderKnown && !machine.undelivered.contains(key)
                    && recordOrderIfDue(now, key)) {
             const Job *job = book_.find(key.first.job);
@@ -306,6 +321,19 @@
     return true;
 }
 
+const StepSpec &JobScheduler::stepOf(const RunKey &key) const
+{
+    return book_.find(key.first.job)->steps[key.first.step];
+}
+
+Claim JobScheduler::claimOf(const std::set<RunKey> &runs) const
+{
+    Claim claim;
+    for (const RunKey &key : runs)
+        claim.add(stepOf(key));
+    return claim;
+}
+
 bool JobScheduler::mustStop(const RunKey &key) const
 {
     const Job *job = book_.find(key.first.job);
@@ -314,7 +342,7 @@
 
 bool JobScheduler::mustEvacuate(TimePoint now, const Machine &machine, const RunKey &key) const
 {
-    const StepSpec &step = book_.find(key.first.job)->steps[key.first.step];
+    const StepSpec &step = stepOf(key);
     // Runs on a draining minion end with it. Stopping early benefits only runs that save
     // checkpoints or that have no end of their own.
     if (machine.minion.draining)
--- a/Source/Jobs/jobscheduler.h
+++ b/Source/Jobs/jobscheduler.h
@@ -88,6 +88,10 @@
     /** Weight of the job \a id; computed once for each \a nowMs. */
     double weightOf(const std::string &id, std::int64_t nowMs);
     bool mustStop(const RunKey &key) const;
+    /** Returns the step of the active run \a key. */
+    const StepSpec &stepOf(const RunKey &key) const;
+    /** Sums the resources that the active runs \a runs claim. */
+    Claim claimOf(const std::set<RunKey> &runs) const;
     /** True if \a key has to leave the machine because it drains or is disturbed. */
     bool mustEvacuate(TimePoint now, const Machine &machine, const RunKey &key) const;
     /** Returns true and records \a now if an order for the run \a key may be sent. */
--- a/Source/Jobs/minionuse.cpp
+++ b/Source/Jobs/minionuse.cpp
@@ -29,11 +29,17 @@
     accelerators -= step.accelerators;
 }
 
+bool Claim::isWithin(const MinionReport &minion) const
+{
+    return milliCores <= minion.milliCores && memoryMiB <= minion.memoryMiB
+           && accelerators <= minion.accelerators;
+}
+
 bool Claim::leavesRoom(const MinionReport &minion, const StepSpec &step) const
 {
-    return milliCores + claimedMilliCores(step) <= minion.milliCores
-           && memoryMiB + step.memoryMiB <= minion.memoryMiB
-           && accelerators + step.accelerators <= minion.accelerators;
+    Claim claim = *this;
+    claim.add(step);
+    return claim.isWithin(minion);
 }
 
 void MinionUse::add(const StepSpec &step)
--- a/Source/Jobs/minionuse.h
+++ b/Source/Jobs/minionuse.h
@@ -20,6 +20,8 @@
 
     void add(const StepSpec &step);
     void remove(const StepSpec &step);
+    /** True if \a minion has the claimed resources. */
+    bool isWithin(const MinionReport &minion) const;
     /** True if a task of \a step fits on \a minion in addition to the claimed resources. */
     bool leavesRoom(const MinionReport &minion, const StepSpec &step) const;
 };
--- a/Tests/Fleet/miniontasktest.cpp
+++ b/Tests/Fleet/miniontasktest.cpp
@@ -112,6 +112,15 @@
         task.handleDirective(directive);
     }
 
+    void sendStop()
+    {
+        MachineDirective directive;
+        directive.term = 1;
+        directive.life = {"i-1", Born};
+        directive.stops.push_back({First, 1});
+        task.handleDirective(directive);
+    }
+
     bool reportsRefusal() { return !task.makeReport(++reports).refused.empty(); }
 
     void runUntil(const std::function<bool()> &done) { Testing::runUntil(loop, done); }
@@ -161,6 +170,19 @@
     CHECK(minion.stops == 0);
 }
 
+TEST_CASE("A stop that is ordered again and again does not delay the refusal of its start forever")
+{
+    Fixture minion;
+    minion.startStatus = 0;
+    minion.sendDirective(6'000, true);
+    minion.runUntil([&] { return minion.starts.size() == 1; });
+    // The leader repeats a stop until the reports show its effect.
+    minion.runUntil([&] {
+        minion.sendStop();
+        return minion.reportsRefusal();
+    });
+}
+
 TEST_CASE("A crash is reported with the runs that the minion had just started")
 {
     Fixture minion;
