Fleet: Give up undelivered starts when the minion announces less capacity

A start that its minion does not answer is sent again until the lease under which the leader gave it expires, up to 5 s. A minion that shrinks meanwhile says so to its agent only a beat later, and the smaller capacity counts 3 s and a beat after it; the agent kept sending. The report of the change waited for the next periodic one.

Failed before (TestFleet):

miniontasktest.cpp:191: FAILED: CHECK( minion.starts.size() == 1 ) with expansion: 2 == 1

and "A change of the capacity is reported at once" (0 == 1). Both pass now. On an announcement with less of any resource the agent abandons every start that the minion has not confirmed, and reports at once. A start whose call is still under way counts as unanswered, so that it is stopped before it is reported as refused. The leader then decides again, for the new capacity. The order in which announcements are numbered already kept an old capacity from coming back; a test holds that now.

--- a/Source/Fleet/miniontask.cpp
+++ b/Source/Fleet/miniontask.cpp
@@ -3,6 +3,7 @@
 #include "Runtime/log.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace Oleander::Fleet {
 
@@ -44,6 +45,19 @@
     return !error.mayHaveBeenSent && error.error.code == Failure::Unavailable;
 }
 
+bool hasSameCapacity(const MinionReport &a, const MinionReport &b)
+{
+    return a.milliCores == b.milliCores && a.memoryMiB == b.memoryMiB
+           && a.accelerators == b.accelerators;
+}
+
+/** True if \a next has less of a resource than \a previous. */
+bool hasShrunk(const MinionReport &previous, const MinionReport &next)
+{
+    return next.milliCores < previous.milliCores || next.memoryMiB < previous.memoryMiB
+           || next.accelerators < previous.accelerators;
+}
+
 RunEnd makeRunEnd(const Jobs::RunKey &key, RunEndKind kind)
 {
     return {0, key.first, key.second, kind, {}};
@@ -66,15 +80,15 @@
         // An announcement that arrives out of order is ignored.
         if (announcement.sequence <= announcementSequence_)
             return;
-        const bool wasDraining = minion_.draining;
-        const bool reachable = minion_.reachable;
-        minion_ = announcement.minion;
-        minion_.reachable = reachable;
+        const MinionReport previous = std::exchange(minion_, announcement.minion);
+        minion_.reachable = previous.reachable;
         announcementSequence_ = announcement.sequence;
-        if (minion_.draining != wasDraining) {
+        if (minion_.draining != previous.draining)
             logEvent(LogEvent::MinionDraining, Step::Leave, life.name, {});
+        if (hasShrunk(previous, minion_))
+            abandonStarts();
+        if (minion_.draining != previous.draining || !hasSameCapacity(previous, minion_))
             reportNeeded.emit();
-        }
     } else if (isNewer) {
         endInstance("another instance was announced");
         startInstance(announcement);
@@ -297,6 +311,16 @@
     refusals_[key] = {pollNumber_, false};
 }
 
+void MinionTask::abandonStarts()
+{
+    for (const auto &[key, start] : std::map(undeliveredStarts_)) {
+        // The minion may still execute the call.
+        if (start.isInFlight)
+            unansweredStarts_[key] = start.validUntilMs;
+        abandonStart(key);
+    }
+}
+
 void MinionTask::sendStop(const StopOrder &order)
 {
     const Jobs::RunKey key{order.task, order.run};
--- a/Source/Fleet/miniontask.h
+++ b/Source/Fleet/miniontask.h
@@ -77,6 +77,9 @@
     /** Stops the delivery of the start of \a key; the start is reported as refused once the run can
      * certainly not start any more. */
     void abandonStart(const Jobs::RunKey &key);
+    /** Abandons all starts that the minion has not confirmed, because it has less capacity than the
+     * leader decided them for. */
+    void abandonStarts();
     void sendStop(const StopOrder &order);
     void onStopAnswer(const Jobs::RunKey &key, const HttpCallResult &result);
     bool isCurrentInstance(std::uint64_t instance) const
--- a/Tests/Fleet/miniontasktest.cpp
+++ b/Tests/Fleet/miniontasktest.cpp
@@ -44,12 +44,12 @@
         announce();
     }
 
-    void announce()
+    void announce(std::uint64_t sequence = 1, std::uint32_t milliCores = 1'000)
     {
         MinionAnnouncement announcement;
         announcement.minion.life = {"i-1", born};
-        announcement.minion.milliCores = 1'000;
-        announcement.sequence = 1;
+        announcement.minion.milliCores = milliCores;
+        announcement.sequence = sequence;
         announcement.clockMs = clockMs;
         task.handleAnnouncement(announcement);
     }
@@ -248,3 +248,53 @@
         CHECK(poll.at("ackCursor") == 0);
     }
 }
+
+TEST_CASE("A start that waits for its delivery is given up when the minion announces less capacity")
+{
+    // The leader has decided it for the larger capacity, and it may wait as long as the lease.
+    Fixture minion;
+    minion.startStatus = 0;
+    minion.sendDirective(6'000, true);
+    minion.runUntil([&] { return minion.starts.size() == 1; });
+    minion.announce(2, 500);
+    minion.runUntil([&] { return minion.starts.size() > 1 || minion.reportsRefusal(); });
+    CHECK(minion.starts.size() == 1);
+    CHECK(minion.stops == 1);
+}
+
+TEST_CASE("A start that may still reach a shrunken minion counts as refused only after a stop")
+{
+    Fixture minion;
+    minion.startStatus = 0;
+    minion.answersStops = false;
+    minion.sendDirective(6'000, true);
+    minion.announce(2, 500);
+    minion.runUntil([&] { return minion.stops == 1; });
+    CHECK_FALSE(minion.reportsRefusal());
+    minion.answersStops = true;
+    minion.runUntil([&] {
+        minion.sendStop();
+        return minion.reportsRefusal();
+    });
+}
+
+TEST_CASE("An announcement that arrives late does not bring back an old capacity")
+{
+    Fixture minion;
+    minion.announce(3, 500);
+    minion.announce(2, 1'000);
+    CHECK(minion.task.makeReport(++minion.reports).minion.milliCores == 500);
+}
+
+TEST_CASE("A change of the capacity is reported at once")
+{
+    Fixture minion;
+    unsigned emitted = 0;
+    minion.task.reportNeeded.connect([&] { ++emitted; });
+    minion.announce(2, 500);
+    CHECK(emitted == 1);
+    minion.announce(3, 500);
+    CHECK(emitted == 1);
+    minion.announce(4, 1'000);
+    CHECK(emitted == 2);
+}
