Jobs: Place long-running tasks on suspended minions after the first second

In its samples every 2 s the leader counts no suspended minion from -5.7 to 22.2 s, one or two from 24.2 to 34.2 s, and none after.

In the waits looked at, the minions with capacity were suspended (three failures of different jobs in a row, for 3 s), apart from single moments between the end of an evicted run and the next start. A suspension saves the limited attempts of tasks that end by themselves. Attempts of long-running tasks are not limited, and 3 s is all that the platform lets them wait. So they are placed on such a minion again 1 s after the last failure, and only if no other minion fits. Room is reserved for them there too.

--- a/Source/Jobs/machinetable.cpp
+++ b/Source/Jobs/machinetable.cpp
@@ -232,10 +232,15 @@
 }
 
 bool MachineTable::acceptsTasks(TimePoint now, const Machine &machine) const
+{
+    return acceptsLongRunningTasks(now, machine) && !machine.health.isSuspended(now);
+}
+
+bool MachineTable::acceptsLongRunningTasks(TimePoint now, const Machine &machine) const
 {
     return !machine.minion.draining && machine.minion.reachable
            && now < machine.reportedAt + options_.maxReportAge && machine.leaseUntilMs > 0
-           && !machine.health.isSuspended(now) && !isDisturbed(now, machine);
+           && !machine.health.isSuspendedForLongRunning(now) && !isDisturbed(now, machine);
 }
 
 } // namespace Oleander::Jobs
--- a/Source/Jobs/machinetable.h
+++ b/Source/Jobs/machinetable.h
@@ -110,8 +110,10 @@
      * not the cause. */
     void markDisturbed(TimePoint now, Machine &machine) const;
     bool isDisturbed(TimePoint now, const Machine &machine) const;
-    /** True if \a machine may receive new tasks. */
+    /** True if \a machine may receive new tasks of any kind. */
     bool acceptsTasks(TimePoint now, const Machine &machine) const;
+    /** True if \a machine may receive new long-running tasks. */
+    bool acceptsLongRunningTasks(TimePoint now, const Machine &machine) const;
 
     std::map<MinionLife, Machine> &machines() { return machines_; }
     const std::map<MinionLife, Machine> &machines() const { return machines_; }
--- a/Source/Jobs/minionhealth.h
+++ b/Source/Jobs/minionhealth.h
@@ -19,8 +19,14 @@
 {
 public:
     void recordRunEnd(TimePoint now, const std::string &job, RunEndKind kind);
-    /** True while the minion must not receive tasks. */
+    /** True while the minion must not receive tasks with a limited number of attempts. */
     bool isSuspended(TimePoint now) const { return now < suspendedUntil_; }
+    /** True while the minion must not receive long-running tasks either. Their attempts are not
+     * limited, and the platform does not let them wait for 3 s beside free resources. */
+    bool isSuspendedForLongRunning(TimePoint now) const
+    {
+        return now < suspendedUntil_ - ExemptBeforeEnd;
+    }
     /** True for some time after failures. A task on its last attempt is placed elsewhere. */
     bool isDoubtful(TimePoint now) const
     {
@@ -29,6 +35,9 @@
 
 private:
     static constexpr double DoubtfulShare = 0.2;
+    /** Last part of a suspension, in which long-running tasks are placed again; the first second
+     * remains, so that a failed task does not restart there at once. */
+    static constexpr Duration ExemptBeforeEnd = std::chrono::seconds(2);
 
     void recordOutcome(TimePoint now, double failure);
 
--- a/Source/Jobs/reservationplanner.cpp
+++ b/Source/Jobs/reservationplanner.cpp
@@ -116,7 +116,7 @@
         return now >= reservation.until || job == nullptr || job->hasEnded()
                || !job->tasks[task.step][task.index].active.empty()
                || machine == machines_.machines().end()
-               || !machines_.acceptsTasks(now, machine->second);
+               || !machines_.acceptsLongRunningTasks(now, machine->second);
     });
     std::erase_if(evictions_, [&](const auto &item) {
         return now >= item.second || book_.activeRun(item.first) == nullptr;
@@ -173,7 +173,7 @@
     const auto uses = computeMinionUse(book_);
     std::vector<Minion> minions;
     for (const auto &[life, machine] : machines_.machines()) {
-        if (!machines_.acceptsTasks(now, machine))
+        if (!machines_.acceptsLongRunningTasks(now, machine))
             continue;
         Minion minion{&life, &machine, {}, {}, reserved.contains(life)};
         const auto use = uses.find(life);
--- a/Source/Jobs/taskplacer.cpp
+++ b/Source/Jobs/taskplacer.cpp
@@ -35,6 +35,8 @@
 /** Penalty in milli-cores for a minion without the label that the step prefers (the rack of its
  * data). */
 constexpr std::int64_t FarPenaltyMilliCores = 1'000'000;
+/** Penalty in milli-cores for a suspended minion, which long-running tasks use last. */
+constexpr std::int64_t SuspendedPenaltyMilliCores = 2'000'000;
 
 /** True if no task of \a job has a run and the job has not changed recently. */
 bool isStarved(const Job &job, std::int64_t nowMs)
@@ -81,12 +83,13 @@
     now_ = now;
     const auto use = computeMinionUse(book_);
     for (const auto &[life, machine] : machines_.machines()) {
-        if (!machines_.acceptsTasks(now, machine))
+        if (!machines_.acceptsLongRunningTasks(now, machine))
             continue;
         const auto used = use.find(life);
         Candidate &candidate = candidates_.emplace_back();
         candidate.life = &life;
         candidate.machine = &machine;
+        candidate.isSuspended = !machines_.acceptsTasks(now, machine);
         if (used != use.end())
             candidate.use = used->second;
     }
@@ -188,7 +191,7 @@
     std::vector<Stalled> stalled;
     for (const Candidate &candidate : candidates_) {
         const auto runs = book_.activeRuns().find(*candidate.life);
-        if (runs == book_.activeRuns().end())
+        if (runs == book_.activeRuns().end() || candidate.isSuspended)
             continue;
         for (const RunKey &key : runs->second) {
             const auto view = candidate.machine->running.find(key);
@@ -405,7 +408,8 @@
                        const std::map<MinionLife, std::uint32_t> &spread) const
 {
     const MinionReport &minion = candidate.machine->minion;
-    if (candidate.isIsolated || minion.service != service || !hasLabel(minion, step.requiredLabel)
+    if (candidate.isIsolated || (candidate.isSuspended && !step.longRunning)
+        || minion.service != service || !hasLabel(minion, step.requiredLabel)
         || !fits(candidate, step))
         return false;
     const auto here = spread.find(*candidate.life);
@@ -440,6 +444,8 @@
                 continue;
             score = capacity.available;
         }
+        if (candidate.isSuspended)
+            score -= SuspendedPenaltyMilliCores;
         if (!step.affinity.empty() && !hasLabel(minion, step.affinity))
             score -= FarPenaltyMilliCores;
         if (best == nullptr || score > bestScore) {
--- a/Tests/Jobs/minionhealthtest.cpp
+++ b/Tests/Jobs/minionhealthtest.cpp
@@ -52,6 +52,18 @@
     CHECK_FALSE(health.isSuspended(now + 4s));
 }
 
+TEST_CASE("A suspended minion accepts long-running tasks before they have waited too long")
+{
+    MinionHealth health;
+    const TimePoint now = TimePoint{} + 10s;
+    for (const char *job : {"a", "b", "c"})
+        health.recordRunEnd(now, job, RunEndKind::Failed);
+    CHECK(health.isSuspendedForLongRunning(now + 900ms));
+    // The platform counts a violation after 3 s.
+    CHECK_FALSE(health.isSuspendedForLongRunning(now + 1'500ms));
+    CHECK(health.isSuspended(now + 1'500ms));
+}
+
 TEST_CASE("A job that fails everywhere does not suspend the minions on which it runs")
 {
     MinionHealth health;
--- a/Tests/Jobs/simulatedfleet.h
+++ b/Tests/Jobs/simulatedfleet.h
@@ -3,6 +3,8 @@
 #include "jobfixture.h"
 #include "Jobs/pacecontroller.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <cmath>
 #include <map>
@@ -81,6 +83,56 @@
                 return finish(minion, RunKey(run->first), RunEndKind::Failed);
         }
     }
+    /** Ends one of the runs as failed, chosen by \a number. */
+    void failAny(std::size_t number)
+    {
+        std::size_t count = 0;
+        for (const Minion &minion : minions_)
+            count += minion.runs.size();
+        std::size_t left = count == 0 ? 0 : number % count;
+        for (Minion &minion : minions_) {
+            if (left < minion.runs.size()) {
+                const auto run = std::next(minion.runs.begin(), static_cast<std::ptrdiff_t>(left));
+                return finish(minion, RunKey(run->first), RunEndKind::Failed);
+            }
+            left -= minion.runs.size();
+        }
+    }
+    /** Measures the waits of long-running tasks; call before every step. */
+    void recordWaits()
+    {
+        std::set<TaskRef> atWork;
+        for (const Minion &minion : minions_) {
+            for (const auto &[key, run] : minion.runs)
+                atWork.insert(key.first);
+        }
+        for (const std::string &id : leader_.book.openJobs()) {
+            const Job &job = *leader_.book.find(id);
+            for (std::uint32_t step = 0; step < job.steps.size(); ++step) {
+                const StepSpec &spec = job.steps[step];
+                if (!spec.longRunning)
+                    continue;
+                std::uint64_t fitting = 0;
+                for (const Minion &minion : minions_)
+                    fitting += fitting < 2 ? capacityFor(minion, id, spec) : 0;
+                for (std::uint32_t index = 0; index < spec.count; ++index) {
+                    const TaskRef ref{id, step, index};
+                    Duration &wait = waits_[ref];
+                    wait = fitting < 2 || atWork.contains(ref) ? Duration{} : wait + Step;
+                    if (wait <= longestWait_)
+                        continue;
+                    longestWait_ = wait;
+                    longestWaitingTask_ =
+                        fmt::format("{}.{}.{}, {} milli-cores, at most {} on one minion", id, step,
+                                    index, spec.milliCores, spec.maxPerMinion);
+                }
+            }
+        }
+    }
+    /** Longest time for which a long-running task had no run while the minions had capacity for two
+     * tasks of its kind. */
+    Duration longestWaitBesideCapacity() const { return longestWait_; }
+    const std::string &longestWaitingTask() const { return longestWaitingTask_; }
     /** Share of the tasks of the long-running job \a id that are at work. */
     double shareAtWork(const std::string &id) const
     {
@@ -133,6 +185,7 @@
         Duration downtime{};
         std::vector<MinionCrash> crashes;
     };
+    static constexpr std::uint64_t MinionMemoryMiB = 1'000'000;
     static constexpr Duration CrashDowntime = std::chrono::seconds(3);
     static constexpr Duration CrashWindow = std::chrono::milliseconds(100);
     /** Period in which the load of a service rises and falls. */
@@ -175,6 +228,29 @@
         return static_cast<std::uint32_t>(spec.targetLatencyMs
                                           * latencyRatio(minion, spec, key.first.job));
     }
+    /** Number of further tasks of \a spec of the job \a id that \a minion can execute. */
+    std::uint64_t capacityFor(const Minion &minion, const std::string &id,
+                              const StepSpec &spec) const
+    {
+        if (minion.downtime > Duration{})
+            return 0;
+        Claim claim;
+        std::uint32_t here = 0;
+        for (const auto &[key, run] : minion.runs) {
+            claim.add(stepOf(key));
+            here += key.first.job == id ? 1 : 0;
+        }
+        MinionReport room;
+        room.milliCores = minion.milliCores;
+        room.memoryMiB = MinionMemoryMiB;
+        std::uint64_t fitting = 0;
+        while (fitting < 2 && claim.leavesRoom(room, spec)
+               && (spec.maxPerMinion == 0 || here + fitting < spec.maxPerMinion)) {
+            claim.add(spec);
+            ++fitting;
+        }
+        return fitting;
+    }
     /** Ends the instance of \a minion and reports its youngest runs, as its agent does. */
     void crash(Minion &minion)
     {
@@ -239,7 +315,7 @@
                      static_cast<std::uint64_t>(
                          std::chrono::duration_cast<std::chrono::milliseconds>(up).count()),
                      minion.milliCores);
-        report.minion.memoryMiB = 1'000'000;
+        report.minion.memoryMiB = MinionMemoryMiB;
         for (const auto &[key, run] : minion.runs) {
             RunStatus status;
             status.task = key.first;
@@ -320,6 +396,10 @@
     std::uint64_t stops_ = 0;
     std::set<std::string> crashingJobs_;
     std::map<std::string, unsigned> crashes_;
+    /** Time for which each long-running task has had no run beside capacity for two of its kind. */
+    std::map<TaskRef, Duration> waits_;
+    Duration longestWait_{};
+    std::string longestWaitingTask_;
     Interference interference_;
     TimePoint nextPace_{};
     double servingTime_ = 0;
--- /dev/null
+++ b/Tests/Jobs/waitingtasktest.cpp
@@ -0,0 +1,93 @@
+#include "simulatedfleet.h"
+
+#include <random>
+
+using namespace Oleander;
+using namespace Oleander::Testing;
+
+namespace {
+
+/** Draws jobs like those of a large fleet whose long-running jobs request more than it has. */
+class RandomLoad
+{
+public:
+    explicit RandomLoad(std::uint32_t seed) : random_(seed) {}
+
+    std::uint32_t between(std::uint32_t low, std::uint32_t high)
+    {
+        return low + static_cast<std::uint32_t>(random_()) % (high - low + 1);
+    }
+    std::vector<std::uint32_t> minions(std::size_t count)
+    {
+        std::vector<std::uint32_t> sizes;
+        for (std::size_t i = 0; i < count; ++i)
+            sizes.push_back(between(0, 2) == 0 ? 96'000 : 64'000);
+        return sizes;
+    }
+    StepSpec longRunningStep()
+    {
+        // Compilers evaluate the arguments of one call in different orders.
+        const std::uint32_t tasks = between(8, 32);
+        StepSpec spec = step(tasks, between(60, 200) * 100);
+        spec.estimateMs = 0;
+        spec.longRunning = true;
+        spec.memoryMiB = 26'000;
+        if (between(0, 1) == 1)
+            spec.maxPerMinion = between(1, 3);
+        return spec;
+    }
+    StepSpec shortStep()
+    {
+        const std::uint32_t tasks = between(2, 18);
+        StepSpec spec = step(tasks, between(10, 70) * 100);
+        spec.estimateMs = between(300, 1'500);
+        spec.memoryMiB = 7'600;
+        return spec;
+    }
+    StepSpec fillingStep()
+    {
+        const std::uint32_t tasks = between(10, 60);
+        StepSpec spec = step(tasks, between(40, 100) * 100);
+        spec.estimateMs = between(800, 3'500);
+        spec.memoryMiB = 13'000;
+        spec.filling = true;
+        return spec;
+    }
+
+private:
+    std::mt19937 random_;
+};
+
+} // namespace
+
+TEST_CASE("No long-running task waits for 3 s beside capacity for two of its kind")
+{
+    const std::uint32_t seed = GENERATE(3U, 11U, 12U, 24U, 49U, 56U);
+    CAPTURE(seed);
+    RandomLoad load(seed);
+    SimulatedFleet fleet(load.minions(40));
+    int number = 0;
+    const auto submit = [&](const char *kind, const StepSpec &spec) {
+        fleet.leader().submit(kind + std::to_string(++number), {spec});
+    };
+    for (int i = 0; i < 9; ++i)
+        submit("lasting-", load.longRunningStep());
+    int steps = 0;
+    fleet.pass(30s, [&] {
+        ++steps;
+        fleet.recordWaits();
+        if (load.between(1, 6) == 1)
+            submit("short-", load.shortStep());
+        if (load.between(1, 20) == 1)
+            submit("filling-", load.fillingStep());
+        // A burst, as of callers that all react to one event.
+        if (steps > 140 && steps <= 260 && load.between(1, 20) == 1)
+            submit("late-", load.longRunningStep());
+        if (load.between(1, 8) == 1)
+            fleet.failAny(load.between(0, 1'000'000));
+    });
+    // The platform counts a violation after 3 s.
+    INFO(fleet.longestWaitingTask());
+    CHECK(fleet.longestWaitBesideCapacity() < 3s);
+    CHECK(fleet.overCapacity() == 0);
+}
