Jobs: Count reserved tasks of a step in its limit per minion

Beside waiting long-running tasks, resources stayed reserved for up to 2.5 s for a task that could not start there.

Resources are reserved for one waiting task of a step with a limit per minion. When they became free, another task of the step without a reservation could start on that minion, if both fitted by their size. The minion had then reached the limit, so the task with the reservation could not start there any more, and the reservation kept other jobs away until it expired.

The placer now counts the reservations of a step on a minion together with its runs, so the task with the reservation starts, and the other one waits.

Failed before: "CHECK( fleet.shareAtWork("small") == 1.0 )", 0.0 == 1.0.

--- a/Source/Jobs/taskplacer.cpp
+++ b/Source/Jobs/taskplacer.cpp
@@ -412,9 +412,14 @@
         || minion.service != service || !hasLabel(minion, step.requiredLabel)
         || !fits(candidate, step))
         return false;
-    const auto here = spread.find(*candidate.life);
-    if (step.maxPerMinion > 0 && here != spread.end() && here->second >= step.maxPerMinion)
-        return false;
+    if (step.maxPerMinion > 0) {
+        // A task that takes the place of another one with a reservation would leave that
+        // reservation unusable.
+        const auto here = spread.find(*candidate.life);
+        const auto reserved = std::ranges::count(candidate.reserved, &step);
+        if ((here == spread.end() ? 0 : here->second) + reserved >= step.maxPerMinion)
+            return false;
+    }
     const bool lastAttempt = !step.longRunning && task.failures + 1 >= maxAttempts;
     return !lastAttempt || !candidate.machine->health.isDoubtful(now_);
 }
--- a/Tests/Jobs/reservationplannertest.cpp
+++ b/Tests/Jobs/reservationplannertest.cpp
@@ -135,6 +135,20 @@
     CHECK(fleet.overCapacity() == 0);
 }
 
+TEST_CASE("A reservation is not left unusable because another task of its step starts there")
+{
+    SimulatedFleet fleet({8'000, 8'000});
+    fleet.leader().submit("base", {longRunningStep(4, 4'000)});
+    fleet.pass(2s);
+    fleet.leader().submit("apart", {longRunningSpread(2, 2'000, 1)});
+    // One task of the job "base" yields to the job "apart".
+    fleet.pass(1'500ms);
+    REQUIRE(fleet.shareAtWork("apart") == 0.5);
+    fleet.leader().submit("small", {longRunningStep(1, 2'000)});
+    fleet.pass(500ms);
+    CHECK(fleet.shareAtWork("small") == 1.0);
+}
+
 TEST_CASE("Evictions respect the limit of unavailable tasks of a step")
 {
     SimulatedFleet fleet({16'000, 16'000});
