tests: Show what every process of a cluster wrote when a test fails

Neither the last answer nor the processes' output was kept, so it could not be told whether the agent had ended, the entry had not answered, or the worker was not registered again.

Change: a Cluster that is destroyed by a failed REQUIRE shows, for each process, whether it runs or how it ended and what it wrote. The test shows the last answer to "events" and its exit code. No check is changed.

By reading: the tasks of a frozen agent start elsewhere only once its loss is committed, and its next heartbeat to a leader then records the event, so the test's premise holds.

--- a/Tests/Support/cluster.cpp
+++ b/Tests/Support/cluster.cpp
@@ -49,7 +49,27 @@
         folder_.write(agents_[i].name + ".ini", agentSettings(i));
 }
 
-Cluster::~Cluster() = default;
+Cluster::~Cluster()
+{
+    if (std::uncaught_exceptions() > exceptionsBefore_)
+        describeProcesses();
+}
+
+void Cluster::describeProcesses() const
+{
+    const auto describe = [](const std::string &name,
+                             const std::unique_ptr<ChildProcess> &process) {
+        if (process)
+            std::cerr << "--- " << name << ' ' << process->describe() << '\n';
+    };
+    for (const auto &entry : entries_)
+        describe(entry.name, entry.process);
+    for (const auto &agent : agents_) {
+        describe(agent.name, agent.process);
+        describe("worker of " + agent.name, agent.worker);
+        describe("minion of " + agent.name, agent.minion);
+    }
+}
 
 bool Cluster::start()
 {
--- a/Tests/Support/cluster.h
+++ b/Tests/Support/cluster.h
@@ -6,6 +6,7 @@
 #include "Support/waitfor.h"
 
 #include <cstdint>
+#include <exception>
 #include <map>
 #include <memory>
 #include <string>
@@ -44,7 +45,8 @@
  *
  * No process runs until start() or one of the other start functions is called. Functions take
  * indices from 0; the processes are named entry-1, agent-1 and so on, with the prefix of agents
- * given by ClusterOptions::agentPrefix. The destructor kills and reaps every process.
+ * given by ClusterOptions::agentPrefix. The destructor kills and reaps every process. When a failed
+ * REQUIRE ends the test, it first shows what the processes wrote.
  */
 class Cluster
 {
@@ -138,8 +140,11 @@
                               const std::string &address);
     std::string entrySettings(std::size_t entry);
     std::string agentSettings(std::size_t agent);
+    void describeProcesses() const;
 
     ClusterOptions options_;
+    /** Exceptions in flight at the construction; there are more while a failed test unwinds. */
+    int exceptionsBefore_ = std::uncaught_exceptions();
     TemporaryFolder folder_;
     std::vector<Entry> entries_;
     std::vector<Agent> agents_;
--- a/Tests/TaskPath/taskfaultstest.cpp
+++ b/Tests/TaskPath/taskfaultstest.cpp
@@ -56,6 +56,21 @@
         REQUIRE(waitFor([&] { return runningAttempts(0) + runningAttempts(1) == Jobs; }));
     }
 
+    /** Waits for an event with \a text; shows the last answer of the entry if there is none. */
+    bool waitForEvent(const std::string &text) const
+    {
+        CommandResult events;
+        const bool found = waitFor([&] {
+            events = cluster_.operate(0, {"events"});
+            return events.output.find(text) != std::string::npos;
+        });
+        if (!found) {
+            UNSCOPED_INFO(
+                fmt::format("exit code {}\n{}{}", events.exitCode, events.errors, events.output));
+        }
+        return found;
+    }
+
     /** Number of attempts running on a stand-in worker. */
     std::size_t runningAttempts(std::size_t worker) const
     {
@@ -148,10 +163,7 @@
     REQUIRE(waitFor([&] { return tasks.runningAttempts(1 - frozen) == Jobs; }));
     CHECK(tasks.runningAttempts(frozen) == 0);
     tasks.cluster().agent(frozen).resume();
-    REQUIRE(waitFor([&] {
-        const auto events = tasks.cluster().operate(0, {"events"});
-        return events.output.find("The worker is back.") != std::string::npos;
-    }));
+    REQUIRE(tasks.waitForEvent("The worker is back."));
     CHECK(tasks.runningAttempts(0) + tasks.runningAttempts(1) == Jobs);
     CHECK(tasks.describeOverlap().empty());
 }
@@ -166,10 +178,7 @@
     REQUIRE(waitFor([&] { return tasks.runningAttempts(1 - cut) == Jobs; }));
     CHECK(tasks.runningAttempts(cut) == 0);
     tasks.cluster().heal();
-    REQUIRE(waitFor([&] {
-        const auto events = tasks.cluster().operate(0, {"events"});
-        return events.output.find("The worker is back.") != std::string::npos;
-    }));
+    REQUIRE(tasks.waitForEvent("The worker is back."));
     CHECK(tasks.runningAttempts(0) + tasks.runningAttempts(1) == Jobs);
     CHECK(tasks.describeOverlap().empty());
 }
