Runtime: Bound the time that a call waits for the check of its connection

Minions may leave half of the calls unanswered and carry them out late. Each such call closes its connection, and the check of the next one could use up the whole time of the call behind it, 400 to 800 ms: polls and starts came through half as often, and leases ran out.

The lists are answered at once, so 150 ms suffice, and a lost check now costs its call little.

"A call does not wait longer for the check of its connection than the check may take" passes; it could not be run on the sources before, where the check has no time of its own. TestRuntime (27 cases) and TestFleet (18) pass.

--- a/Source/Fleet/miniontask.cpp
+++ b/Source/Fleet/miniontask.cpp
@@ -18,6 +18,9 @@
 constexpr Duration PollRetryInterval = std::chrono::milliseconds(100);
 /** Timeout of a call to the minion, which runs on the same machine. */
 constexpr Duration CallTimeout = std::chrono::milliseconds(400);
+/** Timeout of the check of a new connection. The lists are answered at once; a minion that leaves
+ * calls unanswered should cost the call behind the check little time. */
+constexpr Duration CheckTimeout = std::chrono::milliseconds(150);
 constexpr Duration StartRetryInterval = std::chrono::milliseconds(50);
 /** Consecutive polls with a refused connection after which the minion process counts as ended. */
 constexpr unsigned RefusedPollsUntilGone = 3;
@@ -113,6 +116,7 @@
 std::unique_ptr<HttpClient> MinionTask::makeClient(std::size_t maxConnections)
 {
     ConnectionCheck check;
+    check.timeout = CheckTimeout;
     // The lease and the acknowledged ends are valid for one instance only.
     check.request = [this] { return codec_.pollRequest(minion_.life.name, PollOrder{}, term_); };
     check.accepts = [this, instance = instanceNumber_](const HttpResponse &response) {
--- a/Source/Runtime/httpclient.cpp
+++ b/Source/Runtime/httpclient.cpp
@@ -75,6 +75,7 @@
         HttpRequest request;
         Callback callback;
         std::unique_ptr<Timer> timer;
+        TimePoint deadline{};
         Connection *connection = nullptr;
     };
 
@@ -177,7 +178,11 @@
     connection->call = call.id;
     if (!check)
         connection->isAccepted = true;
-    send(call, connection->isAccepted ? call.request : check->request());
+    if (connection->isAccepted)
+        return send(call, call.request);
+    const Duration rest = call.deadline - loop.clock().now();
+    call.timer->startOnce(std::min(check->timeout, rest));
+    send(call, check->request());
 }
 
 void HttpClient::Private::send(Call &call, const HttpRequest &request)
@@ -276,6 +281,7 @@
     Connection *connection = call->connection;
     if (check->accepts(response) && isOpen(connection->native) && isReusable(connection->native)) {
         connection->isAccepted = true;
+        call->timer->startOnce(call->deadline - loop.clock().now());
         return send(*call, call->request);
     }
     discard(connection);
@@ -343,6 +349,7 @@
     call->callback = std::move(callback);
     call->timer = std::make_unique<Timer>(self->loop, [self, id] { self->expire(id); });
     call->timer->startOnce(timeout);
+    call->deadline = self->loop.clock().now() + timeout;
     self->calls[id] = std::move(call);
     self->waiting.push_back(id);
     self->startWaiting();
--- a/Source/Runtime/httpclient.h
+++ b/Source/Runtime/httpclient.h
@@ -26,6 +26,8 @@
 {
     std::function<HttpRequest()> request;
     std::function<bool(const HttpResponse &)> accepts;
+    /** Time for the check, part of the timeout of the first call. */
+    Duration timeout{};
 };
 
 /**
--- a/Tests/Runtime/httptest.cpp
+++ b/Tests/Runtime/httptest.cpp
@@ -208,7 +208,8 @@
                                       },
                                       [&](const HttpResponse &response) {
                                           return isAccepted && response.body == "x";
-                                      }});
+                                      },
+                                      RunLimit});
     const auto call = [&] {
         std::optional<HttpCallResult> result;
         client.call({"POST", "/call"}, RunLimit,
@@ -238,6 +239,29 @@
     CHECK(paths == std::vector<std::string>{"/check", "/check"});
 }
 
+TEST_CASE("A call does not wait longer for the check of its connection than the check may take")
+{
+    Fixture fixture;
+    HttpServer server(fixture.loop, {}, [&](const std::shared_ptr<HttpExchange> &exchange) {
+        fixture.held.push_back(exchange);
+    });
+    const auto address = server.listen("127.0.0.1:0");
+    REQUIRE(address.has_value());
+    HttpClient client(fixture.loop, *address, 1,
+                      ConnectionCheck{[] {
+                                          return HttpRequest{"GET", "/check"};
+                                      },
+                                      [](const HttpResponse &) { return true; },
+                                      std::chrono::milliseconds(50)});
+    std::optional<HttpCallResult> result;
+    client.call({"POST", "/call"}, 10 * RunLimit,
+                [&](HttpCallResult answer) { result = std::move(answer); });
+    fixture.runUntil([&] { return result.has_value(); });
+    REQUIRE_FALSE(result->has_value());
+    CHECK_FALSE(result->error().mayHaveBeenSent);
+    fixture.held.clear();
+}
+
 TEST_CASE("A call that times out reports whether the request may have been sent")
 {
     Fixture fixture;
