Runtime: Reach a server that closes each connection after its response

A minion whose HTTP server closes each connection would never have got an order: the call behind the check of a connection was sent on that connection only.

Test: a server that answers with Connection: close; before, "CHECK( result->has_value() ) ... false" and the paths { "/check", "/check" }. A call whose check was accepted now goes out at once on a new connection if the checked one is closed. Another process can get it only if it starts in the moment between the two.

--- a/Source/Runtime/httpclient.cpp
+++ b/Source/Runtime/httpclient.cpp
@@ -279,15 +279,22 @@
 void HttpClient::Private::completeCheck(Call *call, const HttpResponse &response)
 {
     Connection *connection = call->connection;
-    if (check->accepts(response) && isOpen(connection->native) && isReusable(connection->native)) {
-        connection->isAccepted = true;
-        call->timer->startOnce(call->deadline - loop.clock().now());
-        return send(*call, call->request);
+    const bool isAccepted = check->accepts(response);
+    if (!isAccepted || !isReusable(connection->native)) {
+        discard(connection);
+        // A server that closes each connection after its response is reached over a new one.
+        connection = isAccepted ? acquireConnection() : nullptr;
+    }
+    if (connection == nullptr) {
+        return finish(call->id, tl::make_unexpected(
+                                    callError(Failure::WrongIncarnation, Step::Connect, address,
+                                              false, "The connection did not pass its check.")));
     }
-    discard(connection);
-    finish(call->id,
-           tl::make_unexpected(callError(Failure::WrongIncarnation, Step::Connect, address, false,
-                                         "The connection did not pass its check.")));
+    connection->isAccepted = true;
+    connection->call = call->id;
+    call->connection = connection;
+    call->timer->startOnce(call->deadline - loop.clock().now());
+    send(*call, call->request);
 }
 
 void HttpClient::Private::expire(CallId id)
--- a/Source/Runtime/httpclient.h
+++ b/Source/Runtime/httpclient.h
@@ -35,7 +35,8 @@
  * \brief HTTP client for one server with a connection pool over evhttp; never retries a request.
  *
  * A response is complete only if it has a declared length or its final chunk was received. With a
- * ConnectionCheck, a call is sent only on a connection that was accepted and has stayed open since.
+ * ConnectionCheck, a call is sent only on a connection that was accepted and has stayed open since,
+ * or, if the server closes each connection after its response, right after the check.
  */
 class HttpClient
 {
--- a/Tests/Runtime/httptest.cpp
+++ b/Tests/Runtime/httptest.cpp
@@ -239,6 +239,31 @@
     CHECK(paths == std::vector<std::string>{"/check", "/check"});
 }
 
+TEST_CASE("A server that closes each connection after its response gets calls behind their checks")
+{
+    Fixture fixture;
+    std::vector<std::string> paths;
+    HttpServer server(fixture.loop, {}, [&](const std::shared_ptr<HttpExchange> &exchange) {
+        paths.push_back(exchange->request().path);
+        exchange->respond({200, {{"Connection", "close"}}, "x"});
+    });
+    const auto address = server.listen("127.0.0.1:0");
+    REQUIRE(address.has_value());
+    HttpClient client(fixture.loop, *address, 1,
+                      ConnectionCheck{[] {
+                                          return HttpRequest{"GET", "/check"};
+                                      },
+                                      [](const HttpResponse &) { return true; }, RunLimit});
+    for (int i = 0; i < 2; ++i) {
+        std::optional<HttpCallResult> result;
+        client.call({"POST", "/call"}, RunLimit,
+                    [&](HttpCallResult answer) { result = std::move(answer); });
+        fixture.runUntil([&] { return result.has_value(); });
+        CHECK(result->has_value());
+    }
+    CHECK(paths == std::vector<std::string>{"/check", "/call", "/check", "/call"});
+}
+
 TEST_CASE("A call does not wait longer for the check of its connection than the check may take")
 {
     Fixture fixture;
