Jobs: Start starved filling tasks that are suspected of a crash

What callers saw: nothing yet; found in a review of the crash suspects. A filling job waits without a running task, beside a service of which under 60% is claimed, for as long as the services there leave its task no processor time.

Cause: placeStep() ignores the limit of processor time for one task of a job that is starved on a mostly idle service. Suspected tasks are placed by placeCrashSuspect(), which always applied it. A sound task that shared its minion with a task that crashed it waited until the services let it in, or forever.

Test (Jobs): before, the suspected task was not placed (interferencetest.cpp has one that is not suspected): CHECK( pass(1'100ms) == 1 ) with expansion: 0 == 1 Now suspects follow the same rule, for one task of a job at a time. They still start alone on their minion.

--- a/Source/Jobs/taskplacer.cpp
+++ b/Source/Jobs/taskplacer.cpp
@@ -150,10 +150,15 @@
         return;
     const auto spread = spreadOf(ranked, ref.step);
     const bool reserved = releaseReservation(ref, step);
+    // As for other filling tasks, for one task of a job at a time.
+    const bool isJobStarting = std::ranges::any_of(
+        starts_, [&](const RunStart &start) { return start.task.job == ranked.id; });
+    const bool urgent =
+        !isJobStarting && isStarved(*ranked.job, nowMs_) && isMostlyIdle(queue->service);
     Candidate *best = nullptr;
     for (Candidate &candidate : candidates_) {
         if (!suits(candidate, step, queue->service, task, queue->maxAttempts, spread)
-            || (step.filling
+            || (step.filling && !urgent
                 && fillingCapacity(candidate, step.image).available
                        < static_cast<std::int64_t>(step.milliCores)))
             continue;
--- a/Tests/Jobs/crashsuspecttest.cpp
+++ b/Tests/Jobs/crashsuspecttest.cpp
@@ -119,3 +119,31 @@
     CHECK(fleet.leader().state("crashing") == JobState::Failed);
     CHECK(fleet.crashesBy("crashing") <= 3);
 }
+
+TEST_CASE("A filling crash suspect whose job is starved starts on a mostly idle service")
+{
+    SchedulerFixture leader;
+    leader.scheduler.interference().importLearned({{{"loud", "web", 0.5}}, {{"web", 0.4}}});
+    StepSpec serving = step(1, 6'000);
+    serving.longRunning = true;
+    serving.targetLatencyMs = 100;
+    serving.image = "web";
+    leader.submit("s", {serving});
+    const auto pass = [&](Duration time) {
+        leader.advance(time);
+        leader.report("agent-a", reportOf(LifeA, static_cast<std::uint64_t>(leader.nowMs), 40'000));
+        leader.directive("agent-a");
+        return leader.decide().starts.size();
+    };
+    REQUIRE(pass(1s) == 1);
+    StepSpec filling = step(1, 4'000);
+    filling.filling = true;
+    filling.image = "loud";
+    leader.submit("f", {filling});
+    REQUIRE(leader.start({"f", 0, 0}, 1, LifeB));
+    JobBatch batch;
+    batch.ends.push_back({LifeB, {0, {"f", 0, 0}, 1, RunEndKind::Lost, {}}, 2, true});
+    leader.apply(std::move(batch));
+    CHECK(pass(500ms) == 0);
+    CHECK(pass(1'100ms) == 1);
+}
