Jobs: Leave minions of every service to tasks that are not suspected of a crash

What callers saw: nothing yet; found in a review of the crash suspects. Jobs of a small service wait until all suspects of that service have started.

Cause: suspects may keep a third of the minions from other tasks, counted over all services. Suspects start on minions of their own service only, so with two minions of six they took both, one suspect after the other.

Test (Jobs): eight suspects, two minions of their service and four of another; before, a job that came later did not start: CHECK( leader.state("later") == JobState::Running ) with expansion: 0 == 1 The third is counted within the service now, and is at least one minion as before.

--- a/Source/Jobs/taskplacer.cpp
+++ b/Source/Jobs/taskplacer.cpp
@@ -30,7 +30,7 @@
 /** Time between the start of a crash suspect and any other start on its minion; twice the time
  * within which agents attribute a crash to a start, since orders take some time. */
 constexpr std::int64_t IsolationMs = 200;
-/** Share of the minions that crash suspects may keep from other tasks. */
+/** Share of the minions of a service that crash suspects may keep from other tasks. */
 constexpr std::size_t IsolatedMinionsDivisor = 3;
 /** Penalty in milli-cores for a minion without the label that the step prefers (the rack of its
  * data). */
@@ -134,9 +134,17 @@
     }
 }
 
-std::size_t TaskPlacer::isolatedCandidates() const
+bool TaskPlacer::mayIsolateAnother(const std::string &service) const
 {
-    return static_cast<std::size_t>(std::ranges::count_if(candidates_, &Candidate::isIsolated));
+    std::size_t minions = 0;
+    std::size_t isolated = 0;
+    for (const Candidate &candidate : candidates_) {
+        if (candidate.machine->minion.service != service)
+            continue;
+        ++minions;
+        isolated += candidate.isIsolated ? 1 : 0;
+    }
+    return isolated < std::max<std::size_t>(1, minions / IsolatedMinionsDivisor);
 }
 
 void TaskPlacer::placeCrashSuspect(const RankedJob &ranked, const TaskRef &ref)
@@ -145,8 +153,7 @@
     const Task &task = ranked.job->tasks[ref.step][ref.index];
     const StepSpec &step = ranked.job->steps[ref.step];
     if (queue == nullptr || task.done || !task.active.empty() || !ranked.job->isStepReady(ref.step)
-        || isolatedCandidates()
-               >= std::max<std::size_t>(1, candidates_.size() / IsolatedMinionsDivisor))
+        || !mayIsolateAnother(queue->service))
         return;
     const auto spread = spreadOf(ranked, ref.step);
     const bool reserved = releaseReservation(ref, step);
--- a/Source/Jobs/taskplacer.h
+++ b/Source/Jobs/taskplacer.h
@@ -106,7 +106,8 @@
      * shortly before or after, so that another crash shows whether it is the cause. */
     void placeCrashSuspects(const std::vector<RankedJob> &ordered);
     void placeCrashSuspect(const RankedJob &ranked, const TaskRef &ref);
-    std::size_t isolatedCandidates() const;
+    /** True if crash suspects may keep another minion of \a service from other tasks. */
+    bool mayIsolateAnother(const std::string &service) const;
     /** Number of active runs of \a step on each minion. */
     std::map<MinionLife, std::uint32_t> spreadOf(const RankedJob &ranked, std::uint32_t step) const;
     /** True if \a candidate may take \a task of \a step, apart from the limits of filling tasks. */
--- a/Tests/Jobs/crashsuspecttest.cpp
+++ b/Tests/Jobs/crashsuspecttest.cpp
@@ -120,6 +120,31 @@
     CHECK(fleet.crashesBy("crashing") <= 3);
 }
 
+TEST_CASE("Crash suspects leave minions of each service to other tasks")
+{
+    SchedulerFixture leader;
+    constexpr int Suspects = 8;
+    for (int i = 0; i < Suspects; ++i) {
+        const std::string id = "suspect-" + std::to_string(i);
+        leader.submit(id, {step(1)});
+        REQUIRE(leader.start({id, 0, 0}, 1, {"crashed", 1}));
+        JobBatch batch;
+        batch.ends.push_back(
+            {{"crashed", 1}, {0, {id, 0, 0}, 1, RunEndKind::Lost, {}}, Suspects, true});
+        leader.apply(std::move(batch));
+    }
+    for (int i = 0; i < 6; ++i) {
+        const std::string number = std::to_string(i);
+        MachineReport report = reportOf({"minion-" + number, 100}, 1'000);
+        report.minion.service = i < 2 ? "notices" : "other";
+        leader.report("agent-" + number, report);
+        leader.directive("agent-" + number);
+    }
+    leader.submit("later", {step(1)});
+    leader.decide();
+    CHECK(leader.state("later") == JobState::Running);
+}
+
 TEST_CASE("A filling crash suspect whose job is starved starts on a mostly idle service")
 {
     SchedulerFixture leader;
