Jobs: Let other tasks start between crash suspects on the only minion of a service

What callers saw: nothing yet; found in a review of the crash suspects. On a service with one minion a task that crashes it makes suspects of all tasks that started with it, and then no other job starts before each of them has started, 200 ms apart.

Cause: the minion is kept free for the next suspect as soon as the time of the last one is over, in the same pass, before other tasks are placed.

Test (Jobs): 30 suspects on one minion; before, a job that came later was not done 2 s after it came: CHECK( fleet.leader().state("later") == JobState::Completed ) with expansion: 0 == 2 Now other tasks have 200 ms before the next suspect, which then waits 200 ms after the last of their starts. On such a service the suspects take at least 400 ms each in place of 200. With more minions nothing changes, since at least one is left to the other tasks.

Suspended minions, which take long-running tasks only, do not count as minions of the service here.

--- a/Source/Jobs/taskplacer.cpp
+++ b/Source/Jobs/taskplacer.cpp
@@ -30,6 +30,9 @@
 /** Time between the start of a crash suspect and any other start on its minion; twice the time
  * within which agents attribute a crash to a start, since orders take some time. */
 constexpr std::int64_t IsolationMs = 200;
+/** Time after the isolation of a suspect in which other tasks may start on the only minion of a
+ * service; as long as the isolation, so that neither waits longer than the other. */
+constexpr std::int64_t OthersTurnMs = IsolationMs;
 /** Share of the minions of a service that crash suspects may keep from other tasks. */
 constexpr std::size_t IsolatedMinionsDivisor = 3;
 /** Penalty in milli-cores for a minion without the label that the step prefers (the rack of its
@@ -122,8 +125,11 @@
             continue;
         for (const RunKey &key : runs->second) {
             const std::int64_t startedAtMs = book_.activeRun(key)->startedAtMs;
+            const bool isSuspect = suspects.contains(key.first);
+            if (startedAtMs >= candidate.lastStartAtMs)
+                candidate.isLastStartSuspect = isSuspect;
             candidate.lastStartAtMs = std::max(candidate.lastStartAtMs, startedAtMs);
-            if (suspects.contains(key.first) && nowMs_ < startedAtMs + IsolationMs)
+            if (isSuspect && nowMs_ < startedAtMs + IsolationMs)
                 candidate.isIsolated = true;
         }
     }
@@ -138,12 +144,19 @@
 {
     std::size_t minions = 0;
     std::size_t isolated = 0;
+    bool isOthersTurn = false;
     for (const Candidate &candidate : candidates_) {
-        if (candidate.machine->minion.service != service)
+        if (candidate.machine->minion.service != service || candidate.isSuspended)
             continue;
         ++minions;
         isolated += candidate.isIsolated ? 1 : 0;
+        isOthersTurn = isOthersTurn
+                       || (candidate.isLastStartSuspect
+                           && nowMs_ < candidate.lastStartAtMs + IsolationMs + OthersTurnMs);
     }
+    // On the only minion of a service other tasks would wait for all suspects.
+    if (minions == 1 && isOthersTurn)
+        return false;
     return isolated < std::max<std::size_t>(1, minions / IsolatedMinionsDivisor);
 }
 
--- a/Source/Jobs/taskplacer.h
+++ b/Source/Jobs/taskplacer.h
@@ -77,6 +77,8 @@
         std::vector<const StepSpec *> reserved;
         /** Calendar time of the latest start in milliseconds; computed if there are suspects. */
         std::int64_t lastStartAtMs = 0;
+        /** True if that start was one of a crash suspect. */
+        bool isLastStartSuspect = false;
         /** True if only long-running tasks may start here. */
         bool isSuspended = false;
         /** True if no other task may start here in this pass, because a suspect starts. */
--- a/Tests/Jobs/crashsuspecttest.cpp
+++ b/Tests/Jobs/crashsuspecttest.cpp
@@ -120,6 +120,24 @@
     CHECK(fleet.crashesBy("crashing") <= 3);
 }
 
+TEST_CASE("Other tasks start beside many crash suspects on the only minion of a service")
+{
+    SimulatedFleet fleet({40'000});
+    fleet.setCrashing("crashing");
+    fleet.leader().submit("crashing", {step(1)});
+    for (int i = 0; i < 30; ++i)
+        fleet.leader().submit("job-" + std::to_string(i), {step(1)});
+    fleet.pass(1s);
+    REQUIRE(fleet.leader().book.crashSuspects().size() == 31);
+    fleet.leader().cancel("crashing");
+    fleet.pass(2500ms);
+    fleet.leader().submit("later", {step(1)});
+    fleet.pass(2s);
+    CHECK(fleet.leader().state("later") == JobState::Completed);
+    fleet.pass(18s);
+    CHECK(fleet.leader().book.crashSuspects().empty());
+}
+
 TEST_CASE("Crash suspects leave minions of each service to other tasks")
 {
     SchedulerFixture leader;
