Fleet: Keep a crash until a report that contains it is acknowledged

What callers saw: nothing yet; found in a review of how crashes are counted.

Cause: the acknowledgement of the latest report with an event dropped all ended instances, crashes and confirmed refusals, also those that came after that report. If the acknowledgement arrived between a crash and the next report, as when an agent that was suspended handles both at once, the leader heard only of the new instance. It ends the runs of the old one without a crash, so the task that caused it was not counted.

Events that are reported twice are ignored by the leader as before.

--- a/Source/Fleet/miniontask.cpp
+++ b/Source/Fleet/miniontask.cpp
@@ -3,6 +3,7 @@
 #include "Runtime/log.h"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 namespace Oleander::Fleet {
@@ -33,6 +34,8 @@
 constexpr Duration CrashWindow = std::chrono::milliseconds(100);
 /** The same for a crash without any start in CrashWindow. */
 constexpr Duration SlowCrashWindow = std::chrono::seconds(2);
+/** In place of the number of a report while an event waits for the next one. */
+constexpr std::uint64_t NotYetReported = std::numeric_limits<std::uint64_t>::max();
 /** Polls wait for ends of runs, so they use a connection of their own and never delay an order. */
 constexpr std::size_t PollConnections = 1;
 constexpr std::size_t OrderConnections = 4;
@@ -153,6 +156,7 @@
     for (auto *client : {&pollClient_, &orderClient_})
         loop_.post([ended = std::shared_ptr<HttpClient>(std::move(*client))] {});
     isPolling_ = false;
+    latestEventReport_ = NotYetReported;
     endedInstances_.push_back(minion_.life);
     latestEndedInstance_ = minion_.life;
     departedAt_.reset();
@@ -459,6 +463,7 @@
         }
         if (!refusal.isConfirmed && number > refusal.afterPoll) {
             refusal.isConfirmed = true;
+            latestEventReport_ = NotYetReported;
             hasChanges = true;
         }
         ++it;
--- a/Tests/Fleet/miniontasktest.cpp
+++ b/Tests/Fleet/miniontasktest.cpp
@@ -298,3 +298,26 @@
     minion.announce(4, 1'000);
     CHECK(emitted == 2);
 }
+
+TEST_CASE("The acknowledgement of an earlier report does not drop a crash that none has contained")
+{
+    Fixture minion;
+    MinionAnnouncement announcement;
+    announcement.sequence = 1;
+    announcement.minion.life = {"i-2", Born + 1};
+    minion.task.handleAnnouncement(announcement);
+    REQUIRE(minion.task.makeReport(1).crashes.size() == 1);
+    announcement.minion.life = {"i-3", Born + 2};
+    minion.task.handleAnnouncement(announcement);
+    MachineDirective directive;
+    directive.term = 1;
+    directive.acknowledgedReport = 1;
+    minion.task.handleDirective(directive);
+    const MachineReport report = minion.task.makeReport(2);
+    REQUIRE_FALSE(report.crashes.empty());
+    CHECK(report.crashes.back().life == MinionLife{"i-2", Born + 1});
+    CHECK(report.ended.back() == MinionLife{"i-2", Born + 1});
+    directive.acknowledgedReport = 2;
+    minion.task.handleDirective(directive);
+    CHECK(minion.task.makeReport(3).ended.empty());
+}
