--- a/Tests/Jobs/shrinkingtest.cpp
+++ b/Tests/Jobs/shrinkingtest.cpp
@@ -279,23 +279,32 @@
     std::uint64_t overCapacity_ = 0;
 };
 
+/** A new leader whose predecessor committed three starts on a minion that has room for two. */
+struct LeaderOfShrunkenMinion : SchedulerFixture
+{
+    MachineReport minionReport = reportOf(LifeA, 1'000, 2'000);
+
+    LeaderOfShrunkenMinion()
+    {
+        submit("j", {step(3)});
+        for (std::uint32_t i = 0; i < 3; ++i)
+            REQUIRE(start({"j", 0, i}, 1, LifeA));
+        scheduler.startTerm(clock.now(), 4);
+    }
+};
+
 } // namespace
 
 TEST_CASE("A committed start that no longer fits its shrunken minion is withdrawn")
 {
-    SchedulerFixture leader;
-    leader.submit("j", {step(3)});
-    for (std::uint32_t i = 0; i < 3; ++i)
-        REQUIRE(leader.start({"j", 0, i}, 1, LifeA));
+    LeaderOfShrunkenMinion leader;
     // The predecessor could not deliver the last two starts.
-    leader.scheduler.startTerm(leader.clock.now(), 4);
-    MachineReport report = reportOf(LifeA, 1'000, 2'000);
     RunStatus running;
     running.task = {"j", 0, 0};
     running.run = 1;
     running.hasStartOrder = true;
-    report.running = {running};
-    leader.report("agent-a", report);
+    leader.minionReport.running = {running};
+    leader.report("agent-a", leader.minionReport);
     const MachineDirective directive = leader.directive("agent-a");
     CHECK(directive.starts.size() == 1);
     REQUIRE(directive.stops.size() == 1);
@@ -305,14 +314,9 @@
 TEST_CASE("A minion whose runs are not listed yet receives no stop after it has shrunk")
 {
     // They may be at work; a stop would end them.
-    SchedulerFixture leader;
-    leader.submit("j", {step(3)});
-    for (std::uint32_t i = 0; i < 3; ++i)
-        REQUIRE(leader.start({"j", 0, i}, 1, LifeA));
-    leader.scheduler.startTerm(leader.clock.now(), 4);
-    MachineReport report = reportOf(LifeA, 1'000, 2'000);
-    report.hasRunList = false;
-    leader.report("agent-a", report);
+    LeaderOfShrunkenMinion leader;
+    leader.minionReport.hasRunList = false;
+    leader.report("agent-a", leader.minionReport);
     const MachineDirective directive = leader.directive("agent-a");
     CHECK(directive.holdUntilMs > 0);
     CHECK(directive.stops.empty());
