Fleet: Separate the attribution of crashes from the task of a minion

What tells which runs may have crashed a minion (the times of starts, the first failed poll, the two windows) shares only its events with the rest, and the comparison of capacities belongs to MinionReport.

Change: CrashAttribution holds the first, MinionReport::hasCapacityOf() the second. No decision is changed: the same events are recorded in the same order. Ruled out by reading: older starts are now dropped at the begin of applyRunLists() in place of its end, and nothing between the two reads them.

--- a/Source/Fleet/miniontask.cpp
+++ b/Source/Fleet/miniontask.cpp
@@ -29,11 +29,6 @@
 constexpr Duration DepartureTimeout = std::chrono::milliseconds(800);
 /** Minimum remaining time of the lease for sending a start, in milliseconds. */
 constexpr std::uint64_t MinLeaseMs = 200;
-/** Time from the start of a run to the crash of the minion within which the run is a likely cause.
- * It covers the interval of the polls, which notice the crash. */
-constexpr Duration CrashWindow = std::chrono::milliseconds(100);
-/** The same for a crash without any start in CrashWindow. */
-constexpr Duration SlowCrashWindow = std::chrono::seconds(2);
 /** In place of the number of a report while an event waits for the next one. */
 constexpr std::uint64_t NotYetReported = std::numeric_limits<std::uint64_t>::max();
 /** Polls wait for ends of runs, so they use a connection of their own and never delay an order. */
@@ -51,19 +46,6 @@
     return !error.mayHaveBeenSent && error.error.code == Failure::Unavailable;
 }
 
-bool hasSameCapacity(const MinionReport &a, const MinionReport &b)
-{
-    return a.milliCores == b.milliCores && a.memoryMiB == b.memoryMiB
-           && a.accelerators == b.accelerators;
-}
-
-/** True if \a next has less of a resource than \a previous. */
-bool hasShrunk(const MinionReport &previous, const MinionReport &next)
-{
-    return next.milliCores < previous.milliCores || next.memoryMiB < previous.memoryMiB
-           || next.accelerators < previous.accelerators;
-}
-
 RunEnd makeRunEnd(const Jobs::RunKey &key, RunEndKind kind)
 {
     return {0, key.first, key.second, kind, {}};
@@ -91,9 +73,10 @@
         announcementSequence_ = announcement.sequence;
         if (minion_.draining != previous.draining)
             logEvent(LogEvent::MinionDraining, Step::Leave, life.name, {});
-        if (hasShrunk(previous, minion_))
+        const bool hasShrunk = !minion_.hasCapacityOf(previous);
+        if (hasShrunk)
             abandonStarts();
-        if (minion_.draining != previous.draining || !hasSameCapacity(previous, minion_))
+        if (minion_.draining != previous.draining || hasShrunk || !previous.hasCapacityOf(minion_))
             reportNeeded.emit();
     } else if (isNewer) {
         endInstance("another instance was announced");
@@ -141,7 +124,13 @@
     if (!hasMinion_)
         return;
     const bool isCrash = !minion_.draining && !departedAt_;
-    const MinionCrash crash = isCrash ? describeCrash() : MinionCrash();
+    MinionCrash crash;
+    if (isCrash) {
+        crash = crashAttribution_.describe(
+            loop_.clock().now(), minion_.life,
+            [&](const Jobs::RunKey &key) { return !undeliveredStarts_.contains(key); });
+        crashes_.push_back(crash);
+    }
     logEvent(LogEvent::MinionLapsed, Step::Leave, minion_.life.name,
              {{"born_ms", minion_.life.bornMs},
               {"why", why},
@@ -149,8 +138,6 @@
               {"crash", isCrash ? 1 : 0},
               {"suspects", crash.suspects.size()},
               {"immediate", crash.isImmediate ? 1 : 0}});
-    if (isCrash)
-        crashes_.push_back(crash);
     hasMinion_ = false;
     // This function may be called by a callback of a client.
     for (auto *client : {&pollClient_, &orderClient_})
@@ -165,8 +152,7 @@
     acknowledgedEnd_ = 0;
     hasRunList_ = false;
     refusedPolls_ = 0;
-    failingSince_.reset();
-    startedAt_.clear();
+    crashAttribution_ = {};
     highestEndNumber_ = 0;
     running_.clear();
     finished_.clear();
@@ -179,24 +165,6 @@
     reportNeeded.emit();
 }
 
-MinionCrash MinionTask::describeCrash() const
-{
-    MinionCrash crash;
-    crash.life = minion_.life;
-    const TimePoint crashedAt = failingSince_.value_or(loop_.clock().now());
-    for (const Duration window : {CrashWindow, SlowCrashWindow}) {
-        for (const auto &[key, startedAt] : startedAt_) {
-            if (startedAt + window >= crashedAt)
-                crash.suspects.push_back(
-                    {key.first, key.second, !undeliveredStarts_.contains(key)});
-        }
-        crash.isImmediate = window == CrashWindow;
-        if (!crash.suspects.empty())
-            break;
-    }
-    return crash;
-}
-
 void MinionTask::handleDeparture(const MinionDeparture &departure)
 {
     if (hasMinion_ && departure.name == minion_.life.name && !departedAt_) {
@@ -262,7 +230,7 @@
     if (start.validUntilMs < minionClockMs_ + MinLeaseMs)
         return abandonStart(key);
     start.isInFlight = true;
-    startedAt_.try_emplace(key, loop_.clock().now());
+    crashAttribution_.startSent(loop_.clock().now(), key);
     orderClient_->call(
         codec_.startRequest(minion_.life.name, start.order, term_, start.validUntilMs), CallTimeout,
         [this, key, instance = instanceNumber_](const HttpCallResult &result) {
@@ -284,14 +252,14 @@
         if (result.error().mayHaveBeenSent)
             unansweredStarts_[key] = found->second.validUntilMs;
         else if (!unansweredStarts_.contains(key))
-            startedAt_.erase(key);
+            crashAttribution_.forget(key);
         return;
     }
     switch (codec_.decodeOrderResult(*result)) {
     case OrderResult::Done:
         undeliveredStarts_.erase(found);
         unansweredStarts_.erase(key);
-        startedAt_.insert_or_assign(key, loop_.clock().now());
+        crashAttribution_.startConfirmed(loop_.clock().now(), key);
         break;
     case OrderResult::Refused:
     case OrderResult::Busy:
@@ -315,7 +283,7 @@
     // A minion never starts a run that it has already been told to stop.
     if (unansweredStarts_.contains(key))
         return sendStop({key.first, key.second});
-    startedAt_.erase(key);
+    crashAttribution_.forget(key);
     refusals_[key] = {pollNumber_, false};
 }
 
@@ -419,7 +387,7 @@
     // The process listens but did not answer with its lists.
     if (error.error.code == Failure::WrongIncarnation)
         return logEvent(LogEvent::FrameMalformed, error.error);
-    failingSince_ = failingSince_.value_or(now);
+    crashAttribution_.pollFailed(now);
     refusedPolls_ = isConnectionRefused(error) ? refusedPolls_ + 1 : 0;
     if (refusedPolls_ >= RefusedPollsUntilGone)
         return endInstance("no process listens at its address");
@@ -433,7 +401,7 @@
 void MinionTask::applyRunLists(std::uint64_t number, RunLists lists)
 {
     const TimePoint now = loop_.clock().now();
-    failingSince_.reset();
+    crashAttribution_.pollAnswered(now);
     minionClockMs_ = std::max(minionClockMs_, lists.clockMs);
     bool hasChanges = !hasRunList_ || lists.running.size() != running_.size();
     for (const RunEnd &end : lists.finished) {
@@ -448,7 +416,7 @@
         present.insert({status.task, status.run});
     for (const RunEnd &end : finished_) {
         present.insert({end.task, end.run});
-        startedAt_.erase({end.task, end.run});
+        crashAttribution_.forget({end.task, end.run});
     }
     for (const Jobs::RunKey &key : present)
         undeliveredStarts_.erase(key);
@@ -468,8 +436,6 @@
         }
         ++it;
     }
-    std::erase_if(startedAt_,
-                  [&](const auto &item) { return now > item.second + SlowCrashWindow; });
     std::erase_if(startOrders_, [&](const auto &item) {
         return !present.contains(item.first) && !undeliveredStarts_.contains(item.first);
     });
--- a/Source/Fleet/miniontask.h
+++ b/Source/Fleet/miniontask.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Fleet/crashattribution.h"
 #include "Fleet/fleetcodec.h"
 #include "Jobs/pacecontroller.h"
 #include "Runtime/eventloop.h"
@@ -68,8 +69,6 @@
     void onPollAnswer(std::uint64_t number, const HttpCallResult &result);
     void applyRunLists(std::uint64_t number, RunLists lists);
     void onPollFailure(const HttpCallError &error);
-    /** Returns the crash of the current instance, with the runs that may have caused it. */
-    MinionCrash describeCrash() const;
     void updatePace();
     void sendStart(const Jobs::RunKey &key);
     void onStartAnswer(const Jobs::RunKey &key, std::uint64_t instance,
@@ -119,16 +118,13 @@
     TimePoint pollStartedAt_{};
     TimePoint nextPollAt_{};
     unsigned refusedPolls_ = 0;
-    /** Time of the first of the latest consecutive failed polls. */
-    std::optional<TimePoint> failingSince_;
     std::vector<RunStatus> running_;
     std::vector<RunEnd> finished_;
     std::uint64_t highestEndNumber_ = 0;
     /** Start orders of the runs that may be active. */
     std::map<Jobs::RunKey, StartOrder> startOrders_;
     std::map<Jobs::RunKey, UndeliveredStart> undeliveredStarts_;
-    /** Time at which the minion received each start, or may have received it. */
-    std::map<Jobs::RunKey, TimePoint> startedAt_;
+    CrashAttribution crashAttribution_;
     /** Starts with an unanswered call, which the minion may still execute, and the time on the
      * minion's clock after which it will not. */
     std::map<Jobs::RunKey, std::uint64_t> unansweredStarts_;
--- a/Source/Protocol/jobmessages.h
+++ b/Source/Protocol/jobmessages.h
@@ -81,6 +81,13 @@
     bool draining = false;
     /** False while the agent's calls to the minion fail. */
     bool reachable = true;
+
+    /** True if this minion has at least the resources of \a other. */
+    bool hasCapacityOf(const MinionReport &other) const
+    {
+        return milliCores >= other.milliCores && memoryMiB >= other.memoryMiB
+               && accelerators >= other.accelerators;
+    }
 };
 
 template<typename F>
