tests: Hold that suspended minions do not count as left to other tasks

Test: six minions, of which one takes only long-running tasks; a third of the other five is one minion for crash suspects. A first form passed without the condition too, since a minion takes nothing in the first second of its suspension. The eight lines that two cases shared are suspectTogether() now; no check is changed.

--- a/Tests/Jobs/crashsuspecttest.cpp
+++ b/Tests/Jobs/crashsuspecttest.cpp
@@ -24,6 +24,20 @@
     }
 };
 
+/** Submits \a count jobs whose tasks are suspected of one crash. */
+void suspectTogether(SchedulerFixture &leader, std::uint32_t count)
+{
+    const MinionLife crashed{"crashed", 1};
+    for (std::uint32_t i = 0; i < count; ++i) {
+        const std::string id = "suspect-" + std::to_string(i);
+        leader.submit(id, {step(1)});
+        REQUIRE(leader.start({id, 0, 0}, 1, crashed));
+        JobBatch batch;
+        batch.ends.push_back({crashed, {0, {id, 0, 0}, 1, RunEndKind::Lost, {}}, count, true});
+        leader.apply(std::move(batch));
+    }
+}
+
 } // namespace
 
 TEST_CASE("A task is given up after two crashes if one is certainly its own")
@@ -141,16 +155,7 @@
 TEST_CASE("Crash suspects leave minions of each service to other tasks")
 {
     SchedulerFixture leader;
-    constexpr int Suspects = 8;
-    for (int i = 0; i < Suspects; ++i) {
-        const std::string id = "suspect-" + std::to_string(i);
-        leader.submit(id, {step(1)});
-        REQUIRE(leader.start({id, 0, 0}, 1, {"crashed", 1}));
-        JobBatch batch;
-        batch.ends.push_back(
-            {{"crashed", 1}, {0, {id, 0, 0}, 1, RunEndKind::Lost, {}}, Suspects, true});
-        leader.apply(std::move(batch));
-    }
+    suspectTogether(leader, 8);
     for (int i = 0; i < 6; ++i) {
         const std::string number = std::to_string(i);
         MachineReport report = reportOf({"minion-" + number, 100}, 1'000);
@@ -163,6 +168,35 @@
     CHECK(leader.state("later") == JobState::Running);
 }
 
+TEST_CASE("A suspended minion does not count among those that crash suspects leave to other tasks")
+{
+    // A third of five minions is one, of six it is two.
+    constexpr std::uint32_t Minions = 6;
+    SchedulerFixture leader;
+    const MinionLife failing{"minion-0", 100};
+    MachineReport failures = reportOf(failing, 1'000);
+    for (std::uint32_t number = 1; number <= 3; ++number) {
+        const std::string id = "failing-" + std::to_string(number);
+        leader.submit(id, {step(1)});
+        REQUIRE(leader.start({id, 0, 0}, 1, failing));
+        failures.finished.push_back({number, {id, 0, 0}, 1, RunEndKind::Failed, {}});
+    }
+    leader.report("agent-0", failures);
+    leader.decide();
+    // From now on the minion accepts long-running tasks.
+    leader.advance(1'500ms);
+    for (std::uint32_t i = 0; i < Minions; ++i) {
+        const std::string number = std::to_string(i);
+        leader.report("agent-" + number, reportOf({"minion-" + number, 100}, 2'500));
+        leader.directive("agent-" + number);
+    }
+    suspectTogether(leader, 8);
+    std::size_t suspectStarts = 0;
+    for (const RunStart &start : leader.decide().starts)
+        suspectStarts += start.task.job.starts_with("suspect-") ? 1 : 0;
+    CHECK(suspectStarts == 1);
+}
+
 TEST_CASE("A filling crash suspect whose job is starved starts on a mostly idle service")
 {
     SchedulerFixture leader;
