Protocol: Check the nesting and size of JSON from outside before it is parsed

What was seen: an announcement of 200 KB whose field "slots" holds 100,000 nested arrays ended the agent with a segmentation fault. The refusal formats the offending value, and formatting is recursive. FieldReader of Records had the same fault, behind a check of the depth in its only caller. Other readers accepted any depth, and a body of nothing but brackets was parsed as a whole before it was refused.

Cause: each reader of JSON parsed and checked on its own, and the depth of a document was nobody's contract.

Change: parseJson() and displayText() of Protocol are what every process uses for JSON of callers, operators, minions and workers.

--- a/Source/Agent/announcementparse.cpp
+++ b/Source/Agent/announcementparse.cpp
@@ -1,9 +1,9 @@
 #include "Agent/announcementparse.h"
 
+#include "Protocol/jsonreader.h"
 #include "Runtime/address.h"
 
 #include <fmt/format.h>
-#include <nlohmann/json.hpp>
 
 #include <array>
 
@@ -42,7 +42,7 @@
         if (value >= minimum && value <= maximum)
             return value;
     }
-    const std::string given = found == body.end() ? "missing" : found->dump();
+    const std::string given = found == body.end() ? "missing" : displayText(*found);
     return refuse(minion, fmt::format("The field {} is {}; allowed is a whole number from {} to "
                                       "{}.",
                                       field, given, minimum, maximum));
@@ -58,12 +58,15 @@
 Result<MinionAnnouncement> parseAnnouncement(const std::string &name, const std::string &body,
                                              Duration maxTimeToLive)
 {
-    const Json json = Json::parse(body, nullptr, false);
+    const auto parsed = parseJson(body);
+    if (!parsed)
+        return refuse(name, parsed.error().detail);
+    const Json &json = *parsed;
     if (!json.is_object())
         return refuse(name, "The body is not a JSON object.");
     for (const auto &[key, value] : json.items()) {
         if (!isKnownField(key))
-            return refuse(name, fmt::format("The field {} is unknown.", key));
+            return refuse(name, fmt::format("The field {} is unknown.", displayText(key)));
     }
     const auto maxMilliseconds =
         std::chrono::duration_cast<std::chrono::milliseconds>(maxTimeToLive);
--- a/Source/Agent/workerinterface.cpp
+++ b/Source/Agent/workerinterface.cpp
@@ -1,9 +1,9 @@
 #include "Agent/workerinterface.h"
 
 #include "Base/nametable.h"
+#include "Protocol/jsonreader.h"
 
 #include <fmt/format.h>
-#include <nlohmann/json.hpp>
 
 namespace Oleander {
 
@@ -96,11 +96,11 @@
 Result<std::vector<T>> parseList(std::string_view body, const char *path,
                                  bool (*readItem)(const json &, T &))
 {
-    const json document = json::parse(body, nullptr, false);
+    const auto document = parseJson(body);
     std::vector<T> list;
-    bool isValid = document.is_array();
+    bool isValid = document && document->is_array();
     if (isValid) {
-        for (const json &item : document)
+        for (const json &item : *document)
             isValid = isValid && readItem(item, list.emplace_back());
     }
     if (!isValid) {
@@ -160,9 +160,9 @@
 
 std::string refusalReason(const HttpResponse &response)
 {
-    const json document = json::parse(response.body, nullptr, false);
+    const auto document = parseJson(response.body);
     std::string reason;
-    if (document.is_object() && read(document, "reason", reason) && !reason.empty())
+    if (document && document->is_object() && read(*document, "reason", reason) && !reason.empty())
         return reason;
     return fmt::format("The worker answered with status {}.", response.status);
 }
--- a/Source/Entry/operatorrequest.cpp
+++ b/Source/Entry/operatorrequest.cpp
@@ -1,11 +1,11 @@
 #include "Entry/operatorrequest.h"
 
 #include "Base/printable.h"
+#include "Protocol/jsonreader.h"
 #include "Records/parse.h"
 #include "Records/systemvalues.h"
 
 #include <fmt/format.h>
-#include <nlohmann/json.hpp>
 
 #include <charconv>
 #include <map>
@@ -172,7 +172,10 @@
 {
     constexpr std::string_view Allowed =
         "an object with one field 'records', an array of texts '<kind>/<name>'";
-    const auto json = nlohmann::json::parse(body, nullptr, false);
+    const auto parsed = parseJson(body);
+    if (!parsed)
+        return refuse(parsed.error().detail);
+    const auto &json = *parsed;
     if (!json.is_object() || json.size() != 1 || !json.contains("records")
         || !json["records"].is_array())
         return refuse(fmt::format("The body has an unexpected structure; allowed is {}.", Allowed));
--- a/Source/Records/fieldreader.cpp
+++ b/Source/Records/fieldreader.cpp
@@ -1,8 +1,9 @@
 #include "Records/fieldreader.h"
 
+#include "Protocol/jsonreader.h"
+
 #include <fmt/format.h>
 #include <fmt/ranges.h>
-#include <nlohmann/json.hpp>
 
 #include <algorithm>
 
@@ -10,23 +11,12 @@
 
 namespace {
 
-constexpr std::size_t MaxDisplayBytes = 80;
-
 const nlohmann::json &emptyObject()
 {
     static const auto Empty = nlohmann::json::object();
     return Empty;
 }
 
-std::string displayText(const nlohmann::json &value)
-{
-    constexpr bool EnsureAscii = true;
-    std::string text = value.dump(-1, ' ', EnsureAscii, nlohmann::json::error_handler_t::replace);
-    if (text.size() > MaxDisplayBytes)
-        text = text.substr(0, MaxDisplayBytes) + "...";
-    return text;
-}
-
 bool isNameStart(char c)
 {
     return (c >= 'a' && c <= 'z') || (c >= '0' && c <= '9');
--- a/Source/Records/parse.cpp
+++ b/Source/Records/parse.cpp
@@ -1,12 +1,12 @@
 #include "Records/parse.h"
 
 #include "Base/printable.h"
+#include "Protocol/jsonreader.h"
 #include "Records/fieldreader.h"
 #include "Records/specnames.h"
 
 #include <fmt/format.h>
 #include <fmt/ranges.h>
-#include <nlohmann/json.hpp>
 
 #include <algorithm>
 #include <set>
@@ -17,7 +17,7 @@
 
 using Json = nlohmann::json;
 
-constexpr int MaxDepth = 4;
+constexpr JsonLimits Limits = {.maxDepth = 4};
 constexpr std::size_t MaxErrors = 20;
 constexpr std::size_t MaxPayloadBytes = 64UL * 1024;
 constexpr std::size_t MaxReasonBytes = 1024;
@@ -34,22 +34,14 @@
 constexpr std::uint64_t MilliCoresPerCore = 1000;
 constexpr std::uint64_t MiBPerGiB = 1024;
 
-/** Parser callback that rejects duplicate names, which nlohmann would drop, and deep nesting. */
+/** Parser callback that rejects duplicate names, which nlohmann would drop. */
 class StructureCheck
 {
 public:
     explicit StructureCheck(std::vector<std::string> &errors) : errors_(errors) {}
 
-    bool operator()(int depth, Json::parse_event_t event, Json &value)
+    bool operator()(int, Json::parse_event_t event, Json &value)
     {
-        if (depth > MaxDepth && !isTooDeep_) {
-            isTooDeep_ = true;
-            errors_.push_back(
-                fmt::format("The body is nested more than {} levels deep; allowed are at most {}.",
-                            MaxDepth, MaxDepth));
-        }
-        if (isTooDeep_)
-            return false;
         if (event == Json::parse_event_t::object_start)
             names_.emplace_back();
         if (event == Json::parse_event_t::object_end)
@@ -71,7 +63,6 @@
 
     std::vector<std::string> &errors_;
     std::vector<std::set<std::string>> names_;
-    bool isTooDeep_ = false;
 };
 
 std::uint32_t toUint32(std::uint64_t value)
@@ -186,8 +177,12 @@
                 fmt::format("{}", fmt::join(errors, " ")));
 }
 
-Json parseJson(std::string_view body, std::vector<std::string> &errors)
+Json parseUnique(std::string_view body, std::vector<std::string> &errors)
 {
+    if (const auto checked = checkJsonLimits(body, Limits); !checked) {
+        errors.push_back(checked.error().detail);
+        return {};
+    }
     try {
         return Json::parse(body, StructureCheck(errors));
     } catch (const Json::exception &error) {
@@ -273,7 +268,7 @@
                                 MaxBodyBytes));
     }
     std::vector<std::string> errors;
-    const Json json = parseJson(body, errors);
+    const Json json = parseUnique(body, errors);
     if (errors.empty() && !json.is_object()) {
         errors.push_back(
             fmt::format("The body is a JSON {}; allowed is an object.", json.type_name()));
--- a/Tests/Entry/operatorservertest.cpp
+++ b/Tests/Entry/operatorservertest.cpp
@@ -192,6 +192,9 @@
     CHECK_THAT(refused(400, "GET", "/v1/events", "", {}, "since=1"), Contains("since"));
     CHECK_THAT(refused(400, "POST", "/v1/withdrawals", R"({"records":["a"]})"),
                Contains("<kind>/<name>"));
+    const std::string nested = std::string(1'000, '[') + std::string(1'000, ']');
+    CHECK_THAT(refused(400, "POST", "/v1/withdrawals", R"({"records":[)" + nested + "]}"),
+               Contains("nested"));
     CHECK_THAT(refused(404, "GET", "/v1/nothing", ""), Contains("/v1/nothing"));
     CHECK_THAT(refused(405, "DELETE", "/v1/events", ""), Contains("GET"));
     CHECK(fixture.index == 0);
--- a/Tests/Platform/platformcodectest.cpp
+++ b/Tests/Platform/platformcodectest.cpp
@@ -6,6 +6,7 @@
 
 #include <filesystem>
 #include <fstream>
+#include <limits>
 #include <sstream>
 
 using namespace Oleander;
@@ -34,6 +35,26 @@
            + more + "}";
 }
 
+/** An announcement in which \a field has the value \a value. */
+std::string announcementWith(const std::string &field, const std::string &value)
+{
+    auto body = nlohmann::json::parse(announcement(R"(,"born":1700000000000)"));
+    auto &object = field == "cpu" || field == "memMb" || field == "gpu" ? body["capacity"] : body;
+    object[field] = nlohmann::json::parse(value);
+    return body.dump();
+}
+
+bool isAnnouncementRefused(const std::string &body)
+{
+    const auto call = codec.decodeMinionCall(request("PUT", "/oleanderusher/instances/i-1", body));
+    return !call.has_value();
+}
+
+std::string nested(std::size_t levels)
+{
+    return std::string(levels, '[') + std::string(levels, ']');
+}
+
 } // namespace
 
 TEST_CASE("The fields of a job are decoded")
@@ -123,6 +144,19 @@
         *codec.decodeMinionCall(request("DELETE", path))));
 }
 
+TEST_CASE("A deeply nested body is refused by every reader")
+{
+    const std::string deep = nested(1'000);
+    CHECK(isAnnouncementRefused(announcementWith("labels", deep)));
+    CHECK(isAnnouncementRefused(announcement(R"(,"born":1700000000000,"unread":)" + deep)));
+    CHECK_FALSE(parseJob("5c0e7a21d94b36f8",
+                         R"({"spec":"s","steps":[{"count":1}],"unread":)" + deep + "}"));
+    CHECK_FALSE(
+        parseConfiguration(R"({"version":7,"routes":[],"services":[],"limits":)" + deep + "}"));
+    CHECK_FALSE(codec.decodeRunLists(
+        {200, {}, R"({"clockMs":1,"born":5,"running":[],"finished":[],"unread":)" + deep + "}"}));
+}
+
 TEST_CASE("The run lists of a minion are refused if any row or field is invalid")
 {
     const auto lists = codec.decodeRunLists(
--- a/Tests/Records/parsetest.cpp
+++ b/Tests/Records/parsetest.cpp
@@ -1,6 +1,9 @@
 #include "Records/parse.h"
 
+#include "Records/fieldreader.h"
+
 #include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
 
 using namespace Oleander;
 using namespace Oleander::Records;
@@ -109,3 +112,20 @@
     CHECK_FALSE(checkAuthor("").has_value());
     CHECK_FALSE(checkAuthor("a\nb").has_value());
 }
+
+TEST_CASE("A deeply nested value in a record is an error, and its message is short")
+{
+    constexpr std::size_t Levels = 100'000;
+    constexpr std::size_t MaxMessageBytes = 500;
+    const std::string nested = std::string(Levels, '[') + std::string(Levels, ']');
+    const auto object = nlohmann::json::parse(R"({"a":)" + nested + R"(,"b":)" + nested + "}");
+    std::vector<std::string> errors;
+    FieldReader fields(object, {}, errors);
+    CHECK(fields.number("a", 1, 2) == 1);
+    fields.finish();
+    REQUIRE(errors.size() == 2);
+    for (const auto &error : errors)
+        CHECK(error.size() < MaxMessageBytes);
+    CHECK_THAT(errorOf(RecordKind::Batch, R"({"schema":)" + nested + "}"),
+               Contains("nested more than 4 levels deep"));
+}
