Protocol: Refuse numbers outside the range of their field

What was seen: a heartbeat with "cpu" 4,294,967,297 was accepted and became a minion of 1 milli-core; "memMb", "born" and "clockMs" of 18,446,744,073,709,551,615 were taken as they are, so that sums of memory and lease ends overflow. A run number of 4,294,967,298 in a minion's list became run 2. The progress of a run, an arbitrary double, was cast to an integer (undefined above its range). A worker's usage with "millicores" 4,294,967,297 became 1, an age of 2^63 became negative. "stretchFactor" 1e30 was accepted by lround() of an unrepresentable value.

Cause: integers were read as 64 bits and cast to the width of the field; the limits on resources existed for records and settings only.

Change: readInteger() checks the range of the field that it fills. Resources have the same limits for records, settings, heartbeats and jobs (resourcelimits.h); counters and times are at most 2^53 - 1, so that sums stay in range. Progress and load of a run are estimates and are limited instead of refused.

Tests that failed before: "An announcement with a number outside the range of its field is refused" (30 checks), "A number outside the range of its field is never reduced to another value" (8), "A number of a worker outside the range of its field is never reduced to another value" (7).

--- a/Source/Agent/announcementparse.cpp
+++ b/Source/Agent/announcementparse.cpp
@@ -37,10 +37,9 @@
                                  std::uint64_t minimum, std::uint64_t maximum)
 {
     const auto found = body.find(field);
-    if (found != body.end() && found->is_number_unsigned()) {
-        const auto value = found->get<std::uint64_t>();
-        if (value >= minimum && value <= maximum)
-            return value;
+    if (found != body.end()) {
+        if (const auto value = integerIn(*found, minimum, maximum))
+            return *value;
     }
     const std::string given = found == body.end() ? "missing" : displayText(*found);
     return refuse(minion, fmt::format("The field {} is {}; allowed is a whole number from {} to "
--- a/Source/Agent/workerinterface.cpp
+++ b/Source/Agent/workerinterface.cpp
@@ -39,25 +39,22 @@
 }
 
 /** Reads a member of an object into \a value, which is unchanged if the member is absent. Returns
- * false if the member has another type. */
+ * false if the member has another type or is outside the range of \a value. */
 template<typename T>
 bool read(const json &object, const char *name, T &value)
 {
     const auto member = object.find(name);
     if (member == object.end())
         return true;
-    if constexpr (std::is_same_v<T, std::string>) {
-        if (!member->is_string())
-            return false;
-    } else if constexpr (std::is_floating_point_v<T>) {
-        if (!member->is_number())
-            return false;
+    if constexpr (std::is_unsigned_v<T>) {
+        return readInteger(*member, value);
     } else {
-        if (!member->is_number_unsigned())
-            return false;
+        const bool hasType =
+            std::is_same_v<T, std::string> ? member->is_string() : member->is_number();
+        if (hasType)
+            value = member->template get<T>();
+        return hasType;
     }
-    value = member->template get<T>();
-    return true;
 }
 
 bool readAttempt(const json &object, Placement::ListedAttempt &attempt)
@@ -87,6 +84,8 @@
         || !read(object, "latency_p99_us", latencyMicroseconds)
         || !read(object, "progress", usage.progress))
         return false;
+    if (ageMicroseconds > MaxJsonInteger || latencyMicroseconds > MaxJsonInteger)
+        return false;
     usage.age = Duration(static_cast<Duration::rep>(ageMicroseconds));
     usage.latencyP99 = Duration(static_cast<Duration::rep>(latencyMicroseconds));
     return true;
--- a/Source/Protocol/jsonreader.cpp
+++ b/Source/Protocol/jsonreader.cpp
@@ -31,7 +31,7 @@
 Result<void> checkJsonLimits(std::string_view text, const JsonLimits &limits)
 {
     std::size_t depth = 0;
-    std::size_t values = 1;
+    std::size_t values = 0;
     bool isInString = false;
     for (std::size_t at = 0; at < text.size(); ++at) {
         const char letter = text[at];
@@ -85,7 +85,8 @@
 
 std::optional<std::uint64_t> integerIn(const Json &value, std::uint64_t min, std::uint64_t max)
 {
-    if (!value.is_number_unsigned())
+    if (!value.is_number_integer()
+        || (!value.is_number_unsigned() && value.get<std::int64_t>() < 0))
         return std::nullopt;
     const auto number = value.get<std::uint64_t>();
     if (number < min || number > max)
--- a/Source/Protocol/jsonreader.h
+++ b/Source/Protocol/jsonreader.h
@@ -23,11 +23,12 @@
     /** Maximum nesting of arrays and objects. Code that visits a document recursively, such as its
      * copying and formatting, relies on this limit. */
     std::size_t maxDepth = 16;
-    /** Maximum number of values; each takes up to about 100 bytes of memory once parsed. */
+    /** Maximum number of commas and opening brackets, and so of values; each value takes up to
+     * about 100 bytes of memory once parsed. */
     std::size_t maxValues = 200'000;
 };
 
-/** Checks the nesting and number of values of \a text without parsing it. */
+/** Checks the limits of \a text without parsing it. */
 Result<void> checkJsonLimits(std::string_view text, const JsonLimits &limits);
 
 /** Parses \a text, whose limits are checked before any memory is allocated for its values. */
--- a/Source/Records/fieldreader.cpp
+++ b/Source/Records/fieldreader.cpp
@@ -80,12 +80,10 @@
             addMissing(field, allowed);
         return fallback.value_or(min);
     }
-    if (!value->is_number_unsigned() || value->get<std::uint64_t>() < min
-        || value->get<std::uint64_t>() > max) {
+    const auto number = integerIn(*value, min, max);
+    if (!number)
         addInvalid(field, allowed);
-        return min;
-    }
-    return value->get<std::uint64_t>();
+    return number.value_or(min);
 }
 
 std::string FieldReader::text(std::string_view field, std::size_t maxBytes,
--- a/Source/Records/parse.cpp
+++ b/Source/Records/parse.cpp
@@ -2,6 +2,7 @@
 
 #include "Base/printable.h"
 #include "Protocol/jsonreader.h"
+#include "Protocol/resourcelimits.h"
 #include "Records/fieldreader.h"
 #include "Records/specnames.h"
 
@@ -24,15 +25,14 @@
 constexpr std::size_t MaxValues = 256;
 constexpr std::size_t MaxValueBytes = 4096;
 constexpr std::size_t MaxAuthorBytes = 128;
-constexpr std::uint64_t MaxCores = 4096;
-constexpr std::uint64_t MaxMemoryGiB = 65536;
-constexpr std::uint64_t MaxAccelerators = 1024;
 constexpr std::uint64_t MaxReplicas = 10000;
 constexpr std::uint64_t MaxAttempts = 100;
 constexpr std::uint64_t MaxLatencyMs = 3600UL * 1000;
 constexpr std::uint64_t MaxExpectedSeconds = 366UL * 24 * 3600;
 constexpr std::uint64_t MilliCoresPerCore = 1000;
 constexpr std::uint64_t MiBPerGiB = 1024;
+constexpr std::uint64_t MaxCores = MaxMilliCores / MilliCoresPerCore;
+constexpr std::uint64_t MaxMemoryGiB = MaxMemoryMiB / MiBPerGiB;
 
 /** Parser callback that rejects duplicate names, which nlohmann would drop. */
 class StructureCheck
@@ -83,8 +83,8 @@
 {
     auto inner = fields.object("resources");
     Resources declared;
-    declared.milliCores = toUint32(inner.number("milli-cores", 1, MaxCores * MilliCoresPerCore));
-    declared.memoryMiB = inner.number("memory-mib", 1, MaxMemoryGiB * MiBPerGiB);
+    declared.milliCores = toUint32(inner.number("milli-cores", 1, MaxMilliCores));
+    declared.memoryMiB = inner.number("memory-mib", 1, MaxMemoryMiB);
     declared.accelerators = toUint32(inner.number("accelerators", 0, MaxAccelerators, 0));
     inner.finish();
     return declared;
--- a/Source/Settings/agentsettings.cpp
+++ b/Source/Settings/agentsettings.cpp
@@ -1,5 +1,6 @@
 #include "Settings/agentsettings.h"
 
+#include "Protocol/resourcelimits.h"
 #include "Settings/commonsettings.h"
 #include "Settings/settingsvalue.h"
 
@@ -19,7 +20,6 @@
 constexpr const char *AdmissionSection = "admission";
 
 constexpr std::uint64_t MiB = 1ULL << 20;
-constexpr std::uint64_t MaxMilliCores = 4'096'000;
 
 /** Upper bound of the time until an accepted configuration is in force in every process. */
 constexpr Duration MaxConfigurationLease = seconds(4);
@@ -48,8 +48,8 @@
     binder.address(WorkerSection, "address", worker.address, Presence::Optional, PortRule::NonZero);
     const auto needed = worker.address.empty() ? Presence::Optional : Presence::Required;
     binder.number(WorkerSection, "milli-cores", milliCores, 1, MaxMilliCores, needed);
-    binder.bytes(WorkerSection, "memory", memory, MiB, 1ULL << 46, needed);
-    binder.number(WorkerSection, "accelerators", accelerators, 0, 1024);
+    binder.bytes(WorkerSection, "memory", memory, MiB, MaxMemoryMiB * MiB, needed);
+    binder.number(WorkerSection, "accelerators", accelerators, 0, MaxAccelerators);
     binder.duration(WorkerSection, "usage-interval", worker.usageInterval, milliseconds(50),
                     minutes(5));
     binder.duration(WorkerSection, "call-timeout", worker.callTimeout, milliseconds(10),
--- a/Tests/Agent/workerinterfacetest.cpp
+++ b/Tests/Agent/workerinterfacetest.cpp
@@ -32,3 +32,16 @@
     CHECK(refusalReason({409, {}, R"({"reason":)" + nested + "}"})
           == "The worker answered with status 409.");
 }
+
+TEST_CASE("A number of a worker outside the range of its field is never reduced to another value")
+{
+    CHECK_FALSE(parseListing(listing("4294967297")).has_value());
+    CHECK_FALSE(parseUsage(usage("millicores", "4294967297")).has_value());
+    CHECK_FALSE(parseUsage(usage("accelerators", "4294967297")).has_value());
+    CHECK(parseUsage(usage("age_us", "5000000")).value().at(0).age == std::chrono::seconds(5));
+    for (const std::string field : {"age_us", "latency_p99_us"}) {
+        INFO(field);
+        CHECK_FALSE(parseUsage(usage(field, "18446744073709551615")).has_value());
+        CHECK_FALSE(parseUsage(usage(field, "9223372036854775807")).has_value());
+    }
+}
--- a/Tests/Platform/platformcodectest.cpp
+++ b/Tests/Platform/platformcodectest.cpp
@@ -144,6 +144,24 @@
         *codec.decodeMinionCall(request("DELETE", path))));
 }
 
+TEST_CASE("An announcement with a number outside the range of its field is refused")
+{
+    CHECK_FALSE(isAnnouncementRefused(announcementWith("cpu", "256000")));
+    for (const std::string field :
+         {"cpu", "memMb", "gpu", "born", "sequence", "clockMs", "slots", "coldRemainingMs"}) {
+        for (const std::string value :
+             {"4294967297000000", "18446744073709551615", "-1", "1e30", "1.5", R"("8")", "[]"}) {
+            INFO(field << " " << value);
+            const bool isMilliseconds =
+                field == "born" || field == "clockMs" || field == "sequence";
+            if (!isMilliseconds || value != "4294967297000000")
+                CHECK(isAnnouncementRefused(announcementWith(field, value)));
+        }
+    }
+    CHECK(isAnnouncementRefused(announcementWith("cpu", "4294967297")));
+    CHECK(isAnnouncementRefused(announcementWith("memMb", "4294967296")));
+}
+
 TEST_CASE("A deeply nested body is refused by every reader")
 {
     const std::string deep = nested(1'000);
@@ -157,6 +175,42 @@
         {200, {}, R"({"clockMs":1,"born":5,"running":[],"finished":[],"unread":)" + deep + "}"}));
 }
 
+TEST_CASE("A number outside the range of its field is never reduced to another value")
+{
+    const auto lists = [](const std::string &running, const std::string &finished) {
+        return codec.decodeRunLists({200,
+                                     {},
+                                     R"({"clockMs":1,"born":5,"running":[)" + running
+                                         + R"(],"finished":[)" + finished + "]}"});
+    };
+    CHECK(lists(R"(["5c0e7a21d94b36f8.0.1.17",2,"",41,9])", ""));
+    CHECK_FALSE(lists(R"(["5c0e7a21d94b36f8.0.1.17",4294967298,"",41,9])", ""));
+    CHECK_FALSE(lists("", R"([58,"5c0e7a21d94b36f8.0.1.9",4294967297,"done",""])"));
+    CHECK_FALSE(lists("", R"([18446744073709551615,"5c0e7a21d94b36f8.0.1.9",1,"done",""])"));
+    const auto large = lists(R"(["5c0e7a21d94b36f8.0.1.17",2,"",1e30,1e30])", "");
+    REQUIRE(large);
+    CHECK(large->running.at(0).percent == 100);
+    CHECK(large->running.at(0).latencyOrMilliCores == std::numeric_limits<std::uint32_t>::max());
+    const auto negative = lists(R"(["5c0e7a21d94b36f8.0.1.17",2,"",-1,-1e30])", "");
+    REQUIRE(negative);
+    CHECK(negative->running.at(0).percent == 0);
+    CHECK(negative->running.at(0).latencyOrMilliCores == 0);
+
+    const auto configuration = [](const std::string &version, const std::string &factor) {
+        return parseConfiguration(
+            R"({"version":)" + version
+            + R"(,"routes":[{"name":"r","host":"h","pathPrefix":"/p/","service":"s",)"
+              R"("timeoutMs":1,"stretchFactor":)"
+            + factor + R"(}],"services":[{"name":"s"}],"limits":{}})");
+    };
+    CHECK(configuration("7", "1.5"));
+    CHECK_FALSE(configuration("7", "1e30"));
+    CHECK_FALSE(configuration("7", "4294968"));
+    CHECK_FALSE(configuration("18446744073709551615", "1.5"));
+    CHECK_FALSE(parseJob("5c0e7a21d94b36f8",
+                         R"({"spec":"s","steps":[{"count":1,"memMb":18446744073709551615}]})"));
+}
+
 TEST_CASE("The run lists of a minion are refused if any row or field is invalid")
 {
     const auto lists = codec.decodeRunLists(
