Runtime: Refuse announced addresses whose port cannot be reached

What was seen: a heartbeat whose address has port 99999, or none, was accepted; the address was not read at all. An announcement of the own interface with port 0 was accepted, and every request to that minion would have failed.

Cause: parseSocketAddress() allows port 0, which is right for an address to listen on only, and the platform's codec skipped the field.

Change: parsePeerAddress() is for addresses that are called.

Tests that failed before: "An announcement whose address names no reachable port is refused" (10 checks), "An announcement with an odd field is refused, and its error is short" (port 0).

--- a/Source/Agent/announcementparse.cpp
+++ b/Source/Agent/announcementparse.cpp
@@ -83,10 +83,10 @@
         if (!*field)
             return tl::make_unexpected(field->error());
     }
-    if (!parseSocketAddress(*address)) {
-        return refuse(name, fmt::format("The field address is \"{}\"; allowed is ADDRESS:PORT "
-                                        "with a numeric IP address.",
-                                        *address));
+    if (!parsePeerAddress(*address)) {
+        return refuse(name, fmt::format("The field address is {}; allowed is ADDRESS:PORT with a "
+                                        "numeric IP address and a port from 1 to 65535.",
+                                        displayText(*address)));
     }
     MinionAnnouncement result;
     result.name = name;
--- a/Source/Runtime/address.cpp
+++ b/Source/Runtime/address.cpp
@@ -34,4 +34,14 @@
     return address;
 }
 
+Result<SocketAddress> parsePeerAddress(const std::string &text)
+{
+    auto address = parseSocketAddress(text);
+    if (address && address->port == 0) {
+        return fail(Failure::InvalidInput, Step::Settings, text,
+                    fmt::format("\"{}\" has the port 0; allowed are 1 to 65535.", text));
+    }
+    return address;
+}
+
 } // namespace Oleander
--- a/Source/Runtime/address.h
+++ b/Source/Runtime/address.h
@@ -19,4 +19,7 @@
 /** Parses "ADDRESS:PORT" with a numeric IPv4 address. */
 Result<SocketAddress> parseSocketAddress(const std::string &text);
 
+/** Parses the address of another process, whose port is not 0. */
+Result<SocketAddress> parsePeerAddress(const std::string &text);
+
 } // namespace Oleander
--- a/Tests/Platform/platformcodectest.cpp
+++ b/Tests/Platform/platformcodectest.cpp
@@ -144,6 +144,17 @@
         *codec.decodeMinionCall(request("DELETE", path))));
 }
 
+TEST_CASE("An announcement whose address names no reachable port is refused")
+{
+    CHECK_FALSE(isAnnouncementRefused(announcementWith("address", R"("10.0.0.1:65535")")));
+    for (const std::string address :
+         {R"("10.0.0.1:99999")", R"("10.0.0.1:65536")", R"("10.0.0.1:0")", R"("10.0.0.1:-1")",
+          R"("10.0.0.1")", R"("10.0.0.256:80")", R"("somewhere:80")", R"("")", "80", "null"}) {
+        INFO(address);
+        CHECK(isAnnouncementRefused(announcementWith("address", address)));
+    }
+}
+
 TEST_CASE("An announcement with a number outside the range of its field is refused")
 {
     CHECK_FALSE(isAnnouncementRefused(announcementWith("cpu", "256000")));
--- a/Tests/RequestPath/badinputtest.cpp
+++ b/Tests/RequestPath/badinputtest.cpp
@@ -113,6 +113,10 @@
         REQUIRE_FALSE(refused.has_value());
         CHECK(refused.error().detail.size() < MaxDetailBytes);
     }
+    for (const std::string port : {"99999", "65536", "0", "-1", ""}) {
+        INFO(port);
+        CHECK_FALSE(parse("127.0.0.1:" + port, "8").has_value());
+    }
 }
 
 TEST_CASE("A deeply nested or endless announcement does not end the agent")
