--- a/Tests/Platform/platformcodectest.cpp
+++ b/Tests/Platform/platformcodectest.cpp
@@ -222,6 +222,26 @@
                          R"({"spec":"s","steps":[{"count":1,"memMb":18446744073709551615}]})"));
 }
 
+TEST_CASE("A deadline that is no usable number never becomes a negative timeout")
+{
+    const auto timeoutOf = [](const std::string &deadline) {
+        HttpRequest call = request("GET", "/press/5c0e7a21d94b36f8");
+        call.headers.push_back({"Oleanderusher-Deadline-Ms", deadline});
+        return codec.decodeClientCall(call)->timeout;
+    };
+    CHECK(timeoutOf("1000") == std::chrono::milliseconds(900));
+    const Duration fallback = codec.decodeClientCall(request("GET", "/press/x"))->timeout;
+    for (const std::string text : {"-5", "soon", "", "1000ms", "0x10"}) {
+        INFO(text);
+        CHECK(timeoutOf(text) == fallback);
+    }
+    for (const std::string text : {"9223372036854775807", "99999999999999999999"}) {
+        INFO(text);
+        CHECK(timeoutOf(text) >= fallback);
+        CHECK(timeoutOf(text) <= std::chrono::hours(1));
+    }
+}
+
 TEST_CASE("The run lists of a minion are refused if any row or field is invalid")
 {
     const auto lists = codec.decodeRunLists(
