--- a/Tests/Platform/platformcodectest.cpp
+++ b/Tests/Platform/platformcodectest.cpp
@@ -173,6 +173,18 @@
     CHECK(isAnnouncementRefused(announcementWith("memMb", "4294967296")));
 }
 
+TEST_CASE("An announcement under a name that no header can carry is refused")
+{
+    const std::string body = announcement(R"(,"born":1700000000000)");
+    for (const std::string &name :
+         {std::string("a b"), std::string("a\r\nb"), std::string("a\xff"), std::string(129, 'a')}) {
+        INFO(name);
+        const auto call =
+            codec.decodeMinionCall(request("PUT", "/oleanderusher/instances/" + name, body));
+        CHECK_FALSE(call.has_value());
+    }
+}
+
 TEST_CASE("A deeply nested body is refused by every reader")
 {
     const std::string deep = nested(1'000);
