Cli: Report an answer that cannot be read instead of ending with an exception

What was seen: `oleander status` against an entry that answers "[" ended with std::terminate (exit code 134).

Cause: the tables parse and access the answer with the throwing functions of the JSON library, and nothing caught the exceptions.

Change: formatAnswer() checks the limits of an answer and turns the exceptions into an error; the exit code is 6, as the outcome cannot be read.

--- a/Source/Cli/answertable.cpp
+++ b/Source/Cli/answertable.cpp
@@ -1,7 +1,6 @@
 #include "Cli/answertable.h"
 
 #include <fmt/format.h>
-#include <nlohmann/json.hpp>
 
 #include <algorithm>
 #include <vector>
@@ -63,6 +62,18 @@
 
 } // namespace
 
+Result<std::string> formatAnswer(AnswerTable table, const std::string &body)
+{
+    if (auto checked = checkJsonLimits(body, AnswerLimits); !checked)
+        return fail(Failure::Protocol, Step::Answer, {}, std::move(checked.error().detail));
+    try {
+        return table(body);
+    } catch (const Json::exception &error) {
+        return fail(Failure::Protocol, Step::Answer, {},
+                    fmt::format("The answer is not of the expected form: {}.", error.what()));
+    }
+}
+
 std::string changeTable(const std::string &body)
 {
     const auto answer = Json::parse(body);
--- a/Source/Cli/operatorclient.cpp
+++ b/Source/Cli/operatorclient.cpp
@@ -1,10 +1,10 @@
 #include "Cli/operatorclient.h"
 
+#include "Protocol/jsonreader.h"
 #include "Runtime/eventloop.h"
 #include "Runtime/httpclient.h"
 
 #include <fmt/format.h>
-#include <nlohmann/json.hpp>
 
 #include <algorithm>
 #include <csignal>
@@ -28,19 +28,19 @@
 {
     if (response.status != 503 && response.status != 504)
         return RequestOutcome::Answered;
-    const auto body = nlohmann::json::parse(response.body, nullptr, false);
-    if (!body.is_object())
+    const auto body = parseJson(response.body);
+    if (!body || !body->is_object())
         return RequestOutcome::Unknown;
-    const auto outcome = body.find("outcome");
-    const bool isNotRun = outcome != body.end() && *outcome == "not-run";
+    const auto outcome = body->find("outcome");
+    const bool isNotRun = outcome != body->end() && *outcome == "not-run";
     return isNotRun ? RequestOutcome::NotRun : RequestOutcome::Unknown;
 }
 
 std::string detailOf(const HttpResponse &response)
 {
-    const auto body = nlohmann::json::parse(response.body, nullptr, false);
-    if (body.is_object() && body.contains("detail") && body["detail"].is_string())
-        return body["detail"].get<std::string>();
+    const auto body = parseJson(response.body);
+    if (body && body->is_object() && body->contains("detail") && (*body)["detail"].is_string())
+        return (*body)["detail"].get<std::string>();
     return fmt::format("The entry answered with HTTP status {}.", response.status);
 }
 
--- a/Source/Cli/operatorcommand.cpp
+++ b/Source/Cli/operatorcommand.cpp
@@ -36,7 +36,7 @@
 struct RequestPlan
 {
     HttpRequest request;
-    std::string (*table)(const std::string &body) = nullptr;
+    AnswerTable table = nullptr;
 };
 
 struct CommandPlan
@@ -284,14 +284,14 @@
     Error error =
         makeError(Failure::Refused, Step::Answer, answer.entry,
                   fmt::format("The entry answered with HTTP status {}.", answer.response.status));
-    const auto body = nlohmann::json::parse(answer.response.body, nullptr, false);
-    if (!body.is_object())
+    const auto body = parseJson(answer.response.body, AnswerLimits);
+    if (!body || !body->is_object())
         return error;
-    const auto detail = body.find("detail");
-    if (detail != body.end() && detail->is_string())
+    const auto detail = body->find("detail");
+    if (detail != body->end() && detail->is_string())
         error.detail = detail->get<std::string>();
-    const auto step = body.find("step");
-    if (step != body.end() && step->is_string())
+    const auto step = body->find("step");
+    if (step != body->end() && step->is_string())
         error.step = stepFromName(step->get<std::string>()).value_or(Step::Answer);
     return error;
 }
@@ -301,9 +301,9 @@
 {
     if (answer.response.status >= 300)
         return exitCodeOfStatus(answer.response.status);
-    const auto body = nlohmann::json::parse(answer.response.body, nullptr, false);
+    const auto body = parseJson(answer.response.body, AnswerLimits);
     const bool isPartlyRefused =
-        body.is_object() && body.contains("refused") && body["refused"] != 0;
+        body && body->is_object() && body->contains("refused") && (*body)["refused"] != 0;
     return isPartlyRefused ? ExitCode::Refused : ExitCode::Success;
 }
 
@@ -313,8 +313,15 @@
     const bool isSuccess = answer.response.status < 300;
     if (isJson)
         call.output << answer.response.body;
-    else if (isSuccess)
-        call.output << plan.table(answer.response.body);
+    else if (isSuccess) {
+        auto text = formatAnswer(plan.table, answer.response.body);
+        if (!text) {
+            text.error().peer = answer.entry;
+            printError(call.errors, text.error());
+            return exitCodeOf(text.error().code);
+        }
+        call.output << *text;
+    }
     if (!isSuccess)
         printError(call.errors, problemError(answer));
     return exitCodeOfAnswer(answer);
