--- a/Tests/RequestPath/badinputtest.cpp
+++ b/Tests/RequestPath/badinputtest.cpp
@@ -99,17 +99,16 @@
 {
     const std::string rest = R"("service":"s","connections":64,"ttl_ms":2000)";
     const auto parse = [&](const std::string &address, const std::string &slots) {
-        return parseAnnouncement("m", "{" + rest + R"(,"address":")" + address + R"(","slots":)"
-                                          + slots + "}",
-                                 std::chrono::seconds(30));
+        return parseAnnouncement(
+            "m", "{" + rest + R"(,"address":")" + address + R"(","slots":)" + slots + "}",
+            std::chrono::seconds(30));
     };
     constexpr std::size_t Levels = 100'000;
     constexpr std::size_t MaxDetailBytes = 500;
     const std::string nested = std::string(Levels, '[') + std::string(Levels, ']');
     CHECK(parse("127.0.0.1:1", "8").has_value());
-    for (const std::string &slots :
-         {nested, "\"" + std::string(Levels, 'x') + "\"", std::string("18446744073709551616"),
-          std::string("1e400")}) {
+    for (const std::string &slots : {nested, "\"" + std::string(Levels, 'x') + "\"",
+                                     std::string("18446744073709551616"), std::string("1e400")}) {
         const auto refused = parse("127.0.0.1:1", slots);
         REQUIRE_FALSE(refused.has_value());
         CHECK(refused.error().detail.size() < MaxDetailBytes);
