Fleet: Ignore an announcement whose start lies far in the future

What was seen: a heartbeat under any name whose "born" is too large displaced the minion of the agent, and every later announcement of the real one, or of its successors, was ignored as older. The runs of the minion counted as ended.

Cause: the latest start wins, and nothing limited it to the present.

Test that failed before: "An announcement from the far future does not displace the minion" (3 checks).

--- a/Source/Fleet/miniontask.cpp
+++ b/Source/Fleet/miniontask.cpp
@@ -2,6 +2,8 @@
 
 #include "Runtime/log.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <limits>
 #include <utility>
@@ -29,6 +31,9 @@
 constexpr Duration DepartureTimeout = std::chrono::milliseconds(800);
 /** Minimum remaining time of the lease for sending a start, in milliseconds. */
 constexpr std::uint64_t MinLeaseMs = 200;
+/** Largest difference between the wall clocks of a minion and its agent; any clock that is set at
+ * all is closer. */
+constexpr auto MaxClockDifference = std::chrono::hours(24);
 /** In place of the number of a report while an event waits for the next one. */
 constexpr std::uint64_t NotYetReported = std::numeric_limits<std::uint64_t>::max();
 /** Polls wait for ends of runs, so they use a connection of their own and never delay an order. */
@@ -62,6 +67,15 @@
 void MinionTask::handleAnnouncement(const MinionAnnouncement &announcement)
 {
     const MinionLife &life = announcement.minion.life;
+    const std::chrono::milliseconds sinceEpoch = loop_.clock().wallNow().time_since_epoch();
+    // If accepted, it would shut out every later instance that was really started.
+    if (life.bornMs > static_cast<std::uint64_t>((sinceEpoch + MaxClockDifference).count())) {
+        return logEvent(LogEvent::FrameMalformed,
+                        makeError(Failure::InvalidInput, Step::Join, life.name,
+                                  fmt::format("The minion claims to start at {} ms of Unix time, "
+                                              "which is too far in the future.",
+                                              life.bornMs)));
+    }
     const bool isNewer =
         life.bornMs > std::max(hasMinion_ ? minion_.life.bornMs : 0, latestEndedInstance_.bornMs);
     if (hasMinion_ && life == minion_.life) {
--- a/Tests/Fleet/miniontasktest.cpp
+++ b/Tests/Fleet/miniontasktest.cpp
@@ -286,6 +286,21 @@
     CHECK(minion.task.makeReport(++minion.reports).minion.milliCores == 500);
 }
 
+TEST_CASE("An announcement from the far future does not displace the minion")
+{
+    Fixture fixture;
+    fixture.runUntil([&] { return !fixture.polls.empty(); });
+    const auto now = fixture.loop.clock().wallNow().time_since_epoch();
+    const auto ahead = [&](std::chrono::milliseconds difference) {
+        fixture.born = static_cast<std::uint64_t>((now + difference).count());
+        fixture.announce();
+        return fixture.task.makeReport(++fixture.reports).minion.life.bornMs;
+    };
+    CHECK(ahead(std::chrono::hours(48)) == Born);
+    CHECK(ahead(std::chrono::hours(24 * 365 * 1000)) == Born);
+    CHECK(ahead(std::chrono::minutes(1)) == fixture.born);
+}
+
 TEST_CASE("A change of the capacity is reported at once")
 {
     Fixture minion;
