Protocol: Replace bytes that are not UTF-8 in JSON that is sent

What was seen: after an announcement under the name %ff, the list of minions (GET /v1/minions) ended the agent with an uncaught exception (SIGABRT in the test).

Cause: serialization throws on a string that is not UTF-8.

Change: jsonText() is what every process serializes with.

Test that failed before: "A minion under a name that is not UTF-8 does not end the agent that lists it" (SIGABRT).

--- a/Source/Agent/minionserver.cpp
+++ b/Source/Agent/minionserver.cpp
@@ -1,10 +1,9 @@
 #include "Agent/minionserver.h"
 
 #include "Agent/announcementparse.h"
+#include "Protocol/jsonreader.h"
 #include "Routing/callerrequest.h"
 
-#include <nlohmann/json.hpp>
-
 namespace Oleander {
 
 namespace {
@@ -29,9 +28,7 @@
     body["step"] = stepName(error.step);
     body["peer"] = error.peer;
     body["detail"] = error.detail;
-    return {status,
-            {{"Content-Type", "application/problem+json"}},
-            body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace)};
+    return {status, {{"Content-Type", "application/problem+json"}}, jsonText(body)};
 }
 
 } // namespace
@@ -97,7 +94,7 @@
         row["queued"] = status.queued;
         body.push_back(std::move(row));
     }
-    return {200, {{"Content-Type", "application/json"}}, body.dump()};
+    return {200, {{"Content-Type", "application/json"}}, jsonText(body)};
 }
 
 } // namespace Oleander
--- a/Source/Agent/workerinterface.cpp
+++ b/Source/Agent/workerinterface.cpp
@@ -27,7 +27,7 @@
     result.method = std::move(method);
     result.path = std::move(path);
     result.headers.push_back({"Content-Type", "application/json"});
-    result.body = body.dump();
+    result.body = jsonText(body);
     return result;
 }
 
--- a/Source/Cli/operatorcommand.cpp
+++ b/Source/Cli/operatorcommand.cpp
@@ -7,7 +7,6 @@
 #include "Settings/exitcode.h"
 
 #include <fmt/format.h>
-#include <nlohmann/json.hpp>
 #include <unistd.h>
 
 #include <algorithm>
@@ -183,7 +182,7 @@
     if (call.options.revision)
         return usageError("Flag --revision is only allowed for a single record.");
     auto request = changeRequest(call, "POST", "/v1/withdrawals");
-    request.body = nlohmann::json{{"records", list}}.dump();
+    request.body = jsonText({{"records", list}});
     addHeader(request, "Content-Type", "application/json");
     return RequestPlan{std::move(request), bulkWithdrawalTable};
 }
--- a/Source/Entry/operatoranswer.cpp
+++ b/Source/Entry/operatoranswer.cpp
@@ -2,12 +2,12 @@
 
 #include "Base/nametable.h"
 #include "Entry/recordoutcome.h"
+#include "Protocol/jsonreader.h"
 #include "Records/parse.h"
 #include "Records/recordevents.h"
 #include "Records/timetext.h"
 
 #include <fmt/format.h>
-#include <nlohmann/json.hpp>
 
 namespace Oleander {
 
@@ -20,9 +20,7 @@
                           const std::string &type = "application/json")
 {
     // Texts reported by other processes, such as the reason of a task, may be invalid UTF-8.
-    return {status,
-            {{"Content-Type", type}},
-            body.dump(-1, ' ', false, Json::error_handler_t::replace) + "\n"};
+    return {status, {{"Content-Type", type}}, jsonText(body) + "\n"};
 }
 
 unsigned statusOf(ChangeResult result)
--- a/Source/Entry/problemjson.cpp
+++ b/Source/Entry/problemjson.cpp
@@ -1,6 +1,6 @@
 #include "Entry/problemjson.h"
 
-#include <nlohmann/json.hpp>
+#include "Protocol/jsonreader.h"
 
 namespace Oleander {
 
@@ -43,7 +43,7 @@
     if (problem.retryAfter)
         response.headers.push_back({"Retry-After", inSeconds(*problem.retryAfter)});
     // The detail may quote invalid UTF-8 from the request.
-    response.body = body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    response.body = jsonText(body);
     return response;
 }
 
--- a/Source/Protocol/jsonreader.cpp
+++ b/Source/Protocol/jsonreader.cpp
@@ -94,6 +94,12 @@
     return number;
 }
 
+std::string jsonText(const Json &value)
+{
+    // Without the handler a string that is not UTF-8 throws.
+    return value.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
 std::string displayText(const Json &value)
 {
     // Formatting is recursive.
--- a/Source/Protocol/jsonreader.h
+++ b/Source/Protocol/jsonreader.h
@@ -53,6 +53,9 @@
     return read.has_value();
 }
 
+/** Returns the JSON text of \a value; bytes that are not UTF-8 are replaced. */
+std::string jsonText(const nlohmann::json &value);
+
 /** Returns \a value as short text for an error message; of a deeply nested one only the type. */
 std::string displayText(const nlohmann::json &value);
 
--- a/Source/Records/parse.cpp
+++ b/Source/Records/parse.cpp
@@ -57,7 +57,7 @@
         if (!names_.back().insert(name).second) {
             errors_.push_back(
                 fmt::format("Field {} appears twice in one object; allowed is each field once.",
-                            Json(name).dump(-1, ' ', true, Json::error_handler_t::replace)));
+                            displayText(name)));
         }
     }
 
@@ -320,7 +320,7 @@
 {
     Json body = std::visit(BodyWriter{schema == 1}, spec);
     body["schema"] = schema;
-    return body.dump();
+    return jsonText(body);
 }
 
 } // namespace Oleander::Records
--- a/Tests/Platform/platformcodectest.cpp
+++ b/Tests/Platform/platformcodectest.cpp
@@ -155,6 +155,17 @@
     }
 }
 
+TEST_CASE("The error about an odd address is short")
+{
+    constexpr std::size_t MaxDetailBytes = 500;
+    const std::string address = '"' + std::string(100'000, '1') + '"';
+    const auto refused = codec.decodeMinionCall(
+        request("PUT", "/oleanderusher/instances/i-1", announcementWith("address", address)));
+    REQUIRE_FALSE(refused.has_value());
+    CHECK(refused.error().detail.size() < MaxDetailBytes);
+    CHECK(refused.error().peer.size() < MaxDetailBytes);
+}
+
 TEST_CASE("An announcement with a number outside the range of its field is refused")
 {
     CHECK_FALSE(isAnnouncementRefused(announcementWith("cpu", "256000")));
--- a/Tests/Protocol/jsonreadertest.cpp
+++ b/Tests/Protocol/jsonreadertest.cpp
@@ -42,6 +42,7 @@
 TEST_CASE("The text of a value for an error message is short")
 {
     using Json = nlohmann::json;
+    CHECK(jsonText(Json("\xff")) == "\"\xef\xbf\xbd\"");
     CHECK(displayText(Json::parse("[1,[2]]")) == "[1,[2]]");
     CHECK(displayText(Json("\xff")) == R"("\ufffd")");
     CHECK(displayText(Json(std::string(100, 'x'))).size() == 83);
--- a/Tests/RequestPath/badinputtest.cpp
+++ b/Tests/RequestPath/badinputtest.cpp
@@ -126,9 +126,22 @@
     for (const std::string &body :
          {std::string(Levels, '['), R"({"slots":)" + std::string(Levels, '['),
           R"({"slots":)" + std::string(Levels, '[') + std::string(Levels, ']') + "}"}) {
-        const auto refused = path.announce(0, body);
+        const auto refused = path.callAgent(0, "PUT", "/v1/minions/other", body);
         REQUIRE(refused.has_value());
         CHECK(refused->status == 400);
     }
     CHECK(path.call("POST", "/notices/x")->status == 200);
 }
+
+TEST_CASE("A minion under a name that is not UTF-8 does not end the agent that lists it")
+{
+    RequestPath path(RequestPath::Options{.agents = 1});
+    const std::string body =
+        R"({"service":"s","address":"127.0.0.1:1","slots":1,"connections":1,"ttl_ms":2000})";
+    for (const std::string name : {"%ff", "\xff", "a%00b", "%ed%a0%80"})
+        REQUIRE(path.callAgent(0, "PUT", "/v1/minions/" + name, body).has_value());
+    const auto list = path.callAgent(0, "GET", "/v1/minions");
+    REQUIRE(list.has_value());
+    CHECK(list->status == 200);
+    CHECK(path.call("POST", "/notices/x")->status == 200);
+}
--- a/Tests/RequestPath/requestpath.cpp
+++ b/Tests/RequestPath/requestpath.cpp
@@ -100,10 +100,10 @@
     return httpCall(address_, {method, path, std::move(headers), std::move(body)});
 }
 
-std::optional<HttpReply> RequestPath::announce(std::size_t agent, std::string body)
+std::optional<HttpReply> RequestPath::callAgent(std::size_t agent, const std::string &method,
+                                                const std::string &path, std::string body)
 {
-    return httpCall(agents_.at(agent)->minionServerAddress,
-                    {"PUT", "/v1/minions/other", {}, std::move(body)});
+    return httpCall(agents_.at(agent)->minionServerAddress, {method, path, {}, std::move(body)});
 }
 
 std::future<std::optional<HttpReply>> RequestPath::start(const std::string &method,
--- a/Tests/RequestPath/requestpath.h
+++ b/Tests/RequestPath/requestpath.h
@@ -57,8 +57,9 @@
                                                 std::vector<CallHeader> headers = {});
     ChildProcess &minion(std::size_t agent) { return *agents_.at(agent)->minion; }
     void startMinion(std::size_t agent);
-    /** Sends \a body to an agent as the announcement of another minion. */
-    std::optional<HttpReply> announce(std::size_t agent, std::string body);
+    /** Sends a call of a minion to an agent. */
+    std::optional<HttpReply> callAgent(std::size_t agent, const std::string &method,
+                                       const std::string &path, std::string body = {});
     /** How often the minions executed the request with this Standin-Request header; a minion that
      * does not answer fails the test. */
     int runCount(const std::string &request);
