--- a/Tests/Cli/answertabletest.cpp
+++ b/Tests/Cli/answertabletest.cpp
@@ -7,19 +7,18 @@
 TEST_CASE("An answer that is not of the expected form is an error and does not end the command")
 {
     const std::string deep = std::string(100'000, '[') + std::string(100'000, ']');
-    const auto tables = {changeTable, bulkWithdrawalTable, recordTable,
-                         listTable,   eventTable,          statusTable};
-    for (const AnswerTable table : tables) {
-        for (const std::string &body :
-             {std::string(), std::string("{"), std::string("\xff"), std::string("[]"),
-              std::string("7"), deep, R"({"results":)" + deep + "}", R"({"records":)" + deep + "}",
-              R"({"events":[1]})" + std::string()}) {
+    const std::string unreadable[] = {"", "{", "\xff", deep, R"({"records":)" + deep + "}"};
+    // Some of the tables accept some of these.
+    const std::string odd[] = {"[]", "7", "null", R"({"events":[1]})", R"({"records":[7]})"};
+    for (const AnswerTable table :
+         {changeTable, bulkWithdrawalTable, recordTable, listTable, eventTable, statusTable}) {
+        for (const std::string &body : unreadable) {
             const auto text = formatAnswer(table, body);
-            if (!text)
-                CHECK(text.error().code == Failure::Protocol);
+            REQUIRE_FALSE(text.has_value());
+            CHECK(text.error().code == Failure::Protocol);
         }
-        CHECK_FALSE(formatAnswer(table, "{").has_value());
-        CHECK_FALSE(formatAnswer(table, deep).has_value());
+        for (const std::string &body : odd)
+            CHECK_NOTHROW(formatAnswer(table, body));
     }
     CHECK(formatAnswer(listTable, R"({"records":[]})").has_value());
 }
