tests: Fail syncs of the simulated disk and keep what they have not stored unsynced

Linux may mark the pages of a failed sync as clean: they stay readable, and later syncs succeed without storing them. SimulatedDisk now models this for the contents of files, byte by byte: what a failed sync has not stored stays unsynced until write() writes it again. A fault at a sync is a kill, a failure, or a failure with a kill before the process can react.

A record that a killed process had written is read by a start whose sync fails (it is refused) and by the next start, whose sync succeeds; after the loss of power it is gone ("{ "one" } == { "one", "two" }").

runReplica() returns errors, so that it can end with them; the tests that expected none still do.

--- a/Tests/Storage/powerlosstest.cpp
+++ b/Tests/Storage/powerlosstest.cpp
@@ -29,60 +29,95 @@
     }
 };
 
-Contents contentsOf(const TestFolder &folder)
+Contents takeContents(DataFolder &data)
 {
-    const StoredReplica stored = openFolder(folder).takeStored();
+    const StoredReplica stored = data.takeStored();
     return {stored.hardState, stored.snapshot.index, commandsOf(stored)};
 }
 
+Contents contentsOf(const TestFolder &folder)
+{
+    DataFolder data = openFolder(folder);
+    return takeContents(data);
+}
+
 /** Fails the test on an error; REQUIRE would also catch ProcessKilled. */
 void requireDone(const Result<void> &result)
 {
     REQUIRE(result.has_value());
 }
 
-/** Two starts with writes, snapshots of both kinds and removal of files; ends after \a steps. */
-void runReplica(const TestFolder &folder, unsigned steps = ReplicaSteps)
+/**
+ * Two starts with writes, snapshots of both kinds and removal of files. Ends after \a steps, or
+ * with the first error of a start or a write, as a replica does, and returns the first error of
+ * all.
+ */
+Result<void> runReplica(const TestFolder &folder, unsigned steps = ReplicaSteps)
 {
     WriteBatch received;
     received.snapshot = snapshotAt(9, 3, "received");
     std::optional<DataFolder> data;
-    const std::array<std::function<Result<void>()>, ReplicaSteps> calls{
-        [&] {
-            return data->write({hardStateOf(1, 77), entriesAt(1, {"one", "two"})});
-        },
-        [&] {
-            return data->write({hardStateOf(2, 77), entriesAt(2, {"other", "three"}, 2)});
-        },
-        [&] { return data->saveSnapshot(snapshotAt(2, 2, "state")); },
-        [&] {
-            data.reset();
-            data = openFolder(folder);
-            return data->write({entriesAt(4, {"four"}, 2)});
-        },
-        [&] { return data->removeObsoleteFiles(2); },
-        [&] {
-            return data->write({hardStateOf(3, 77), received, entriesAt(10, {"ten"}, 3)});
-        },
-        [&] { return data->write({entriesAt(11, {"eleven"}, 3)}); },
+    const auto start = [&] {
+        data.reset();
+        return DataFolder::open(folder.path()).map([&](DataFolder &&opened) {
+            data = std::move(opened);
+        });
+    };
+    struct ReplicaStep
+    {
+        bool endsReplica;
+        std::function<Result<void>()> call;
     };
-    data = openFolder(folder);
-    for (unsigned i = 0; i < steps; ++i)
-        requireDone(calls.at(i)());
+    const std::array<ReplicaStep, ReplicaSteps> calls{{
+        {true,
+         [&] {
+             return data->write({hardStateOf(1, 77), entriesAt(1, {"one", "two"})});
+         }},
+        {true,
+         [&] {
+             return data->write({hardStateOf(2, 77), entriesAt(2, {"other", "three"}, 2)});
+         }},
+        {false, [&] { return data->saveSnapshot(snapshotAt(2, 2, "state")); }},
+        {true,
+         [&] {
+             return start().and_then([&] { return data->write({entriesAt(4, {"four"}, 2)}); });
+         }},
+        {false, [&] { return data->removeObsoleteFiles(2); }},
+        {true,
+         [&] {
+             return data->write({hardStateOf(3, 77), received, entriesAt(10, {"ten"}, 3)});
+         }},
+        {true, [&] { return data->write({entriesAt(11, {"eleven"}, 3)}); }},
+    }};
+    Result<void> result = start();
+    if (!result)
+        return result;
+    for (unsigned i = 0; i < steps; ++i) {
+        auto done = calls.at(i).call();
+        if (result)
+            result = done;
+        if (!done && calls.at(i).endsReplica)
+            break;
+    }
+    return result;
 }
 
-/** Runs \a run and returns true if the sync after \a syncs more killed it. */
-bool isKilledAtSync(SimulatedDisk &disk, unsigned syncs, const std::function<void()> &run)
+/** Runs \a run and returns true if the sync after \a syncs more met \a fault. */
+bool meetsFault(SimulatedDisk &disk, unsigned syncs, SyncFault fault,
+                const std::function<void()> &run)
 {
-    disk.killAfter(syncs);
-    bool killed = false;
+    disk.faultAfter(syncs, fault);
     try {
         run();
     } catch (const ProcessKilled &) {
-        killed = true;
+        return disk.stopFaults();
     }
-    disk.stopKilling();
-    return killed;
+    return disk.stopFaults();
+}
+
+bool isKilledAtSync(SimulatedDisk &disk, unsigned syncs, const std::function<void()> &run)
+{
+    return meetsFault(disk, syncs, SyncFault::Kill, run);
 }
 
 } // namespace
@@ -117,7 +152,7 @@
         for (unsigned second = 0; killedAgain; ++second) {
             const TestFolder folder;
             SimulatedDisk disk(folder.root());
-            killed = isKilledAtSync(disk, first, [&] { runReplica(folder); });
+            killed = isKilledAtSync(disk, first, [&] { requireDone(runReplica(folder)); });
             killedAgain = isKilledAtSync(disk, second, [&] { openFolder(folder); });
             INFO("killed at sync " << first << ", then at sync " << second);
             const Contents before = contentsOf(folder);
@@ -127,14 +162,66 @@
     }
 }
 
+TEST_CASE(
+    "A record whose sync failed at a start is not lost by a loss of power after the next start")
+{
+    const TestFolder folder;
+    SimulatedDisk disk(folder.root());
+    {
+        DataFolder data = openFolder(folder);
+        REQUIRE(data.write({hardStateOf(1, 77), entriesAt(1, {"one"})}));
+        REQUIRE(isKilledAtSync(disk, 0,
+                               [&] { static_cast<void>(data.write({entriesAt(2, {"two"})})); }));
+    }
+    disk.failSyncsOf(folder.segment(1));
+    REQUIRE_FALSE(DataFolder::open(folder.path()));
+    disk.failSyncsOf({});
+    REQUIRE(contentsOf(folder).commands == std::vector<std::string>{"one", "two"});
+    disk.losePower();
+    CHECK(contentsOf(folder).commands == std::vector<std::string>{"one", "two"});
+}
+
+TEST_CASE("What a start finds after failed syncs and kills is not lost by a later loss of power")
+{
+    const auto firstFault = GENERATE(SyncFault::Kill, SyncFault::Fail, SyncFault::FailAndKill);
+    const auto secondFault = GENERATE(SyncFault::Kill, SyncFault::Fail, SyncFault::FailAndKill);
+    const bool goesOn = GENERATE(false, true);
+    bool faulty = true;
+    for (unsigned first = 0; faulty; ++first) {
+        bool faultyAgain = true;
+        for (unsigned second = 0; faultyAgain; ++second) {
+            const TestFolder folder;
+            SimulatedDisk disk(folder.root());
+            faulty =
+                meetsFault(disk, first, firstFault, [&] { static_cast<void>(runReplica(folder)); });
+            faultyAgain = meetsFault(disk, second, secondFault,
+                                     [&] { static_cast<void>(DataFolder::open(folder.path())); });
+            INFO("fault " << static_cast<int>(firstFault) << " at sync " << first << ", then fault "
+                          << static_cast<int>(secondFault) << " at sync " << second);
+            Contents before;
+            {
+                DataFolder data = openFolder(folder);
+                before = takeContents(data);
+                if (goesOn) {
+                    const WriteBatch next = hardStateOf(9, 77);
+                    REQUIRE(data.write({next}));
+                    before.hardState = *next.hardState;
+                }
+            }
+            disk.losePower();
+            CHECK(contentsOf(folder) == before);
+        }
+    }
+}
+
 TEST_CASE("What a step has stored is not lost by a loss of power with no start in between")
 {
     for (unsigned steps = 0; steps <= ReplicaSteps; ++steps) {
         const TestFolder undisturbed;
-        runReplica(undisturbed, steps);
+        requireDone(runReplica(undisturbed, steps));
         const TestFolder folder;
         SimulatedDisk disk(folder.root());
-        runReplica(folder, steps);
+        requireDone(runReplica(folder, steps));
         disk.losePower();
         INFO(steps << " steps");
         CHECK(contentsOf(folder) == contentsOf(undisturbed));
--- a/Tests/Storage/simulateddisk.cpp
+++ b/Tests/Storage/simulateddisk.cpp
@@ -7,6 +7,7 @@
 #include <sys/syscall.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
 #include <utility>
@@ -51,35 +52,89 @@
         ::close(descriptor);
 }
 
-void SimulatedDisk::countSync()
+bool SimulatedDisk::stopFaults()
+{
+    return !std::exchange(remainingSyncs_, std::nullopt).has_value();
+}
+
+std::optional<SyncFault> SimulatedDisk::nextFault()
 {
     if (!remainingSyncs_)
-        return;
-    if (*remainingSyncs_ == 0)
-        throw ProcessKilled();
-    --*remainingSyncs_;
+        return std::nullopt;
+    if (*remainingSyncs_ > 0) {
+        --*remainingSyncs_;
+        return std::nullopt;
+    }
+    remainingSyncs_.reset();
+    return fault_;
 }
 
 bool SimulatedDisk::sync(int descriptor)
 {
     const std::string path = pathOf(descriptor);
-    if (path.rfind(root_, 0) != 0)
+    if (!contains(path))
         return true;
-    if (path == failingPath_)
-        return false;
-    countSync();
+    const auto fault = path == failingPath_ ? SyncFault::Fail : nextFault();
+    if (fault == SyncFault::Kill)
+        throw ProcessKilled();
     struct stat status = {};
     REQUIRE(::fstat(descriptor, &status) == 0);
-    if (S_ISDIR(status.st_mode)) {
-        syncEntries(path, status.st_ino);
-        return true;
+    const bool isFolder = S_ISDIR(status.st_mode);
+    std::string cached;
+    if (!isFolder) {
+        cached = fileBytes("/proc/self/fd/" + std::to_string(descriptor));
+        kept_.push_back(::dup(descriptor));
+        REQUIRE(kept_.back() >= 0);
     }
-    files_[status.st_ino] = fileBytes("/proc/self/fd/" + std::to_string(descriptor));
-    kept_.push_back(::dup(descriptor));
-    REQUIRE(kept_.back() >= 0);
+    if (fault && !isFolder)
+        dropUnsynced(status.st_ino, cached);
+    if (fault == SyncFault::FailAndKill)
+        throw ProcessKilled();
+    if (fault)
+        return false;
+    if (isFolder)
+        syncEntries(path, status.st_ino);
+    else
+        files_[status.st_ino] = syncedBytes(status.st_ino, cached);
     return true;
 }
 
+void SimulatedDisk::dropUnsynced(ino_t inode, const std::string &cached)
+{
+    const std::string &synced = files_[inode];
+    std::vector<bool> &dropped = dropped_[inode];
+    dropped.resize(cached.size());
+    for (std::size_t i = 0; i < cached.size(); ++i)
+        dropped[i] = i >= synced.size() || synced[i] != cached[i];
+}
+
+std::string SimulatedDisk::syncedBytes(ino_t inode, const std::string &cached) const
+{
+    const auto dropped = dropped_.find(inode);
+    const auto before = files_.find(inode);
+    std::string synced = cached;
+    if (dropped == dropped_.end())
+        return synced;
+    for (std::size_t i = 0; i < std::min(synced.size(), dropped->second.size()); ++i) {
+        if (dropped->second[i])
+            synced[i] = i < before->second.size() ? before->second[i] : '\0';
+    }
+    return synced;
+}
+
+void SimulatedDisk::written(int descriptor, std::size_t offset, std::size_t count)
+{
+    struct stat status = {};
+    if (::fstat(descriptor, &status) != 0 || !contains(pathOf(descriptor)))
+        return;
+    const auto found = dropped_.find(status.st_ino);
+    if (found == dropped_.end())
+        return;
+    std::vector<bool> &dropped = found->second;
+    for (std::size_t i = offset; i < std::min(offset + count, dropped.size()); ++i)
+        dropped[i] = false;
+}
+
 void SimulatedDisk::keep(const std::string &path)
 {
     kept_.push_back(::open(path.c_str(), O_PATH | O_CLOEXEC | O_NOFOLLOW));
@@ -118,6 +173,7 @@
     kept_.clear();
     folders_.clear();
     files_.clear();
+    dropped_.clear();
     markAllSynced(root_);
 }
 
@@ -188,3 +244,17 @@
         return static_cast<int>(::syscall(SYS_fdatasync, descriptor));
     return syncSimulated(descriptor);
 }
+
+extern "C" ssize_t write(int descriptor, const void *bytes, std::size_t count)
+{
+    if (Oleander::currentDisk == nullptr)
+        return ::syscall(SYS_write, descriptor, bytes, count);
+    const bool appends = (::fcntl(descriptor, F_GETFL) & O_APPEND) != 0;
+    const off_t offset = ::lseek(descriptor, 0, appends ? SEEK_END : SEEK_CUR);
+    const ssize_t written = ::syscall(SYS_write, descriptor, bytes, count);
+    if (written > 0 && offset >= 0) {
+        Oleander::currentDisk->written(descriptor, static_cast<std::size_t>(offset),
+                                       static_cast<std::size_t>(written));
+    }
+    return written;
+}
