Storage: Write the last segment again at a start before it is relied on

What callers could see: after a sync that failed at a start, or in a replica whose process was then killed, a later loss of power took records, votes or terms that the replica had acknowledged, or made it refuse its log as damaged.

Cause: Linux may mark the pages of a failed sync as clean. The next start reads them from the cache, its sync succeeds and stores nothing, and only the next segment is synced from then on. open() took a sync that succeeds for proof that what it had read was on the disk.

Why it works: bytes that are written again are dirty again, so the sync that follows stores them or fails, and a start whose sync fails is refused. Only the last segment can hold such bytes: the next one is created only after all of it was synced, and a process ends its log with the first sync that fails, or cuts and writes the record again if the disk was full. The same bytes are written in place, so a torn write changes nothing and no room is needed.

--- a/Source/Storage/datafolder.cpp
+++ b/Source/Storage/datafolder.cpp
@@ -204,17 +204,28 @@
             }
             tornBytes_ = bytes->size() - offset;
             segments_.back().bytes = offset;
-            auto file = StorageFile::openExisting(path);
-            if (!file)
-                return tl::make_unexpected(file.error());
-            return file->truncate(offset);
+            break;
         }
         const std::size_t size = found->size;
         if (auto replayed = replay(path, offset, std::move(*found)); !replayed)
             return replayed;
         offset += size;
     }
-    return {};
+    return last ? storeLastSegment(std::string_view(*bytes).substr(0, offset)) : Result<void>();
+}
+
+Result<void> DataFolder::storeLastSegment(std::string_view bytes)
+{
+    auto file = StorageFile::openExisting(segmentPath(segments_.back().number));
+    if (!file)
+        return tl::make_unexpected(file.error());
+    if (tornBytes_ > 0) {
+        if (auto cut = file->truncate(bytes.size()); !cut)
+            return cut;
+    }
+    // After a failed sync, the system may keep what was not stored in its cache without storing it
+    // at later syncs. Earlier segments were stored while they were last.
+    return file->overwrite(bytes).and_then([&] { return file->sync(); });
 }
 
 Result<void> DataFolder::replay(const std::string &file, std::size_t offset, DecodedRecord found)
@@ -258,8 +269,8 @@
 {
     // A process that was killed may have left data that only the system's cache holds, in files and
     // in the names of files.
-    for (const Segment &segment : segments_) {
-        auto file = StorageFile::openExisting(segmentPath(segment.number));
+    for (std::size_t i = 0; i + 1 < segments_.size(); ++i) {
+        auto file = StorageFile::openExisting(segmentPath(segments_[i].number));
         if (!file)
             return tl::make_unexpected(file.error());
         if (auto synced = file->sync(); !synced)
--- a/Source/Storage/datafolder.h
+++ b/Source/Storage/datafolder.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace Oleander {
@@ -68,6 +69,7 @@
     Result<void> loadSnapshot(std::uint64_t index);
     Result<void> loadSegment(std::uint64_t number, bool last);
     Result<void> replay(const std::string &file, std::size_t offset, DecodedRecord found);
+    Result<void> storeLastSegment(std::string_view bytes);
     Result<void> syncLoaded();
     Result<void> finishLoad();
     Result<void> startSegment();
--- a/Source/Storage/storagefile.cpp
+++ b/Source/Storage/storagefile.cpp
@@ -65,13 +65,25 @@
 
 Result<StorageFile> StorageFile::openExisting(const std::string &path)
 {
-    const int descriptor = ::open(path.c_str(), O_WRONLY | O_APPEND | O_CLOEXEC);
+    const int descriptor = ::open(path.c_str(), O_WRONLY | O_CLOEXEC);
     if (descriptor < 0)
         return tl::make_unexpected(systemError("open", path));
     return StorageFile(descriptor, path);
 }
 
 Result<void> StorageFile::append(std::string_view bytes)
+{
+    return writeAll(bytes);
+}
+
+Result<void> StorageFile::overwrite(std::string_view bytes)
+{
+    if (::lseek(descriptor_, 0, SEEK_SET) != 0)
+        return tl::make_unexpected(systemError("seek in", path_));
+    return writeAll(bytes);
+}
+
+Result<void> StorageFile::writeAll(std::string_view bytes)
 {
     while (!bytes.empty()) {
         const ssize_t written = ::write(descriptor_, bytes.data(), bytes.size());
--- a/Source/Storage/storagefile.h
+++ b/Source/Storage/storagefile.h
@@ -27,13 +27,16 @@
     StorageFile &operator=(const StorageFile &) = delete;
 
     static Result<StorageFile> create(const std::string &path);
+    /** Opens an existing file for overwrite(), truncate() and sync(). */
     static Result<StorageFile> openExisting(const std::string &path);
 
     bool isOpen() const { return descriptor_ >= 0; }
     const std::string &path() const { return path_; }
 
-    /** Appends all of \a bytes. */
+    /** Appends all of \a bytes to a file from create(). */
     Result<void> append(std::string_view bytes);
+    /** Writes all of \a bytes in place from the beginning of a file from openExisting(). */
+    Result<void> overwrite(std::string_view bytes);
     /** Blocks until all appended bytes are on disk. */
     Result<void> sync();
     Result<void> truncate(std::uint64_t size);
@@ -43,6 +46,7 @@
 private:
     StorageFile(int descriptor, std::string path) : descriptor_(descriptor), path_(std::move(path))
     {}
+    Result<void> writeAll(std::string_view bytes);
 
     int descriptor_ = -1;
     std::string path_;
