--- a/Source/Entry/replicatask.cpp
+++ b/Source/Entry/replicatask.cpp
@@ -7,6 +7,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace Oleander {
 
@@ -72,10 +73,19 @@
         flush();
     };
     events.snapshotSaved = [this](std::uint64_t index) {
+        hasSnapshotFailed = false;
         if (pendingSnapshot && index == pendingSnapshot->index)
             replica->compact(index, pendingSnapshot->data);
         pendingSnapshot.reset();
     };
+    events.snapshotFailed = [this](const Error &error) {
+        if (!std::exchange(hasSnapshotFailed, true))
+            logEvent(LogEvent::SnapshotFailed, error);
+        pendingSnapshot.reset();
+    };
+    events.removalFailed = [](const Error &error) {
+        logEvent(LogEvent::StorageRemovalFailed, error);
+    };
     events.stalled = [this](const Error &error) {
         storageError = error.detail;
         logEvent(LogEvent::StorageStalled, error);
--- a/Source/Entry/replicataskprivate.h
+++ b/Source/Entry/replicataskprivate.h
@@ -72,6 +72,8 @@
     std::uint64_t bytesSinceSnapshot = 0;
     /** Snapshot that is being saved. */
     std::optional<Snapshot> pendingSnapshot;
+    /** True if the last snapshot could not be saved. */
+    bool hasSnapshotFailed = false;
     std::string storageError;
     /** True after a storage or restore failure that only a restart can clear. */
     bool hasPermanentlyFailed = false;
--- a/Source/Runtime/logevent.cpp
+++ b/Source/Runtime/logevent.cpp
@@ -65,6 +65,8 @@
     {LogEvent::StorageResumed, LogLevel::Info, "control.storage-resumed"},
     {LogEvent::LeaderFollowed, LogLevel::Info, "control.leader-followed"},
     {LogEvent::StorageOpened, LogLevel::Info, "control.storage-opened"},
+    {LogEvent::SnapshotFailed, LogLevel::Warning, "control.snapshot-failed"},
+    {LogEvent::StorageRemovalFailed, LogLevel::Warning, "control.storage-removal-failed"},
 
     {LogEvent::RecordAccepted, LogLevel::Info, "record.accepted"},
     {LogEvent::RecordRefused, LogLevel::Info, "record.refused"},
--- a/Source/Runtime/logevent.h
+++ b/Source/Runtime/logevent.h
@@ -66,6 +66,8 @@
     StorageResumed = 4011,
     LeaderFollowed = 4012,
     StorageOpened = 4013,
+    SnapshotFailed = 4014,
+    StorageRemovalFailed = 4015,
 
     RecordAccepted = 5000,
     RecordRefused = 5001,
--- a/Source/Storage/storagewriter.cpp
+++ b/Source/Storage/storagewriter.cpp
@@ -110,7 +110,11 @@
 void StorageWriter::Private::removeObsoleteFiles(std::uint64_t index)
 {
     // A failure only costs disk space; removal is retried after the next snapshot.
-    static_cast<void>(folder.removeObsoleteFiles(index));
+    const auto removed = folder.removeObsoleteFiles(index);
+    if (!removed) {
+        notifyOwner(
+            [error = removed.error()](const StorageEvents &to) { to.removalFailed(error); });
+    }
 }
 
 void StorageWriter::Private::runSnapshotThread()
@@ -127,14 +131,18 @@
         // A snapshot that cannot be saved is discarded: the log still has all entries, and the next
         // snapshot follows soon.
         const std::uint64_t index = snapshot->index;
-        const bool saved = folder.saveSnapshot(*snapshot).has_value();
-        if (saved) {
+        const auto saved = folder.saveSnapshot(*snapshot);
+        if (!saved) {
+            notifyOwner(
+                [error = saved.error()](const StorageEvents &to) { to.snapshotFailed(error); });
+            continue;
+        }
+        {
             const std::lock_guard lock(mutex);
             removableIndex = index;
-            wake.notify_all();
         }
-        notifyOwner(
-            [index, saved](const StorageEvents &to) { to.snapshotSaved(saved ? index : 0); });
+        wake.notify_all();
+        notifyOwner([index](const StorageEvents &to) { to.snapshotSaved(index); });
     }
 }
 
--- a/Source/Storage/storagewriter.h
+++ b/Source/Storage/storagewriter.h
@@ -13,8 +13,12 @@
 {
     /** All writes up to this sequence are synced. */
     std::function<void(std::uint64_t)> synced;
-    /** The snapshot at this index is synced; 0 if it could not be saved. */
+    /** The snapshot at this index is synced. */
     std::function<void(std::uint64_t)> snapshotSaved;
+    /** A snapshot could not be saved; the log still has all entries. */
+    std::function<void(const Error &)> snapshotFailed;
+    /** Files that a saved snapshot supersedes could not be removed. */
+    std::function<void(const Error &)> removalFailed;
     /** The disk is full; writes are retried until there is space. */
     std::function<void(const Error &)> stalled;
     /** Writes succeed again after a stall. */
--- a/Tests/Entry/replicatasktest.cpp
+++ b/Tests/Entry/replicatasktest.cpp
@@ -2,6 +2,10 @@
 
 #include "Entry/replicagroup.h"
 
+#include <fcntl.h>
+#include <fmt/format.h>
+#include <unistd.h>
+
 #include <fstream>
 
 using namespace Oleander;
@@ -10,6 +14,42 @@
 
 const std::vector<std::string> Three{"a", "b", "c"};
 
+/** Redirects the standard output of this process, and so its log, to a file within its scope. */
+class CapturedLog
+{
+public:
+    explicit CapturedLog(std::string path) : path_(std::move(path)), before_(::dup(STDOUT_FILENO))
+    {
+        const int file = ::open(path_.c_str(), O_CREAT | O_WRONLY | O_APPEND | O_CLOEXEC, 0600);
+        REQUIRE(before_ >= 0);
+        REQUIRE(::dup2(file, STDOUT_FILENO) == STDOUT_FILENO);
+        ::close(file);
+    }
+    ~CapturedLog()
+    {
+        ::dup2(before_, STDOUT_FILENO);
+        ::close(before_);
+    }
+    CapturedLog(const CapturedLog &) = delete;
+    CapturedLog &operator=(const CapturedLog &) = delete;
+
+    /** Returns the lines of the event \a name. */
+    std::vector<std::string> lines(const std::string &name) const
+    {
+        std::ifstream file(path_);
+        std::vector<std::string> found;
+        for (std::string line; std::getline(file, line);) {
+            if (line.find(" name=" + name + " ") != std::string::npos)
+                found.push_back(line);
+        }
+        return found;
+    }
+
+private:
+    std::string path_;
+    int before_ = -1;
+};
+
 } // namespace
 
 TEST_CASE("Three replicas commit commands proposed through any of them")
@@ -110,3 +150,32 @@
     REQUIRE(group.runUntil([&] { return !group.leader().empty() && group.leader() != before; }));
     CHECK(group.commit("b", "second").has_value());
 }
+
+TEST_CASE("A snapshot that cannot be saved and files that cannot be removed are logged")
+{
+    constexpr unsigned BlockedSnapshots = 40;
+    ReplicaGroup group({"a"});
+    REQUIRE(group.commit("a", "first").has_value());
+    group.stop("a");
+    group.options().snapshotEntries = 1;
+    const std::string log = group.folder("a") + "/log/";
+    const auto snapshotName = [&](unsigned index) {
+        return fmt::format("{}snapshot-{:020}.bin", log, index);
+    };
+    const CapturedLog captured(group.folder("a") + "/captured");
+    group.start("a", true);
+    for (unsigned index = 1; index <= BlockedSnapshots; ++index)
+        std::filesystem::create_directory(snapshotName(index) + ".tmp");
+    REQUIRE(group.commit("a", "second").has_value());
+    REQUIRE(group.runUntil([&] { return !captured.lines("control.snapshot-failed").empty(); }));
+    REQUIRE(group.commit("a", "third").has_value());
+    CHECK(captured.lines("control.snapshot-failed").size() == 1);
+    CHECK(captured.lines("control.snapshot-failed").front().find(log) != std::string::npos);
+    for (unsigned index = 1; index <= BlockedSnapshots; ++index)
+        std::filesystem::remove(snapshotName(index) + ".tmp");
+    std::filesystem::create_directory(snapshotName(1));
+    REQUIRE(
+        group.runUntil([&] { return !captured.lines("control.storage-removal-failed").empty(); }));
+    CHECK(captured.lines("control.storage-removal-failed").front().find(snapshotName(1))
+          != std::string::npos);
+}
--- a/Tests/Storage/storagewritertest.cpp
+++ b/Tests/Storage/storagewritertest.cpp
@@ -17,6 +17,8 @@
     std::uint64_t savedSnapshot = 0;
     int stalls = 0;
     int resumes = 0;
+    int failedSnapshots = 0;
+    int failedRemovals = 0;
     Error lastError;
 
     StorageEvents events()
@@ -24,6 +26,14 @@
         StorageEvents result;
         result.synced = [this](std::uint64_t sequence) { synced = sequence; };
         result.snapshotSaved = [this](std::uint64_t index) { savedSnapshot = index; };
+        result.snapshotFailed = [this](const Error &error) {
+            ++failedSnapshots;
+            lastError = error;
+        };
+        result.removalFailed = [this](const Error &error) {
+            ++failedRemovals;
+            lastError = error;
+        };
         result.stalled = [this](const Error &error) {
             ++stalls;
             lastError = error;
@@ -86,3 +96,32 @@
     fixture.runUntil([&] { return fixture.synced == 2; });
     CHECK(fixture.resumes == 1);
 }
+
+TEST_CASE("The writer reports a snapshot that could not be saved, and saves the next one")
+{
+    WriterFixture fixture;
+    StorageWriter writer(fixture.loop, std::move(*DataFolder::open(fixture.folder.path())),
+                         fixture.events());
+    std::optional<FileSizeLimit> full(4096);
+    writer.saveSnapshot(snapshotAt(1, 1, std::string(10'000, 'x')));
+    fixture.runUntil([&] { return fixture.failedSnapshots == 1; });
+    CHECK(fixture.savedSnapshot == 0);
+    CHECK(fixture.lastError.code == Failure::StorageFull);
+    full.reset();
+    writer.saveSnapshot(snapshotAt(2, 1, "state"));
+    fixture.runUntil([&] { return fixture.savedSnapshot == 2; });
+    CHECK(fixture.failedSnapshots == 1);
+}
+
+TEST_CASE("The writer reports superseded files that could not be removed")
+{
+    WriterFixture fixture;
+    StorageWriter writer(fixture.loop, std::move(*DataFolder::open(fixture.folder.path())),
+                         fixture.events());
+    const std::string superseded = fixture.folder.path() + "/log/snapshot-00000000000000000001.bin";
+    std::filesystem::create_directory(superseded);
+    writer.saveSnapshot(snapshotAt(2, 1, "state"));
+    fixture.runUntil([&] { return fixture.failedRemovals == 1; });
+    CHECK(fixture.savedSnapshot == 2);
+    CHECK(fixture.lastError.detail.find(superseded) != std::string::npos);
+}
