Entry: Open the replica of a process that starts on a full disk once there is space

What callers could see: a process whose disk refused writes for want of space did not start, and so did not serve as an entry either, where it had started and waited for space before.

The process now starts without a replica, as a process without a data folder does, logs control.storage-stalled, and tries to open the folder every 200 ms until it can; then it logs control.storage-resumed. Nothing of the folder is relied on before. Other errors of a start are returned as before.

--- a/Source/Entry/replicatask.cpp
+++ b/Source/Entry/replicatask.cpp
@@ -16,6 +16,8 @@
 /** Ticks per heartbeat interval. */
 constexpr int TicksPerHeartbeat = 4;
 constexpr std::uint64_t MicrosecondsPerMillisecond = 1000;
+/** Interval between attempts to open the folder at a start while the disk is full. */
+constexpr auto ReopenInterval = std::chrono::milliseconds(200);
 
 } // namespace
 
@@ -65,6 +67,33 @@
     return {};
 }
 
+Result<void> ReplicaTask::Private::openReplicaUnlessFull()
+{
+    auto opened = openReplica();
+    if (!opened && opened.error().code == Failure::StorageFull) {
+        if (!reopenAt)
+            logEvent(LogEvent::StorageStalled, opened.error());
+        storageError = opened.error().detail;
+        reopenAt = now() + ReopenInterval;
+        return {};
+    }
+    if (opened && reopenAt) {
+        storageError.clear();
+        logEvent(LogEvent::StorageResumed, Step::Sync, options.name, {});
+    }
+    reopenAt.reset();
+    return opened;
+}
+
+void ReplicaTask::Private::reopenReplica()
+{
+    if (const auto opened = openReplicaUnlessFull(); !opened) {
+        logEvent(LogEvent::StorageFailed, opened.error());
+        storageError = opened.error().detail;
+        hasPermanentlyFailed = true;
+    }
+}
+
 StorageEvents ReplicaTask::Private::storageEvents()
 {
     StorageEvents events;
@@ -134,6 +163,8 @@
 
 void ReplicaTask::Private::tick()
 {
+    if (reopenAt && now() >= *reopenAt)
+        reopenReplica();
     if (replica && !hasPermanentlyFailed)
         replica->tick(now());
     newReads.insert(newReads.end(), retriedReads.begin(), retriedReads.end());
@@ -297,7 +328,7 @@
 Result<void> ReplicaTask::start()
 {
     if (!private_->options.folder.empty()) {
-        if (auto opened = private_->openReplica(); !opened)
+        if (auto opened = private_->openReplicaUnlessFull(); !opened)
             return opened;
     }
     private_->registerHandlers();
--- a/Source/Entry/replicataskprivate.h
+++ b/Source/Entry/replicataskprivate.h
@@ -31,6 +31,9 @@
     TimePoint now() const { return loop.clock().now(); }
     Result<DataFolder> openFolder();
     Result<void> openReplica();
+    /** Opens the replica, or has it opened later if the disk is full. */
+    Result<void> openReplicaUnlessFull();
+    void reopenReplica();
     void registerHandlers();
     void tick();
     void scheduleFlush();
@@ -74,6 +77,8 @@
     std::optional<Snapshot> pendingSnapshot;
     /** True if the last snapshot could not be saved. */
     bool hasSnapshotFailed = false;
+    /** Time of the next attempt to open the replica, if the disk was full at the start. */
+    std::optional<TimePoint> reopenAt;
     std::string storageError;
     /** True after a storage or restore failure that only a restart can clear. */
     bool hasPermanentlyFailed = false;
--- a/Tests/Entry/replicatasktest.cpp
+++ b/Tests/Entry/replicatasktest.cpp
@@ -1,6 +1,7 @@
 #include "Entry/replicatask.h"
 
 #include "Entry/replicagroup.h"
+#include "Storage/testfolder.h"
 
 #include <fcntl.h>
 #include <fmt/format.h>
@@ -179,3 +180,19 @@
     CHECK(captured.lines("control.storage-removal-failed").front().find(snapshotName(1))
           != std::string::npos);
 }
+
+TEST_CASE("A replica that starts on a full disk takes part once there is space")
+{
+    ReplicaGroup group({"a"});
+    REQUIRE(group.commit("a", "first").has_value());
+    group.stop("a");
+    {
+        const FileSizeLimit full(0);
+        group.start("a", true);
+        CHECK(group.task("a").status().role == "none");
+        CHECK_FALSE(group.task("a").status().storageError.empty());
+    }
+    REQUIRE(group.commit("a", "second").has_value());
+    CHECK(group.machine("a").commands() == "first\nsecond\n");
+    CHECK(group.task("a").status().storageError.empty());
+}
