tests: Hold that a start reports data it cannot sync and keeps a torn record cut

A review took parts of the start of a data folder out one at a time in a scratch copy. These passed all tests of Tests/Storage: the error of a failed sync of a segment or of the folder ignored, the cut of a torn record left out, and the name of the marker join-only not synced before the log is renamed. Each of them fails one of the new tests; the code as it is passes them.

Still without a test: syncing only the last segment, which is the only one that can be unsynced after our own starts, and two syncs that another one repeats (the marker's contents, which are empty, and the folder after the rename, which opening it syncs again).

--- a/Tests/Storage/powerlosstest.cpp
+++ b/Tests/Storage/powerlosstest.cpp
@@ -5,6 +5,7 @@
 #include <functional>
 #include <optional>
 #include <ostream>
+#include <utility>
 
 using namespace Oleander;
 
@@ -297,3 +298,62 @@
     CHECK(found.votedFor == "a");
     CHECK(found.incarnation == 77);
 }
+
+TEST_CASE("A start whose data cannot be synced is refused")
+{
+    const TestFolder folder;
+    REQUIRE(openFolder(folder).write({entriesAt(1, {"one"})}));
+    SimulatedDisk disk(folder.root());
+    SECTION("a segment cannot be synced")
+    {
+        disk.failSyncsOf(folder.segment(1));
+    }
+    SECTION("the names of the files cannot be synced")
+    {
+        disk.failSyncsOf(folder.path() + "/log");
+    }
+    const auto refused = DataFolder::open(folder.path());
+    REQUIRE_FALSE(refused.has_value());
+    CHECK(refused.error().code == Failure::Io);
+}
+
+TEST_CASE("A torn record that a start has cut does not return with a later loss of power")
+{
+    const TestFolder folder;
+    std::size_t whole = 0;
+    {
+        DataFolder data = openFolder(folder);
+        REQUIRE(data.write({entriesAt(1, {"one"})}));
+        whole = data.logBytes();
+        REQUIRE(data.write({entriesAt(2, {"torn"})}));
+    }
+    setFileBytes(folder.segment(1), fileBytes(folder.segment(1)).substr(0, whole + 1));
+    SimulatedDisk disk(folder.root());
+    REQUIRE(openFolder(folder).write({entriesAt(2, {"two"})}));
+    CHECK(contentsOf(folder).commands == std::vector<std::string>{"one", "two"});
+    disk.losePower();
+    CHECK(contentsOf(folder).commands == std::vector<std::string>{"one", "two"});
+}
+
+TEST_CASE("A log is not set aside on disk before its replica is marked as unable to form a group")
+{
+    constexpr unsigned ChangedNames = 3;
+    for (unsigned kept = 0; kept < 1U << ChangedNames; ++kept) {
+        bool killed = true;
+        for (unsigned syncs = 0; killed; ++syncs) {
+            const TestFolder folder;
+            REQUIRE(openFolder(folder).write({entriesAt(1, {"one"})}));
+            REQUIRE(openFolder(folder).write({entriesAt(2, {"two"})}));
+            setFileBytes(folder.segment(1), "damaged");
+            SimulatedDisk disk(folder.root());
+            killed = isKilledAtSync(disk, syncs, [&] {
+                static_cast<void>(DataFolder::openAfterDamage(folder.path()));
+            });
+            unsigned names = kept;
+            disk.losePower([&] { return std::exchange(names, names / 2) % 2 == 1; });
+            INFO("killed at sync " << syncs << ", names kept " << kept);
+            const auto opened = DataFolder::open(folder.path());
+            CHECK((!opened || !opened->mayForm()));
+        }
+    }
+}
