tests: Hold that long-running tasks start again after minions that are gone or return with an earlier birth

Looked for in the review of the loss of long-running tasks after a loss of power: a minion that returns under its id with an earlier birth, under the same leader and a new one, and a task whose minions are lost eight times without a report of a crash. Both pass on the code as it is.

--- /dev/null
+++ b/Tests/Jobs/lostminiontest.cpp
@@ -0,0 +1,71 @@
+#include "jobfixture.h"
+
+using namespace Oleander;
+using namespace Oleander::Testing;
+
+namespace {
+
+const TaskRef First{"j", 0, 0};
+
+StepSpec longRunningStep()
+{
+    StepSpec spec = step(1);
+    spec.longRunning = true;
+    return spec;
+}
+
+/** Reports a minion and grants it a lease. */
+void registerMinion(SchedulerFixture &fixture, const std::string &agent, const MinionLife &life)
+{
+    fixture.report(agent, reportOf(life, 1'000));
+    REQUIRE(fixture.directive(agent).holdUntilMs > 0);
+}
+
+} // namespace
+
+TEST_CASE("Runs of a minion that returns with an earlier birth start again once its lease expired")
+{
+    SchedulerFixture leader;
+    const MinionLife earlier{LifeA.name, LifeA.bornMs - 50};
+    leader.submit("j", {longRunningStep()});
+    SECTION("the leader stays the same")
+    {
+        registerMinion(leader, "agent-a", LifeA);
+        REQUIRE(leader.decide().starts.size() == 1);
+    }
+    SECTION("the leader is new")
+    {
+        REQUIRE(leader.start(First, 1, LifeA));
+        leader.scheduler.startTerm(leader.clock.now(), 4);
+    }
+    const Duration pause = 100ms;
+    Duration waited{};
+    while (!leader.book.activeRuns().contains(earlier) && waited < 20s) {
+        leader.advance(pause);
+        waited += pause;
+        leader.report("agent-a",
+                      reportOf(earlier, static_cast<std::uint64_t>(waited.count() / 1000)));
+        leader.directive("agent-a");
+        leader.decide();
+    }
+    CHECK(leader.book.activeRuns().contains(earlier));
+    CHECK_FALSE(leader.book.activeRuns().contains(LifeA));
+    CHECK(leader.state("j") == JobState::Running);
+}
+
+TEST_CASE("A long-running task outlives any number of lost minions that no crash was reported of")
+{
+    SchedulerFixture leader;
+    leader.submit("j", {longRunningStep()});
+    const LeaseOptions lease;
+    for (std::uint64_t life = 1; life <= 8; ++life) {
+        const MinionLife minion{"minion-" + std::to_string(life), 100};
+        const std::string agent = "agent-" + std::to_string(life);
+        leader.scheduler.startTerm(leader.clock.now(), 3 + life);
+        leader.advance(lease.length + lease.margin + 300ms);
+        leader.decide();
+        registerMinion(leader, agent, minion);
+        REQUIRE(leader.decide().starts.size() == 1);
+    }
+    CHECK(leader.state("j") == JobState::Running);
+}
