tests: Show that a write torn before its last record makes a start refuse the whole log

Callers would see a control host that sets its log aside after a loss of power although its disk kept all that was synced; with two such hosts, or one and a lost disk, nobody is elected any more.

DataFolder::write() puts all waiting records into one write and syncs once. A loss of power may keep parts of an unsynced write. If the first record is torn and a later one is whole, the start takes the write for damage of synced data: findLaterLogRecord() cannot tell records of one write from records of later ones.

It changes one byte of an unsynced write of two records.

--- a/Tests/Storage/powerlosstest.cpp
+++ b/Tests/Storage/powerlosstest.cpp
@@ -357,3 +357,22 @@
         }
     }
 }
+
+TEST_CASE("A log is not refused after a loss of power that kept only the end of an unsynced write")
+{
+    const TestFolder folder;
+    std::size_t whole = 0;
+    {
+        DataFolder data = openFolder(folder);
+        REQUIRE(data.write({entriesAt(1, {"one"})}));
+        whole = data.logBytes();
+        SimulatedDisk disk(folder.root());
+        REQUIRE(isKilledAtSync(disk, 0, [&] {
+            static_cast<void>(data.write({entriesAt(2, {"two"}), entriesAt(3, {"three"})}));
+        }));
+    }
+    std::string bytes = fileBytes(folder.segment(1));
+    bytes[whole] = '\0';
+    setFileBytes(folder.segment(1), bytes);
+    CHECK(contentsOf(folder).commands == std::vector<std::string>{"one"});
+}
