tests: Show that a leader whose lease lapses within a term never ends the runs of lost minions

Callers would see long-running tasks that do not run again after a loss of power, beside capacity for them, as long as the leader is disturbed.

JobService::onRoleChanged() calls JobScheduler::startTerm() whenever the replica holds its lease again. MachineTable::startTerm() then counts a whole lease of a predecessor from now, since an earlier leader may have granted one. Within one term there is no other leader: a leader that regains its lease has a quorum that has not voted in a later term. So the wait starts over without need, and with lapses at intervals of at most a lease and its margin (5.6 s) expireLeases() never returns the runs.

It drives the scheduler alone, with a lapse every 5 s.

--- a/Tests/Jobs/lostminiontest.cpp
+++ b/Tests/Jobs/lostminiontest.cpp
@@ -69,3 +69,18 @@
     }
     CHECK(leader.state("j") == JobState::Running);
 }
+
+TEST_CASE("A lost run ends although the lease of the leader lapses again and again in one term")
+{
+    SchedulerFixture leader;
+    leader.submit("j", {longRunningStep()});
+    REQUIRE(leader.start(First, 1, LifeA));
+    // No other leader can have granted a lease within the term.
+    const LeaseOptions lease;
+    for (int lapse = 0; lapse < 5; ++lapse) {
+        leader.scheduler.startTerm(leader.clock.now(), 3);
+        leader.advance(lease.length);
+        leader.decide();
+    }
+    CHECK_FALSE(leader.book.activeRuns().contains(LifeA));
+}
