tests: Show that a voter removed while it was silent never joins the group again

Callers would see every call answered with 503 for good after the loss of a single disk, with a whole host running beside the group.

ControlHost::replaceSilentVoter() removes a voter that is silent for 1.5 s while there are more voters than needed, as during a planned replacement. The leader sends the removed replica nothing from then on, so the entry that removes it never reaches it. It still counts itself as a voter, so updateMembership() does not set rejoin, it sends no join requests, and its requests for votes are refused without a word of the removal.

--- a/Tests/Fleet/fleetcluster.cpp
+++ b/Tests/Fleet/fleetcluster.cpp
@@ -19,15 +19,8 @@
 FleetCluster::FleetCluster()
 {
     // All control hosts use the same link port, because the seeds only give their hosts.
-    for (std::size_t i = 0; i < Controls; ++i) {
-        const std::string host = Loopback::nextHost();
-        if (linkPort_.empty()) {
-            const std::string free = Loopback::freeAddress(host);
-            linkPort_ = free.substr(free.find(':') + 1);
-        }
-        controls_.push_back({host + ':' + linkPort_, Loopback::freeAddress(host),
-                             Loopback::freeAddress(host), nullptr});
-    }
+    for (std::size_t i = 0; i < Controls; ++i)
+        addControl();
     for (std::size_t i = 0; i < Entries; ++i) {
         const std::string host = Loopback::nextHost();
         entries_.push_back({Loopback::freeAddress(host), Loopback::freeAddress(host),
@@ -40,11 +33,23 @@
     }
 }
 
+std::size_t FleetCluster::addControl()
+{
+    const std::string host = Loopback::nextHost();
+    if (linkPort_.empty()) {
+        const std::string free = Loopback::freeAddress(host);
+        linkPort_ = free.substr(free.find(':') + 1);
+    }
+    controls_.push_back({host + ':' + linkPort_, Loopback::freeAddress(host),
+                         Loopback::freeAddress(host), nullptr});
+    return controls_.size() - 1;
+}
+
 std::string FleetCluster::groupLines() const
 {
     std::string seeds;
-    for (const Control &control : controls_)
-        seeds += (seeds.empty() ? "" : ",") + control.operatorAddress;
+    for (std::size_t i = 0; i < Controls; ++i)
+        seeds += (seeds.empty() ? "" : ",") + controls_[i].operatorAddress;
     return "[group]\nseeds = " + seeds + "\nlink-port = " + linkPort_ + '\n';
 }
 
--- a/Tests/Fleet/fleetcluster.h
+++ b/Tests/Fleet/fleetcluster.h
@@ -28,6 +28,8 @@
     bool start();
     /** Starts or restarts a control host; \a mayForm allows it to form a new group. */
     void startControl(std::size_t control, bool mayForm);
+    /** Returns the number of a control host with an address of its own, which is not a seed. */
+    std::size_t addControl();
     void startEntry(std::size_t entry);
     void startAgent(std::size_t machine);
     void startMinion(std::size_t machine, int runMs = 100);
--- a/Tests/Fleet/jobstest.cpp
+++ b/Tests/Fleet/jobstest.cpp
@@ -162,6 +162,21 @@
     CHECK(fleet.reachesState(FirstId, "completed"));
 }
 
+TEST_CASE("A voter that was removed while it was silent is a voter again after its return")
+{
+    FleetCluster fleet;
+    REQUIRE(fleet.start());
+    fleet.startControl(fleet.addControl(), false);
+    REQUIRE(waitFor([&] { return fleet.voterCountAt(0) == FleetCluster::Controls + 1; }));
+    const std::size_t leader = fleet.leader();
+    REQUIRE(leader < FleetCluster::Controls);
+    const std::size_t silent = (leader + 1) % FleetCluster::Controls;
+    fleet.control(silent).freeze();
+    REQUIRE(waitFor([&] { return fleet.voterCountAt(leader) == FleetCluster::Controls; }));
+    fleet.control(silent).resume();
+    CHECK(waitFor([&] { return fleet.voterCountAt(leader) == FleetCluster::Controls + 1; }));
+}
+
 TEST_CASE("A restarted agent resumes tracking the runs of its minion")
 {
     FleetCluster fleet;
