--- a/Tests/Standins/minion.cpp
+++ b/Tests/Standins/minion.cpp
@@ -6,7 +6,8 @@
 //                            no-length, reset, silent
 //   Standin-Request: ID      counts runs of ID; GET /standin/runs/ID returns the count
 //
-// GET /standin/runs returns the count of all runs.
+// GET /standin/runs returns the count of all runs. With --runs, a line with ID is written before
+// each run, which outlives the process.
 
 #include "Runtime/eventloop.h"
 #include "Runtime/httpclient.h"
@@ -24,7 +25,9 @@
 
 #include <algorithm>
 #include <csignal>
+#include <cstdio>
 #include <map>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -37,6 +40,7 @@
 ABSL_FLAG(int, connections, 64, "requests that its agent may hold for it");
 ABSL_FLAG(int, ttl_ms, 2000, "time to live of an announcement");
 ABSL_FLAG(int, delay_ms, 0, "time to answer a request");
+ABSL_FLAG(std::string, runs, "", "file that gets a line for each run");
 
 using namespace Oleander;
 
@@ -79,6 +83,8 @@
         evhttp_set_allowed_methods(http_, EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_HEAD
                                               | EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE
                                               | EVHTTP_REQ_OPTIONS | EVHTTP_REQ_PATCH);
+        if (const std::string file = absl::GetFlag(FLAGS_runs); !file.empty())
+            runsFile_.reset(std::fopen(file.c_str(), "ae"));
         evhttp_set_gencb(
             http_,
             [](evhttp_request *request, void *self) {
@@ -135,6 +141,11 @@
     }
 
 private:
+    struct CloseFile
+    {
+        void operator()(std::FILE *file) const { std::fclose(file); }
+    };
+
     struct PendingRequest
     {
         Minion *minion = nullptr;
@@ -176,6 +187,10 @@
         pending->id = headerOf(request, "Standin-Request");
         pending->run = ++runs_[pending->id];
         ++totalRuns_;
+        if (runsFile_) {
+            fmt::print(runsFile_.get(), "{}\n", pending->id);
+            std::fflush(runsFile_.get());
+        }
         auto *connection = evhttp_request_get_connection(request);
         evhttp_connection_set_closecb(
             connection,
@@ -307,6 +322,7 @@
     std::unique_ptr<HttpClient> agent_;
     std::map<PendingRequest *, std::unique_ptr<PendingRequest>> pendingRequests_;
     std::map<std::string, int> runs_;
+    std::unique_ptr<std::FILE, CloseFile> runsFile_;
     int totalRuns_ = 0;
     bool isShuttingDown_ = false;
     bool isStopping_ = false;
--- a/Tests/Standins/worker.cpp
+++ b/Tests/Standins/worker.cpp
@@ -6,7 +6,8 @@
 //   checkpoint=fail    fails every checkpoint
 //
 // Tasks whose names begin with "service." run until they are stopped. With --intervals, a line with
-// the host's monotonic time is written at the start and at the end of each attempt.
+// the host's monotonic time and the process id is written at the start and at the end of each
+// attempt.
 
 #include "Runtime/eventloop.h"
 #include "Runtime/httpserver.h"
@@ -15,6 +16,7 @@
 #include <absl/flags/parse.h>
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
+#include <unistd.h>
 
 #include <csignal>
 #include <cstdio>
@@ -316,8 +318,8 @@
     {
         if (!intervals_)
             return;
-        fmt::print(intervals_.get(), "{} {} {} {} {}\n", event, task, attempt,
-                   loop_.clock().now().time_since_epoch().count(), state);
+        fmt::print(intervals_.get(), "{} {} {} {} {} {}\n", event, task, attempt,
+                   loop_.clock().now().time_since_epoch().count(), getpid(), state);
         std::fflush(intervals_.get());
     }
 
