--- a/Tests/Soak/callers.cpp
+++ b/Tests/Soak/callers.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <cctype>
+#include <cerrno>
 #include <chrono>
 
 namespace Oleander::Testing {
@@ -14,9 +15,9 @@
 
 /** Limit against hanging; a deadline of a request is far below. */
 constexpr std::chrono::seconds HangLimit(60);
-constexpr std::chrono::milliseconds Pause(10);
+constexpr std::chrono::milliseconds Pause(40);
 /** After a call without success, so that refusals do not outnumber the other calls. */
-constexpr std::chrono::milliseconds PauseAfterFailure(50);
+constexpr std::chrono::milliseconds PauseAfterFailure(100);
 constexpr int DeadlineMs = 4000;
 constexpr std::size_t MaxResends = 5;
 constexpr std::size_t MaxEchoBytes = 20'000;
@@ -55,11 +56,19 @@
     return body.substr(first, body.find('"', first) - first);
 }
 
+/** Whether the end of the connection has arrived; bytes that nobody asked for are left to read. */
+bool isClosedByPeer(const Socket &socket)
+{
+    char byte = 0;
+    const ssize_t count = recv(socket.descriptor(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return count == 0 || (count < 0 && errno != EAGAIN);
+}
+
 } // namespace
 
 CallEnd CallerConnection::call(const HttpCall &call, HttpReply &reply)
 {
-    if (!socket_.valid())
+    if (!socket_.valid() || isClosedByPeer(socket_))
         socket_ = Socket::connectedTo(address_);
     if (!socket_.valid())
         return CallEnd::NotConnected;
--- a/Tests/Soak/operators.cpp
+++ b/Tests/Soak/operators.cpp
@@ -34,8 +34,8 @@
 } // namespace
 
 Operators::Operators(const SoakPlan &plan, const Cluster &cluster,
-                     std::function<std::uint64_t()> completedCalls)
-    : plan_(plan), cluster_(cluster), completedCalls_(std::move(completedCalls))
+                     std::function<std::uint64_t()> position)
+    : plan_(plan), cluster_(cluster), position_(std::move(position))
 {
     for (std::size_t entry = 0; entry < plan.entries; ++entry)
         servers_ += (entry == 0 ? "--server=" : ",") + cluster.operatorDoor(entry);
@@ -88,7 +88,7 @@
     SoakRandom random(plan_.seed * 1000 + 900);
     for (std::size_t submitted = 0; !stopping_;) {
         const auto due = (submitted + 1) * plan_.lastCall() / (plan_.jobs + 1);
-        if (submitted < plan_.jobs && completedCalls_() >= due) {
+        if (submitted < plan_.jobs && position_() >= due) {
             const auto name = fmt::format("batch/soak-{}", ++submitted);
             const auto body = jobBody(random.between(100, 3000));
             const auto revision = change({"submit", name}, body.dump());
--- a/Tests/Soak/operators.h
+++ b/Tests/Soak/operators.h
@@ -21,9 +21,9 @@
 class Operators
 {
 public:
-    /** \a completedCalls paces the jobs over the plan. */
+    /** \a position, the count of calls of the plan that has been reached, paces the jobs. */
     Operators(const SoakPlan &plan, const Cluster &cluster,
-              std::function<std::uint64_t()> completedCalls);
+              std::function<std::uint64_t()> position);
     ~Operators() { stop(); }
     Operators(const Operators &) = delete;
     Operators &operator=(const Operators &) = delete;
@@ -54,7 +54,7 @@
 
     const SoakPlan &plan_;
     const Cluster &cluster_;
-    std::function<std::uint64_t()> completedCalls_;
+    std::function<std::uint64_t()> position_;
     std::string servers_;
     std::atomic<bool> stopping_ = false;
     std::atomic<std::size_t> accepted_ = 0;
--- a/Tests/Soak/plan.cpp
+++ b/Tests/Soak/plan.cpp
@@ -17,14 +17,14 @@
     /** Stops one process of each kind once, so that the stops overlap. */
     void drawGraceful()
     {
-        constexpr std::uint64_t Gap = 60;
+        constexpr std::uint64_t Gap = 40;
         std::uint64_t begin = Gap;
         std::vector<std::string> targets{numbered("entry", plan_.entries),
                                          numbered("agent", plan_.agents),
                                          numbered("minion", plan_.agents)};
         while (!targets.empty()) {
             const auto at = random_.between(0, targets.size() - 1);
-            add({FaultKind::Stop, targets[at], begin, begin + random_.between(40, 160)});
+            add({FaultKind::Stop, targets[at], begin, begin + random_.between(40, 120)});
             targets.erase(targets.begin() + static_cast<std::ptrdiff_t>(at));
             begin += random_.between(Gap, 2 * Gap);
         }
@@ -39,12 +39,12 @@
         for (std::uint64_t drawn = 0; drawn < count;) {
             Fault fault = drawFault();
             fault.begin = begin;
-            fault.end = begin + random_.between(30, 400);
+            fault.end = begin + random_.between(20, 400);
             if (!isFree(fault))
                 continue;
             add(std::move(fault));
             ++drawn;
-            begin += random_.between(0, 150);
+            begin += random_.between(0, 100);
         }
     }
 
--- a/Tests/Soak/plan.h
+++ b/Tests/Soak/plan.h
@@ -67,7 +67,7 @@
     {FaultKind::Delay, "delay"},
 }};
 
-/** One fault. Its begin and end are counted in calls that the callers have completed. */
+/** One fault. Its begin and end are counted in completed calls, which are the clock of the plan. */
 struct Fault
 {
     FaultKind kind = FaultKind::Kill;
--- a/Tests/Soak/soakrun.cpp
+++ b/Tests/Soak/soakrun.cpp
@@ -16,7 +16,7 @@
 
 constexpr auto Running = std::numeric_limits<SoakTime>::max();
 /** If no calls are completed for so long, as with all entries frozen, the plan goes on. */
-constexpr std::chrono::seconds StandstillLimit(10);
+constexpr std::chrono::seconds StandstillLimit(3);
 const std::string Intervals = "intervals";
 const std::string Runs = "runs";
 
@@ -131,7 +131,7 @@
             doors.push_back({fmt::format("entry-{}", entry + 1), cluster_.callerDoor(entry)});
         callers_ = std::make_unique<Callers>(plan_, std::move(doors));
         operators_ =
-            std::make_unique<Operators>(plan_, cluster_, [this] { return callers_->completed(); });
+            std::make_unique<Operators>(plan_, cluster_, [this] { return position_.load(); });
         playFaults();
         awaitService();
         check();
@@ -168,15 +168,18 @@
     }
 }
 
-void SoakRun::awaitCalls(std::uint64_t count)
+void SoakRun::awaitPosition(std::uint64_t position)
 {
-    auto last = callers_->completed();
-    while (last < count) {
-        const bool goesOn = waitFor([&] { return callers_->completed() > last; }, StandstillLimit);
-        if (!goesOn)
-            return;
-        last = callers_->completed();
+    const auto last = position_.load();
+    const auto first = callers_->completed();
+    for (auto seen = first; position_ < position;) {
+        // Calls that were completed while a stopped process was waited for do not count.
+        if (!waitFor([&] { return callers_->completed() > seen; }, StandstillLimit))
+            break;
+        seen = callers_->completed();
+        position_ = std::min(position, last + (seen - first));
     }
+    position_ = position;
 }
 
 void SoakRun::playFaults()
@@ -198,14 +201,14 @@
     std::ofstream log(logFile("faults"));
     for (const auto &event : events) {
         if (isGracefulPart && event.call >= plan_.gracefulCalls) {
-            awaitCalls(plan_.gracefulCalls);
+            awaitPosition(plan_.gracefulCalls);
             callers_->endGracefulPart();
             isGracefulPart = false;
         }
-        awaitCalls(event.call);
-        log << fmt::format("{} {} {} {} at call {}\n", std::time(nullptr),
+        awaitPosition(event.call);
+        log << fmt::format("{} {} {} {} at call {} of the plan, {} completed\n", std::time(nullptr),
                            event.isEnd ? "end" : "begin", nameIn(FaultKindNames, event.fault->kind),
-                           event.fault->target, callers_->completed())
+                           event.fault->target, event.call, callers_->completed())
             << std::flush;
         if (event.isEnd)
             end(*event.fault);
--- a/Tests/Soak/soakrun.h
+++ b/Tests/Soak/soakrun.h
@@ -6,6 +6,7 @@
 #include "Soak/plan.h"
 #include "Support/cluster.h"
 
+#include <atomic>
 #include <filesystem>
 #include <map>
 #include <memory>
@@ -46,7 +47,8 @@
 private:
     void awaitReady();
     void playFaults();
-    void awaitCalls(std::uint64_t count);
+    /** Waits until the callers have completed as many calls as the plan has up to \a position. */
+    void awaitPosition(std::uint64_t position);
     void begin(const Fault &fault);
     void end(const Fault &fault);
     void killProcess(const Fault &fault);
@@ -68,6 +70,8 @@
     SoakPlan plan_;
     std::filesystem::path logs_;
     Cluster cluster_;
+    /** Count of calls of the plan that has been reached. */
+    std::atomic<std::uint64_t> position_ = 0;
     std::unique_ptr<Callers> callers_;
     std::unique_ptr<Operators> operators_;
     std::map<std::string, const Fault *> linkFaults_;
