Routing: Keep the minions of a stopping agent draining when they announce themselves

Callers whose requests reached an agent at the end of its graceful stop got 502 with an unknown outcome ("The agent restarted before it reported the outcome of the request"). An announcement set the state of its minion to serving again, also after withdrawAll(), so the agent took new requests until it ended.

The new test failed before: the minion was serving and ran the new request.

--- a/Source/Routing/requestadmission.cpp
+++ b/Source/Routing/requestadmission.cpp
@@ -43,10 +43,11 @@
                     .first;
     }
     LocalMinion &minion = found->second;
-    const bool changed = !known || minion.state != MinionState::Serving
+    const MinionState state = isShuttingDown_ ? MinionState::Draining : MinionState::Serving;
+    const bool changed = !known || minion.state != state
                          || minion.announcement.service != announcement.service;
     minion.announcement = announcement;
-    minion.state = MinionState::Serving;
+    minion.state = state;
     minion.expiry = clock_.now() + announcement.timeToLive;
     minion.queue.setCapacity(announcement.capacity);
     if (announcement.busySlots)
@@ -74,6 +75,7 @@
 
 void RequestAdmission::withdrawAll()
 {
+    isShuttingDown_ = true;
     for (auto &[name, minion] : minions_) {
         minion.state = MinionState::Draining;
         refuseQueued(minion, "leaves");
--- a/Source/Routing/requestadmission.h
+++ b/Source/Routing/requestadmission.h
@@ -78,7 +78,7 @@
     Result<void> announce(const MinionAnnouncement &announcement);
     /** Drains a minion: running requests complete, queued requests are refused. */
     Result<void> withdraw(const std::string &name);
-    /** Drains all minions because the agent shuts down. */
+    /** Drains all minions, also those announced later, because the agent shuts down. */
     void withdrawAll();
     /** Status of all minions for the heartbeat; none is Serving while the gate is closed. */
     std::vector<MinionStatus> minions() const;
@@ -137,6 +137,7 @@
     AdmissionCounters counters_;
     std::function<void()> minionsChanged_;
     std::size_t running_ = 0;
+    bool isShuttingDown_ = false;
 };
 
 } // namespace Oleander
--- a/Tests/Routing/requestadmissiontest.cpp
+++ b/Tests/Routing/requestadmissiontest.cpp
@@ -220,3 +220,17 @@
     isOpen = true;
     CHECK(admission.minions().at(0).state == MinionState::Serving);
 }
+
+TEST_CASE("Minions that announce themselves while their agent shuts down get no new requests")
+{
+    Fixture f;
+    f.announce(8, 64);
+    const auto running = f.send();
+    f.admission.withdrawAll();
+    f.announce(8, 64);
+    CHECK(f.admission.minions().at(0).state == MinionState::Draining);
+    CHECK(f.outcome(f.send()) == Outcome::NotRun);
+    CHECK(f.runs.size() == 1);
+    f.finish(running);
+    CHECK(f.outcome(running) == Outcome::Ran);
+}
