--- a/Source/Routing/requestadmission.cpp
+++ b/Source/Routing/requestadmission.cpp
@@ -44,8 +44,8 @@
     }
     LocalMinion &minion = found->second;
     const MinionState state = isShuttingDown_ ? MinionState::Draining : MinionState::Serving;
-    const bool changed = !known || minion.state != state
-                         || minion.announcement.service != announcement.service;
+    const bool changed =
+        !known || minion.state != state || minion.announcement.service != announcement.service;
     minion.announcement = announcement;
     minion.state = state;
     minion.expiry = clock_.now() + announcement.timeToLive;
--- a/Tests/Soak/checks.cpp
+++ b/Tests/Soak/checks.cpp
@@ -146,6 +146,20 @@
     return found;
 }
 
+Violations findMissingService(const ServiceState &state)
+{
+    Violations found;
+    for (const auto &entry : state.silentEntries)
+        found.push_back(fmt::format("{} did not serve again after the last fault", entry));
+    for (const auto &[job, jobState] : state.jobStates) {
+        if (jobState != "done") {
+            found.push_back(fmt::format("{} was accepted and is {} after the last fault", job,
+                                        jobState.empty() ? "not answered" : jobState));
+        }
+    }
+    return found;
+}
+
 Violations findOverlappingAttempts(const std::string &lines)
 {
     Violations found;
--- a/Tests/Soak/checks.h
+++ b/Tests/Soak/checks.h
@@ -75,6 +75,17 @@
 /** Calls with an unknown outcome while processes were only stopped gracefully. */
 Violations findUnknownOutcomes(const std::vector<CallRecord> &calls);
 
+/** What was seen after the last fault, up to the limit against hanging. */
+struct ServiceState
+{
+    std::vector<std::string> silentEntries;
+    /** State of each accepted job; empty if no entry answered. */
+    std::map<std::string, std::string> jobStates;
+};
+
+/** Entries that do not serve and accepted jobs that are not done. */
+Violations findMissingService(const ServiceState &state);
+
 /**
  * Attempts of a task that ran at the same time, read from the lines of the stand-in workers:
  * "begin TASK ATTEMPT TIME PROCESS", "end TASK ATTEMPT TIME PROCESS STATE" and, for a worker that
--- a/Tests/Soak/checkstest.cpp
+++ b/Tests/Soak/checkstest.cpp
@@ -89,6 +89,13 @@
     CHECK(findUnknownOutcomes({notRun}).empty());
 }
 
+TEST_CASE("An entry that does not serve again and a job that is not done are reported")
+{
+    CHECK(findMissingService({{}, {{"batch/a", "done"}}}).empty());
+    CHECK(findMissingService({{"entry-1"}, {}}).size() == 1);
+    CHECK(findMissingService({{}, {{"batch/a", "queued"}, {"batch/b", ""}}}).size() == 2);
+}
+
 TEST_CASE("Attempts of a task that overlap on two workers are reported")
 {
     const std::string first = "begin t 1 100 11 \n";
--- a/Tests/Soak/operators.cpp
+++ b/Tests/Soak/operators.cpp
@@ -124,20 +124,17 @@
     }
 }
 
-std::string Operators::unfinishedJobs() const
+std::map<std::string, std::string> Operators::jobStates() const
 {
-    std::string text;
+    std::map<std::string, std::string> states;
     for (const auto &[name, check] : jobs_) {
-        std::string state;
+        auto &state = states[name];
         for (std::size_t entry = 0; entry < plan_.entries && state.empty(); ++entry) {
             RecordCheck unused(name);
             state = read(entry, unused).state;
         }
-        if (state != "done")
-            text += fmt::format("{} {}{}", text.empty() ? "" : ",", name,
-                                state.empty() ? " not answered" : " " + state);
     }
-    return text;
+    return states;
 }
 
 bool Operators::readEverything()
--- a/Tests/Soak/operators.h
+++ b/Tests/Soak/operators.h
@@ -31,8 +31,8 @@
     void stop();
     /** The rest is called after stop(). Number of accepted jobs and changes. */
     std::size_t accepted() const { return accepted_; }
-    /** Names and states of the accepted jobs that are not done. */
-    std::string unfinishedJobs() const;
+    /** State of each accepted job; empty if no entry answered. */
+    std::map<std::string, std::string> jobStates() const;
     /** Reads every record at each entry; returns false unless each entry answered each read. */
     bool readEverything();
     Violations violations() const;
--- a/Tests/Soak/soakrun.cpp
+++ b/Tests/Soak/soakrun.cpp
@@ -134,16 +134,14 @@
             std::make_unique<Operators>(plan_, cluster_, [this] { return position_.load(); });
         playFaults();
         awaitService();
+        for (const auto &name : processNames())
+            reportIfEnded(name);
         check();
     } else {
         result_.violations.emplace_back("the cluster did not start");
     }
-    for (std::size_t entry = 0; entry < plan_.entries; ++entry)
-        keepOutput(fmt::format("entry-{}", entry + 1));
-    for (std::size_t agent = 1; agent <= plan_.agents; ++agent) {
-        for (const char *kind : {"agent", "worker", "minion"})
-            keepOutput(fmt::format("{}-{}", kind, agent));
-    }
+    for (const auto &name : processNames())
+        keepOutput(name);
     result_.seconds = secondsSince(begin);
     std::ofstream(logFile("violations")) << fmt::format("{}\n", result_.text(plan_.seed));
     std::ofstream violations(logFile("violations"), std::ios::app);
@@ -152,6 +150,18 @@
     return result_;
 }
 
+std::vector<std::string> SoakRun::processNames() const
+{
+    std::vector<std::string> names;
+    for (std::size_t entry = 1; entry <= plan_.entries; ++entry)
+        names.push_back(fmt::format("entry-{}", entry));
+    for (std::size_t agent = 1; agent <= plan_.agents; ++agent) {
+        for (const char *kind : {"agent", "worker", "minion"})
+            names.push_back(fmt::format("{}-{}", kind, agent));
+    }
+    return names;
+}
+
 bool SoakRun::servesAt(std::size_t entry) const
 {
     const auto reply = httpCall(cluster_.callerDoor(entry), {"GET", "/notices/ready", {}, {}});
@@ -246,8 +256,16 @@
     }
 }
 
+void SoakRun::reportIfEnded(const std::string &name)
+{
+    if (!process(name).running())
+        report({fmt::format("{} ended by itself", name)});
+}
+
 void SoakRun::begin(const Fault &fault)
 {
+    if (isProcessFault(fault.kind))
+        reportIfEnded(fault.target);
     switch (fault.kind) {
     case FaultKind::Stop:
         openOutage(fault.target, true);
@@ -372,25 +390,28 @@
 void SoakRun::awaitService()
 {
     const auto begin = soakNow();
+    ServiceState state;
     for (std::size_t entry = 0; entry < plan_.entries; ++entry) {
-        if (!waitFor([&] { return servesAt(entry); })) {
-            result_.violations.push_back(
-                fmt::format("entry-{} did not serve again after the last fault", entry + 1));
-        }
+        if (!waitFor([&] { return servesAt(entry); }))
+            state.silentEntries.push_back(fmt::format("entry-{}", entry + 1));
     }
     result_.serviceSeconds = secondsSince(begin);
     callers_->stop();
     operators_->stop();
-    std::string unfinished;
-    const bool areDone = waitFor([&] {
-        unfinished = operators_->unfinishedJobs();
-        return unfinished.empty();
+    waitFor([&] {
+        state.jobStates = operators_->jobStates();
+        return std::all_of(state.jobStates.begin(), state.jobStates.end(),
+                           [](const auto &job) { return job.second == "done"; });
     });
     result_.jobsSeconds = secondsSince(begin);
-    if (!areDone)
-        result_.violations.push_back("accepted jobs were not done: " + unfinished);
+    report(findMissingService(state));
     if (!waitFor([&] { return operators_->readEverything(); }))
-        result_.violations.emplace_back("an entry did not answer reads after the last fault");
+        report({"an entry did not answer reads after the last fault"});
+}
+
+void SoakRun::report(const Violations &violations)
+{
+    result_.violations.insert(result_.violations.end(), violations.begin(), violations.end());
 }
 
 void SoakRun::check()
@@ -401,11 +422,13 @@
     result_.answered = static_cast<std::size_t>(std::count_if(
         calls.begin(), calls.end(), [](const auto &call) { return call.status == 200; }));
     result_.changes = operators_->accepted();
-    for (const auto &found :
-         {findWrongAnswers(calls), findUntrueRefusals(calls, runs), findSecondRuns(calls, runs),
-          findCutCalls(calls, outages_, runs), findUnknownOutcomes(calls),
-          findOverlappingAttempts(contentOf(logFile(Intervals))), operators_->violations()})
-        result_.violations.insert(result_.violations.end(), found.begin(), found.end());
+    report(findWrongAnswers(calls));
+    report(findUntrueRefusals(calls, runs));
+    report(findSecondRuns(calls, runs));
+    report(findCutCalls(calls, outages_, runs));
+    report(findUnknownOutcomes(calls));
+    report(findOverlappingAttempts(contentOf(logFile(Intervals))));
+    report(operators_->violations());
     std::ofstream file(logFile("calls"));
     for (const auto &call : calls) {
         file << fmt::format("{} {} {} {}..{} result {} status {} {}{}{}\n", call.id, call.entry,
--- a/Tests/Soak/soakrun.h
+++ b/Tests/Soak/soakrun.h
@@ -58,6 +58,10 @@
     void applyLinkFaults();
     void awaitService();
     void check();
+    void report(const Violations &violations);
+    /** Reports a process that has ended although no fault was meant to end it. */
+    void reportIfEnded(const std::string &name);
+    std::vector<std::string> processNames() const;
 
     ChildProcess &process(const std::string &name);
     void keepOutput(const std::string &name);
--- a/Utilities/soak.sh
+++ b/Utilities/soak.sh
@@ -19,7 +19,8 @@
 done
 [ -n "$seeds" ] || { echo "$usage" >&2; exit 2; }
 [ -f "$build/build.ninja" ] || cmake --preset release >/dev/null
-cmake --build "$build" --target soak >/dev/null
+# Two builds at once in one folder would replace programs that the other soak runs.
+flock "$build" cmake --build "$build" --target soak >/dev/null
 
 mkdir -p "$logs"
 failed=0
