Runtime: Read the waiting requests of kept connections after a suspension

A caller whose connection was open before its entry was frozen for longer than the idle timeout (10 s) and who sent a request meanwhile found the connection closed when the entry woke; the request never ran.

The new test failed before.

--- a/Source/Runtime/httpserver.cpp
+++ b/Source/Runtime/httpserver.cpp
@@ -23,6 +23,8 @@
 
 // Interval at which closed connections are removed and idle timeouts are enforced.
 constexpr Duration SweepPeriod = std::chrono::milliseconds(20);
+// A longer interval between two sweeps is time in which the process did not run.
+constexpr Duration SuspensionThreshold = std::chrono::seconds(1);
 
 bool equalsIgnoringCase(std::string_view a, std::string_view b)
 {
@@ -123,8 +125,10 @@
     std::unordered_set<Exchange *> exchanges;
     std::unordered_map<bufferevent *, Connection> connections;
     std::unique_ptr<Timer> sweepTimer;
+    TimePoint lastSweep;
 
     bufferevent *addConnection();
+    static void restartTimeout(bufferevent *stream, short direction);
     void sweep();
     void accept(evhttp_request *native);
     void markIdle(evhttp_request *native);
@@ -230,11 +234,24 @@
     return stream;
 }
 
+/** Starts the timeout of a direction again and drops its expiry if that is not handled yet. */
+void HttpServer::Private::restartTimeout(bufferevent *stream, short direction)
+{
+    if ((bufferevent_get_enabled(stream) & direction) == 0)
+        return;
+    bufferevent_disable(stream, direction);
+    bufferevent_enable(stream, direction);
+}
+
 void HttpServer::Private::sweep()
 {
     const TimePoint now = loop.clock().now();
+    // After a suspension timers fire before the bytes that arrived meanwhile are read, so that a
+    // connection would count as idle although its request waits.
+    const bool wasSuspended = now - lastSweep > SuspensionThreshold;
+    lastSweep = now;
     for (auto it = connections.begin(); it != connections.end();) {
-        const Connection &connection = it->second;
+        Connection &connection = it->second;
         bufferevent_data_cb read = nullptr;
         bufferevent_data_cb write = nullptr;
         bufferevent_event_cb event = nullptr;
@@ -245,6 +262,11 @@
             it = connections.erase(it);
             continue;
         }
+        if (wasSuspended) {
+            connection.idleSince = now;
+            restartTimeout(connection.stream, EV_READ);
+            restartTimeout(connection.stream, EV_WRITE);
+        }
         // A request must be complete within the idle timeout, even if bytes keep trickling in.
         if (!connection.hasRequest && now - connection.idleSince > limits.idleTimeout)
             shutdown(bufferevent_getfd(connection.stream), SHUT_RDWR);
@@ -301,6 +323,7 @@
             static_cast<Private *>(server)->accept(request);
         },
         self);
+    self->lastSweep = loop.clock().now();
     self->sweepTimer = std::make_unique<Timer>(loop, [self] { self->sweep(); });
     self->sweepTimer->startEvery(SweepPeriod);
 }
--- a/Tests/RequestPath/processfaultstest.cpp
+++ b/Tests/RequestPath/processfaultstest.cpp
@@ -1,10 +1,13 @@
 #include "Support/cluster.h"
 #include "Support/httpcall.h"
+#include "Support/socket.h"
 
 #include <catch2/catch.hpp>
+#include <sys/socket.h>
 
 #include <csignal>
 #include <future>
+#include <thread>
 
 using namespace Oleander::Testing;
 
@@ -75,6 +78,17 @@
     int keys_ = 0;
 };
 
+/** Longer than the time after which entries close idle connections, 10 s. */
+constexpr std::chrono::seconds LongerThanIdleTimeout(12);
+
+/** Waits for bytes and returns them; nothing if the connection has ended. */
+std::string receiveSome(const Socket &socket)
+{
+    char buffer[4096];
+    const ssize_t count = recv(socket.descriptor(), buffer, sizeof(buffer), 0);
+    return std::string(buffer, count > 0 ? static_cast<std::size_t>(count) : 0);
+}
+
 std::vector<CallHeader> keyed(const std::string &key, int delayMs, int timeoutMs)
 {
     return {{"Idempotency-Key", key},
@@ -183,6 +197,25 @@
     CHECK(end->exitCode == 0);
 }
 
+TEST_CASE(
+    "A request sent over a kept connection to a frozen entry is answered once the entry wakes")
+{
+    ClusterOptions options;
+    options.entries = 1;
+    options.agents = 0;
+    Cluster cluster(std::move(options));
+    REQUIRE(cluster.start());
+    const std::string request = "GET /healthz HTTP/1.1\r\nHost: entry\r\n\r\n";
+    const Socket kept = Socket::connectedTo(cluster.callerDoor(0));
+    REQUIRE(kept.sendAll(request));
+    REQUIRE(receiveSome(kept).starts_with("HTTP/1.1 "));
+    cluster.entry(0).freeze();
+    REQUIRE(kept.sendAll(request));
+    std::this_thread::sleep_for(LongerThanIdleTimeout);
+    cluster.entry(0).resume();
+    CHECK(receiveSome(kept).starts_with("HTTP/1.1 "));
+}
+
 TEST_CASE("Requests succeed across failure domains with slow links")
 {
     ClusterOptions options;
--- a/Tests/Soak/soaktest.cpp
+++ b/Tests/Soak/soaktest.cpp
@@ -10,15 +10,15 @@
 
 namespace {
 
-/** Plays \a seed; a violation fails the test with its plan and keeps the output of the processes. */
+/** Plays \a seed; a violation fails the test with its plan and keeps the output of the processes.
+ */
 void play(std::uint64_t seed)
 {
     const auto plan = makeSoakPlan(seed);
     std::cout << "seed " << seed << std::endl;
     const TemporaryFolder folder;
     const auto result = SoakRun(plan, folder.path()).run();
-    const auto kept =
-        std::filesystem::absolute("soak-logs") / ("seed-" + std::to_string(seed));
+    const auto kept = std::filesystem::absolute("soak-logs") / ("seed-" + std::to_string(seed));
     INFO(plan.text() << result.text(seed) << "\nkept: " << kept.string());
     for (const auto &violation : result.violations)
         FAIL_CHECK(violation);
