--- a/Tests/Soak/soaktest.cpp
+++ b/Tests/Soak/soaktest.cpp
@@ -10,8 +10,7 @@
 
 namespace {
 
-/** Plays \a seed; a violation fails the test with its plan and keeps the output of the processes.
- */
+/** Plays \a seed; a violation fails the test and keeps the output of all processes. */
 void play(std::uint64_t seed)
 {
     const auto plan = makeSoakPlan(seed);
@@ -32,14 +31,16 @@
 
 } // namespace
 
-TEST_CASE("No promise is broken under the faults of seed 3")
+// Failed when entries closed kept connections with waiting requests after a freeze.
+TEST_CASE("No promise is broken under the faults of seed 6")
 {
-    play(3);
+    play(6);
 }
 
-TEST_CASE("No promise is broken under the faults of seed 6")
+// Failed when a stopping agent took new requests after its minions announced themselves.
+TEST_CASE("No promise is broken under the faults of seed 8")
 {
-    play(6);
+    play(8);
 }
 
 TEST_CASE("No promise is broken under the faults of seed 9")
@@ -51,13 +52,3 @@
 {
     play(10);
 }
-
-TEST_CASE("No promise is broken under the faults of seed 26")
-{
-    play(26);
-}
-
-TEST_CASE("No promise is broken under the faults of seed 29")
-{
-    play(29);
-}
