Storage: Cut a partial write before it is tried again if it could not be cut at once

What callers could see: after a write on a full disk whose partial record could not be cut off either, the replica wrote the record again behind it, and the next start refused the whole log as damaged.

Cause: write() promises that a retry is safe, but kept no note of a cut that failed; the log thread tries again after any error of a full disk, and file systems that never write in place can refuse a cut for want of space too.

Test: "A write that is tried again after a sync failed on a full disk is kept, and once"; where the cut fails as well it was refused before: "no complete record at this offset, but a later one at offset 141". Where the cut succeeds it passed before. The cut is made before the next write now, which waits for it.

The test of a replica whose damaged log was set aside now also has syncs that fail; it passed on the code before.

--- a/Source/Storage/datafolder.cpp
+++ b/Source/Storage/datafolder.cpp
@@ -333,8 +333,19 @@
     return {};
 }
 
+Result<void> DataFolder::removePartialWrite()
+{
+    auto cut = currentSegment_.truncate(segments_.back().bytes);
+    hasPartialWrite_ = !cut.has_value();
+    return cut;
+}
+
 Result<void> DataFolder::write(const std::vector<WriteBatch> &batches)
 {
+    if (hasPartialWrite_) {
+        if (auto removed = removePartialWrite(); !removed)
+            return removed;
+    }
     if (!currentSegment_.isOpen() || segments_.back().bytes >= SegmentBytes) {
         if (auto started = startSegment(); !started)
             return started;
@@ -345,10 +356,9 @@
         nextSequence_ = sequence;
         return {};
     }
-    // Removes a partial write, so that the log ends with a complete record for a retry or a
-    // restart.
-    auto undone = currentSegment_.truncate(segments_.back().bytes);
-    return undone ? written : undone;
+    // The log ends with a complete record for a retry or a restart.
+    auto removed = removePartialWrite();
+    return removed ? written : removed;
 }
 
 Result<void> DataFolder::appendRecords(const std::vector<WriteBatch> &batches,
--- a/Source/Storage/datafolder.h
+++ b/Source/Storage/datafolder.h
@@ -73,6 +73,7 @@
     Result<void> syncLoaded();
     Result<void> finishLoad();
     Result<void> startSegment();
+    Result<void> removePartialWrite();
     Result<void> appendRecords(const std::vector<WriteBatch> &batches, std::uint64_t &sequence);
     std::string logFolder() const { return path_ + "/log"; }
     std::string segmentPath(std::uint64_t number) const;
@@ -90,6 +91,8 @@
     std::optional<LogReset> unrecordedReset_;
     std::vector<Segment> segments_;
     StorageFile currentSegment_;
+    /** True if the current segment may have more bytes than its complete records. */
+    bool hasPartialWrite_ = false;
     std::uint64_t nextSequence_ = 1;
     std::uint64_t nextSegmentNumber_ = 1;
 };
--- a/Tests/Storage/powerlosstest.cpp
+++ b/Tests/Storage/powerlosstest.cpp
@@ -214,6 +214,29 @@
     }
 }
 
+TEST_CASE("A write that is tried again after a sync failed on a full disk is kept, and once")
+{
+    const bool truncatesFail = GENERATE(false, true);
+    const TestFolder folder;
+    SimulatedDisk disk(folder.root());
+    {
+        DataFolder data = openFolder(folder);
+        REQUIRE(data.write({hardStateOf(1, 77), entriesAt(1, {"one"})}));
+        const std::vector<WriteBatch> batches{entriesAt(2, {"two"})};
+        disk.setTruncatesFail(truncatesFail);
+        const bool met = meetsFault(disk, 0, SyncFault::FailFull, [&] {
+            const auto refused = data.write(batches);
+            REQUIRE_FALSE(refused.has_value());
+            CHECK(refused.error().code == Failure::StorageFull);
+        });
+        REQUIRE(met);
+        disk.setTruncatesFail(false);
+        REQUIRE(data.write(batches));
+    }
+    disk.losePower();
+    CHECK(contentsOf(folder).commands == std::vector<std::string>{"one", "two"});
+}
+
 TEST_CASE("What a step has stored is not lost by a loss of power with no start in between")
 {
     for (unsigned steps = 0; steps <= ReplicaSteps; ++steps) {
@@ -230,29 +253,43 @@
 
 TEST_CASE("A replica whose damaged log was set aside never forms a group after a loss of power")
 {
-    const auto start = [](const TestFolder &folder) {
+    const auto open = [](const TestFolder &folder) {
         auto opened = DataFolder::open(folder.path());
-        if (!opened)
+        if (!opened && opened.error().code == Failure::Corrupt)
             opened = DataFolder::openAfterDamage(folder.path());
+        return opened;
+    };
+    // A start that fails serves nothing.
+    const auto startMayForm = [&](const TestFolder &folder) {
+        const auto opened = open(folder);
+        return opened && opened->mayForm();
+    };
+    const auto start = [&](const TestFolder &folder) {
+        const auto opened = open(folder);
         REQUIRE(opened.has_value());
         return opened->mayForm();
     };
-    bool killed = true;
-    for (unsigned first = 0; killed; ++first) {
-        bool killedAgain = true;
-        for (unsigned second = 0; killedAgain; ++second) {
+    const auto firstFault = GENERATE(SyncFault::Kill, SyncFault::Fail, SyncFault::FailAndKill);
+    const auto secondFault = GENERATE(SyncFault::Kill, SyncFault::Fail, SyncFault::FailAndKill);
+    bool faulty = true;
+    for (unsigned first = 0; faulty; ++first) {
+        bool faultyAgain = true;
+        for (unsigned second = 0; faultyAgain; ++second) {
             const TestFolder folder;
             REQUIRE(openFolder(folder).write({entriesAt(1, {"one"})}));
             REQUIRE(openFolder(folder).write({entriesAt(2, {"two"})}));
             setFileBytes(folder.segment(1), "damaged");
             SimulatedDisk disk(folder.root());
-            killed = isKilledAtSync(disk, first, [&] {
+            faulty = meetsFault(disk, first, firstFault, [&] {
                 static_cast<void>(DataFolder::openAfterDamage(folder.path()));
             });
             bool mayForm = false;
-            killedAgain = isKilledAtSync(disk, second, [&] { mayForm = start(folder); });
-            INFO("killed at sync " << first << ", then at sync " << second);
+            faultyAgain =
+                meetsFault(disk, second, secondFault, [&] { mayForm = startMayForm(folder); });
+            INFO("fault " << static_cast<int>(firstFault) << " at sync " << first << ", then fault "
+                          << static_cast<int>(secondFault) << " at sync " << second);
             CHECK_FALSE(mayForm);
+            CHECK_FALSE(start(folder));
             disk.losePower();
             CHECK_FALSE(start(folder));
         }
--- a/Tests/Storage/simulateddisk.cpp
+++ b/Tests/Storage/simulateddisk.cpp
@@ -69,11 +69,11 @@
     return fault_;
 }
 
-bool SimulatedDisk::sync(int descriptor)
+int SimulatedDisk::sync(int descriptor)
 {
     const std::string path = pathOf(descriptor);
     if (!contains(path))
-        return true;
+        return 0;
     const auto fault = path == failingPath_ ? SyncFault::Fail : nextFault();
     if (fault == SyncFault::Kill)
         throw ProcessKilled();
@@ -91,12 +91,12 @@
     if (fault == SyncFault::FailAndKill)
         throw ProcessKilled();
     if (fault)
-        return false;
+        return fault == SyncFault::FailFull ? ENOSPC : EIO;
     if (isFolder)
         syncEntries(path, status.st_ino);
     else
         files_[status.st_ino] = syncedBytes(status.st_ino, cached);
-    return true;
+    return 0;
 }
 
 void SimulatedDisk::dropUnsynced(ino_t inode, const std::string &cached)
@@ -222,9 +222,10 @@
 
 int syncSimulated(int descriptor)
 {
-    if (Oleander::currentDisk->sync(descriptor))
+    const int error = Oleander::currentDisk->sync(descriptor);
+    if (error == 0)
         return 0;
-    errno = EIO;
+    errno = error;
     return -1;
 }
 
@@ -245,6 +246,14 @@
     return syncSimulated(descriptor);
 }
 
+extern "C" int ftruncate(int descriptor, off_t size)
+{
+    if (Oleander::currentDisk == nullptr || !Oleander::currentDisk->truncatesFail())
+        return static_cast<int>(::syscall(SYS_ftruncate, descriptor, size));
+    errno = ENOSPC;
+    return -1;
+}
+
 extern "C" ssize_t write(int descriptor, const void *bytes, std::size_t count)
 {
     if (Oleander::currentDisk == nullptr)
--- a/Tests/Storage/simulateddisk.h
+++ b/Tests/Storage/simulateddisk.h
@@ -19,6 +19,8 @@
     Kill,
     /** The sync fails. */
     Fail,
+    /** The sync fails because the disk is full. */
+    FailFull,
     /** The sync fails, and the process is killed before it can react. */
     FailAndKill
 };
@@ -27,10 +29,10 @@
  * \class SimulatedDisk
  * \brief Records what this process syncs below a folder, so that a loss of power can take the rest.
  *
- * Replaces fsync(), fdatasync() and write() of the test program within its scope. Syncs of files
- * elsewhere succeed and do nothing. As on Linux, what a failed sync of a file has not stored stays
- * readable and is not stored by later syncs until it is written again by write(). Names and sizes
- * are stored by the next sync that succeeds. At most one exists at a time.
+ * Replaces fsync(), fdatasync(), write() and ftruncate() of the test program within its scope.
+ * Syncs of files elsewhere succeed and do nothing. As on Linux, what a failed sync of a file has
+ * not stored stays readable and is not stored by later syncs until it is written again by write().
+ * Names and sizes are stored by the next sync that succeeds. At most one exists at a time.
  */
 class SimulatedDisk
 {
@@ -53,10 +55,13 @@
     bool stopFaults();
     /** From now on, syncs of \a path alone fail; none fails if it is empty. */
     void failSyncsOf(std::string path) { failingPath_ = std::move(path); }
+    /** From now on, a file can or cannot be cut because the disk is full. */
+    void setTruncatesFail(bool fail) { truncatesFail_ = fail; }
+    bool truncatesFail() const { return truncatesFail_; }
     /** Restores the synced state. Not to be called while files below the folder are open. */
     void losePower(const Survives &survives = [] { return false; });
-    /** Called by the replaced functions. Returns false if the sync fails. */
-    bool sync(int descriptor);
+    /** Called by the replaced functions. Returns the number of the system's error, or 0. */
+    int sync(int descriptor);
     /** Called after a write of \a count bytes that begins at \a offset. */
     void written(int descriptor, std::size_t offset, std::size_t count);
 
@@ -78,6 +83,7 @@
     std::optional<unsigned> remainingSyncs_;
     SyncFault fault_ = SyncFault::Kill;
     std::string failingPath_;
+    bool truncatesFail_ = false;
     /** Synced names of each folder. */
     std::map<ino_t, Entries> folders_;
     /** Synced contents of each file. */
