tests: Show that a minion whose lease has expired still receives tasks

Callers would see long-running tasks that are started again and again on a minion that cannot execute them, beside other minions.

MachineTable::acceptsTasks() and acceptsLongRunningTasks() look at the age of the agent's report and at whether a lease was ever granted. An agent whose minion was replaced by an instance that it does not recognize goes on reporting the earlier one as reachable with its last clock: MinionTask ignores an announcement and lists with an earlier birth. The lease is not renewed, and its end is not considered when a task is placed; the checked connections then deliver no order to the other instance.

It drives the scheduler alone. That an agent gets into this state was read, not run: the wall clock of the minion must be set back between two starts while its agent lives.

--- a/Tests/Jobs/lostminiontest.cpp
+++ b/Tests/Jobs/lostminiontest.cpp
@@ -84,3 +84,18 @@
     }
     CHECK_FALSE(leader.book.activeRuns().contains(LifeA));
 }
+
+TEST_CASE("A minion whose lease has expired receives no task although its agent goes on reporting")
+{
+    SchedulerFixture leader;
+    registerMinion(leader, "agent-a", LifeA);
+    const LeaseOptions lease;
+    for (Duration waited{}; waited < 2 * lease.length; waited += 500ms) {
+        leader.advance(500ms);
+        // An agent repeats the last clock of an instance that another one has replaced unnoticed.
+        leader.report("agent-a", reportOf(LifeA, 1'000));
+        leader.directive("agent-a");
+    }
+    leader.submit("j", {longRunningStep()});
+    CHECK(leader.decide().starts.empty());
+}
