Storage: Take a write that is torn before its last record for torn, not for damage

What callers could see: a control host that set its log aside after a loss of power although its disk kept all that was synced; with two such hosts nobody is elected any more.

Cause: all records that wait go out in one write with one sync, and a loss of power may keep the end of an unsynced write without its start. A later whole record counted as proof that the damaged bytes before it had been synced, also if both belonged to one write.

Each record now names the first record of its write, and only a record of a later write is such a proof. Records of earlier versions have no such number and count as writes of their own, as before. TestStorage passes.

--- a/Source/Storage/datafolder.cpp
+++ b/Source/Storage/datafolder.cpp
@@ -368,12 +368,17 @@
     std::string bytes;
     HardState hardState = hardState_;
     std::uint64_t lastIndex = segment.lastIndex;
+    const std::uint64_t firstSequence = sequence;
+    const auto addRecord = [&](LogRecord record) {
+        record.firstOfWrite = firstSequence;
+        bytes += encodeLogRecord(sequence++, record);
+    };
     // Each segment starts with the hard state, so that earlier segments can be removed.
     if (segment.bytes == 0) {
         LogRecord firstRecord;
         firstRecord.hardState = hardState;
         firstRecord.reset = unrecordedReset_;
-        bytes += encodeLogRecord(sequence++, firstRecord);
+        addRecord(std::move(firstRecord));
     }
     for (const WriteBatch &batch : batches) {
         if (batch.snapshot) {
@@ -384,7 +389,7 @@
             hardState = *batch.hardState;
         if (!batch.entries.empty())
             lastIndex = std::max(lastIndex, batch.firstIndex + batch.entries.size() - 1);
-        bytes += encodeLogRecord(sequence++, toLogRecord(batch));
+        addRecord(toLogRecord(batch));
     }
     auto written = currentSegment_.append(bytes).and_then([&] { return currentSegment_.sync(); });
     if (!written)
--- a/Source/Storage/logrecord.cpp
+++ b/Source/Storage/logrecord.cpp
@@ -28,9 +28,11 @@
     return XXH3_64bits_withSeed(payload.data(), payload.size(), sequence ^ payload.size());
 }
 
-/** Validates the record at \a offset and returns its header and its undecoded payload. */
-std::optional<std::pair<RecordHeader, std::string_view>> parseRecord(std::string_view bytes,
-                                                                     std::size_t offset)
+/** Header and undecoded payload of a valid record. */
+using ParsedRecord = std::pair<RecordHeader, std::string_view>;
+
+/** Validates the record at \a offset. */
+std::optional<ParsedRecord> parseRecord(std::string_view bytes, std::size_t offset)
 {
     RecordHeader header;
     if (offset > bytes.size() || bytes.size() - offset < sizeof(header))
@@ -45,6 +47,15 @@
     return std::pair(header, payload);
 }
 
+/** True if \a later is the record \a sequence or belongs to a later write. */
+bool provesSync(const ParsedRecord &later, std::uint64_t sequence)
+{
+    const auto record = decode<LogRecord>(later.second);
+    const bool hasWrite = record && record->firstOfWrite > 0;
+    return later.first.sequence == sequence
+           || (hasWrite ? record->firstOfWrite : later.first.sequence) > sequence;
+}
+
 } // namespace
 
 std::string encodeLogRecord(std::uint64_t sequence, const LogRecord &record)
@@ -73,14 +84,14 @@
 }
 
 std::optional<std::size_t> findLaterLogRecord(std::string_view bytes, std::size_t offset,
-                                              std::uint64_t minSequence)
+                                              std::uint64_t sequence)
 {
     std::string magic(sizeof(RecordMagic), '\0');
     std::memcpy(magic.data(), &RecordMagic, sizeof(RecordMagic));
     std::size_t found = bytes.find(magic, offset + 1);
     while (found != std::string_view::npos) {
         const auto whole = parseRecord(bytes, found);
-        if (whole && whole->first.sequence >= minSequence)
+        if (whole && provesSync(*whole, sequence))
             return found;
         found = bytes.find(magic, found + 1);
     }
--- a/Source/Storage/logrecord.h
+++ b/Source/Storage/logrecord.h
@@ -32,6 +32,9 @@
     /** Index of the first of \a entries, which replace the log from there on. */
     std::uint64_t firstIndex = 0;
     std::vector<LogEntry> entries;
+    /** Sequence number of the first record that was written and synced together with this one; 0 in
+     * records of earlier versions. */
+    std::uint64_t firstOfWrite = 0;
 };
 
 template<typename F>
@@ -41,6 +44,7 @@
     f(v.reset);
     f(v.firstIndex);
     f(v.entries);
+    f(v.firstOfWrite);
 }
 
 /** A record read from a segment. */
@@ -62,11 +66,11 @@
 std::optional<DecodedRecord> decodeLogRecord(std::string_view bytes, std::size_t offset);
 
 /**
- * Returns the offset of a complete record after \a offset with a sequence number of at least
- * \a minSequence. Each record is synced before the next one is written, so a record after damaged
- * bytes proves that these bytes had been synced and are not the result of a torn write.
+ * Returns the offset of a complete record after \a offset that proves that the record \a sequence,
+ * expected at \a offset, had been synced; empty if there is none. Each write is synced before the
+ * next one, but the records of one write may reach the disk in any order.
  */
 std::optional<std::size_t> findLaterLogRecord(std::string_view bytes, std::size_t offset,
-                                              std::uint64_t minSequence);
+                                              std::uint64_t sequence);
 
 } // namespace Oleander
