Control: Let a voter that knows no leader ask to join, since the group may have removed it

What callers could see: every call answered with 503 for good after the loss of a single disk, beside a whole host that was no member any more.

Cause: a voter that is silent while a replacement has joined is removed. The leader sends it nothing from then on, so it never learns of the removal, counts itself as a voter, and asked nobody to join.

A replica without a known leader now sends join requests as one without a log does.

--- a/Source/Control/replica.cpp
+++ b/Source/Control/replica.cpp
@@ -77,7 +77,8 @@
         return;
     }
     finishForwardedReads(now);
-    if ((isEmpty() || isRejoining_) && now >= nextJoinRequest_)
+    // A voter that was removed while it was unreachable is told by nobody.
+    if ((isEmpty() || isRejoining_ || leader_.empty()) && now >= nextJoinRequest_)
         sendJoinRequests(now);
     if (now < electionDeadline_)
         return;
--- a/Source/Control/replica.h
+++ b/Source/Control/replica.h
@@ -72,8 +72,8 @@
     void writesSynced(TimePoint now, std::uint64_t sequence);
     /** Reports whether writes are currently blocked, for example by a full disk. */
     void setStorageStalled(TimePoint now, bool stalled);
-    /** Sends join requests to \a names as well as to the initial replicas. With \a rejoin they are
-     * sent even if this replica has a log, because the group has removed it. */
+    /** Sends join requests to \a names as well as to the initial replicas while this replica has no
+     * log or knows no leader; with \a rejoin also otherwise, because the group has removed it. */
     void setJoinTargets(std::set<std::string> names, bool rejoin);
     /** Voters that have not replied to this leader for longer than \a age. */
     std::vector<std::string> unresponsiveVoters(TimePoint now, Duration age) const;
