Jobs: Wait for the leases of a predecessor once a term, not after each lapse

What callers could see: long-running tasks that do not run again after a loss of power, beside capacity for them, as long as the lease of their leader lapses again and again.

Cause: a leader that regains its lease starts over with an empty table and waited for a whole lease of a predecessor again. Within one term there is no other leader that could have granted one.

Only a new term starts that wait now. The leases that the leader itself granted before the lapse stay in force: without that, "A run under a lease that its leader granted before a lapse is not lost before that lease ends" fails.

--- a/Source/Jobs/jobscheduler.cpp
+++ b/Source/Jobs/jobscheduler.cpp
@@ -38,7 +38,7 @@
 void JobScheduler::startTerm(TimePoint now, std::uint64_t term)
 {
     term_ = term;
-    machines_.startTerm(now);
+    machines_.startTerm(now, term);
     planner_.startTerm();
     startsInFlight_ = false;
     pendingEnds_.clear();
--- a/Source/Jobs/machinetable.cpp
+++ b/Source/Jobs/machinetable.cpp
@@ -58,10 +58,19 @@
     return workedMs * WholePercent / (percent - firstPercent);
 }
 
-void MachineTable::startTerm(TimePoint now)
+void MachineTable::startTerm(TimePoint now, std::uint64_t term)
 {
+    if (term == term_) {
+        for (const auto &[life, machine] : machines_) {
+            TimePoint &end = earlierLeaseEnds_[life];
+            end = std::max(end, machine.leaseEnd);
+        }
+    } else {
+        term_ = term;
+        termStart_ = now;
+        earlierLeaseEnds_.clear();
+    }
     machines_.clear();
-    termStart_ = now;
 }
 
 Machine *MachineTable::find(const MinionLife &life)
@@ -187,6 +196,7 @@
         return now > item.second.reportedAt + ForgetSilentAfter
                && !book.activeRuns().contains(item.first);
     });
+    std::erase_if(earlierLeaseEnds_, [&](const auto &item) { return now >= item.second; });
     const Duration full =
         options_.length * (Hundred + SlowClockPercent) / Hundred + options_.margin;
     for (const auto &[life, runs] : book.activeRuns()) {
@@ -195,6 +205,8 @@
         TimePoint end = termStart_ + full;
         if (machine != machines_.end())
             end = std::max(end, machine->second.leaseEnd);
+        if (const auto earlier = earlierLeaseEnds_.find(life); earlier != earlierLeaseEnds_.end())
+            end = std::max(end, earlier->second);
         if (now < end)
             continue;
         for (const RunKey &key : runs)
--- a/Source/Jobs/machinetable.h
+++ b/Source/Jobs/machinetable.h
@@ -95,9 +95,10 @@
 public:
     explicit MachineTable(LeaseOptions options) : options_(options) {}
 
-    /** Clears the table. The leases of the previous leader are treated as valid for a full lease
-     * from now. */
-    void startTerm(TimePoint now);
+    /** Clears the table for a leader in \a term. In a new term the leases of the previous leader
+     * are treated as valid for a full lease from now; in the same term only this leader granted
+     * any. */
+    void startTerm(TimePoint now, std::uint64_t term);
     /** Processes a report; returns the run ends in it that \a book does not contain yet. */
     std::vector<MinionRunEnd> report(TimePoint now, const std::string &agent,
                                      const MachineReport &report, const JobBook &book);
@@ -132,7 +133,10 @@
 
     LeaseOptions options_;
     std::map<MinionLife, Machine> machines_;
+    std::uint64_t term_ = 0;
     TimePoint termStart_{};
+    /** Ends of the leases granted in this term before the table was last cleared. */
+    std::map<MinionLife, TimePoint> earlierLeaseEnds_;
 };
 
 } // namespace Oleander::Jobs
--- a/Tests/Jobs/lostminiontest.cpp
+++ b/Tests/Jobs/lostminiontest.cpp
@@ -78,7 +78,7 @@
     // No other leader can have granted a lease within the term.
     const LeaseOptions lease;
     for (int lapse = 0; lapse < 5; ++lapse) {
-        leader.scheduler.startTerm(leader.clock.now(), 3);
+        leader.scheduler.startTerm(leader.clock.now(), SchedulerFixture::FirstTerm);
         leader.advance(lease.length);
         leader.decide();
     }
@@ -99,3 +99,24 @@
     leader.submit("j", {longRunningStep()});
     CHECK(leader.decide().starts.empty());
 }
+
+TEST_CASE(
+    "A run under a lease that its leader granted before a lapse is not lost before that lease ends")
+{
+    SchedulerFixture leader;
+    leader.submit("j", {longRunningStep()});
+    const LeaseOptions lease;
+    leader.advance(2 * lease.length);
+    leader.decide();
+    registerMinion(leader, "agent-a", LifeA);
+    REQUIRE(leader.decide().starts.size() == 1);
+    for (int lapse = 0; lapse < 2; ++lapse) {
+        leader.advance(lease.length / 2 - 100ms);
+        leader.scheduler.startTerm(leader.clock.now(), SchedulerFixture::FirstTerm);
+        leader.decide();
+        CHECK(leader.book.activeRuns().contains(LifeA));
+    }
+    leader.advance(lease.length);
+    leader.decide();
+    CHECK_FALSE(leader.book.activeRuns().contains(LifeA));
+}
