Jobs: Place no task on a minion whose lease has expired

What callers could see: tasks that are started again and again on a minion that cannot carry them out, beside other minions.

Cause: a minion accepted tasks if its agent had reported lately and any lease had ever been granted. An agent that repeats the last clock of an earlier instance renews no lease, and the end of the last one was not looked at.

--- a/Source/Jobs/machinetable.cpp
+++ b/Source/Jobs/machinetable.cpp
@@ -251,7 +251,7 @@
 bool MachineTable::acceptsLongRunningTasks(TimePoint now, const Machine &machine) const
 {
     return !machine.minion.draining && machine.minion.reachable
-           && now < machine.reportedAt + options_.maxReportAge && machine.leaseUntilMs > 0
+           && now < machine.reportedAt + options_.maxReportAge && now < machine.leaseEnd
            && !machine.health.isSuspendedForLongRunning(now) && !isDisturbed(now, machine);
 }
 
