Jobs: Start one filling task at a time beside a service whose interference with its image is unknown

What callers saw: filling jobs beside services completed late early in a fleet's life, and the services exceeded their latency target.

Cause: a pair of images without observations counts as nearly harmless, so all tasks of a wide step started beside services at once, also where they interfere strongly. The last runs of the step were then throttled, at times to nothing for seconds, and their jobs waited for them.

Change: a task does not start beside a serving image if a task of its image already runs beside that image somewhere and no report has shown the pair at work. A filling task without processor time no longer counts as an observation. Starved jobs are exempt.

--- a/Source/Jobs/interferencetable.cpp
+++ b/Source/Jobs/interferencetable.cpp
@@ -48,6 +48,9 @@
             expected += interferencePerCore(image, sample.image) * cores;
         const double error = std::min(sample.latencyRatio, MaxLatencyRatio) - expected;
         for (const auto &[image, cores] : used) {
+            // An idle filling task shows nothing, and its pair stays unobserved.
+            if (cores <= 0)
+                continue;
             const double updated = interferencePerCore(image, sample.image)
                                    + InterferenceLearningRate * error * cores / squares;
             interferencePerCore_[{image, sample.image}] = std::max(MinInterference, updated);
--- a/Source/Jobs/interferencetable.h
+++ b/Source/Jobs/interferencetable.h
@@ -60,6 +60,12 @@
     double latencyRatioWithoutFilling(const ServingSample &sample, const FillingCores &used) const;
     /** Increase of the latency ratio of \a serving per core of \a filling. */
     double interferencePerCore(const std::string &filling, const std::string &serving) const;
+    /** True if a report has shown \a filling at work beside \a serving, or the value of the pair
+     * was imported. */
+    bool isObserved(const std::string &filling, const std::string &serving) const
+    {
+        return interferencePerCore_.contains({filling, serving});
+    }
     /** Latency ratio of \a serving without filling tasks. */
     double baseLatencyRatio(const std::string &serving) const;
     /** Returns all learned values in the form that importLearned() accepts. */
--- a/Source/Jobs/taskplacer.cpp
+++ b/Source/Jobs/taskplacer.cpp
@@ -82,6 +82,7 @@
 std::vector<RunStart> TaskPlacer::place(TimePoint now, std::int64_t nowMs)
 {
     candidates_.clear();
+    unobservedPairs_.reset();
     nowMs_ = nowMs;
     now_ = now;
     const auto use = computeMinionUse(book_);
@@ -416,7 +417,7 @@
     return known->second;
 }
 
-void TaskPlacer::addTask(Candidate &candidate, const StepSpec &step) const
+void TaskPlacer::addTask(Candidate &candidate, const StepSpec &step)
 {
     if (step.targetLatencyMs > 0) {
         if (!candidate.serving)
@@ -426,6 +427,8 @@
     }
     candidate.use.add(step);
     candidate.fillingCapacity.clear();
+    if (unobservedPairs_)
+        unobservedPairs_->add(candidate.use);
 }
 
 bool TaskPlacer::suits(const Candidate &candidate, const StepSpec &step, const std::string &service,
@@ -454,6 +457,11 @@
                                                 FillingLimit fillingLimit,
                                                 const std::map<MinionLife, std::uint32_t> &spread)
 {
+    if (step.filling && !unobservedPairs_) {
+        unobservedPairs_.emplace(interference_);
+        for (const Candidate &candidate : candidates_)
+            unobservedPairs_->add(candidate.use);
+    }
     Candidate *best = nullptr;
     std::int64_t bestScore = 0;
     for (Candidate &candidate : candidates_) {
@@ -470,7 +478,9 @@
             const auto milliCores = static_cast<std::int64_t>(step.milliCores);
             if (fillingLimit != FillingLimit::None && capacity.available < milliCores)
                 continue;
-            if (fillingLimit == FillingLimit::TaskInterference && capacity.perTask < milliCores)
+            if (fillingLimit == FillingLimit::TaskInterference
+                && (capacity.perTask < milliCores
+                    || unobservedPairs_->contains(step.image, candidate.use)))
                 continue;
             score = capacity.available;
         }
--- a/Source/Jobs/taskplacer.h
+++ b/Source/Jobs/taskplacer.h
@@ -5,6 +5,7 @@
 #include "Jobs/machinetable.h"
 #include "Jobs/minionuse.h"
 #include "Jobs/reservationplanner.h"
+#include "Jobs/unobservedpairs.h"
 
 #include <map>
 #include <optional>
@@ -87,7 +88,8 @@
 
     /** What limits the placement of a filling task on a minion. */
     enum class FillingLimit {
-        /** The available processor time, and the interference of the task itself. */
+        /** The available processor time, the interference of the task itself, and one task at a
+         * time beside a service whose interference with the image has not been observed. */
         TaskInterference,
         /** The available processor time. */
         Available,
@@ -132,7 +134,7 @@
     /** Capacity of \a candidate for further filling tasks of \a image. */
     const FillingCapacity &fillingCapacity(Candidate &candidate, const std::string &image) const;
     /** Adds a task of \a step to the use of \a candidate. */
-    void addTask(Candidate &candidate, const StepSpec &step) const;
+    void addTask(Candidate &candidate, const StepSpec &step);
 
     const JobBook &book_;
     const MachineTable &machines_;
@@ -143,6 +145,8 @@
     bool isStalled(const RunView &run, const StepSpec &step) const;
 
     std::vector<Candidate> candidates_;
+    /** Unobserved pairs on all candidates; computed when first needed. */
+    std::optional<UnobservedPairs> unobservedPairs_;
     std::map<std::string, double> weights_;
     std::vector<RunStart> starts_;
     std::set<TaskRef> started_;
--- a/Tests/Jobs/interferencetest.cpp
+++ b/Tests/Jobs/interferencetest.cpp
@@ -2,6 +2,8 @@
 #include "Jobs/interferencetable.h"
 #include "Jobs/pacecontroller.h"
 
+#include <map>
+
 using namespace Oleander;
 using namespace Oleander::Testing;
 
@@ -162,6 +164,48 @@
     CHECK(leader.decide().starts.size() == 1);
 }
 
+TEST_CASE("A step of an image without observations does not start beside all services at once")
+{
+    SchedulerFixture leader;
+    StepSpec serving = step(2, 6'000);
+    serving.longRunning = true;
+    serving.targetLatencyMs = 100;
+    serving.image = "web";
+    serving.maxPerMinion = 1;
+    leader.submit("s", {serving});
+    const std::map<std::string, MinionLife> lives{{"agent-a", LifeA}, {"agent-b", LifeB}};
+    std::uint64_t clockMs = 1'000;
+    const auto reportUse = [&](std::uint32_t fillingMilliCores) {
+        leader.advance(100ms);
+        clockMs += 100;
+        for (const auto &[agent, life] : lives) {
+            MachineReport report = reportOf(life, clockMs, 40'000);
+            const auto active = leader.book.activeRuns().find(life);
+            if (active != leader.book.activeRuns().end()) {
+                for (const RunKey &key : active->second)
+                    report.running.push_back({key.first, key.second, "", 1,
+                                              key.first.job == "s" ? 35U : fillingMilliCores,
+                                              true});
+            }
+            leader.report(agent, report);
+            leader.directive(agent);
+        }
+    };
+    reportUse(0);
+    REQUIRE(leader.decide().starts.size() == 2);
+    reportUse(0);
+    StepSpec filling = step(4, 2'000);
+    filling.filling = true;
+    filling.image = "unknown";
+    leader.submit("f", {filling});
+    CHECK(leader.decide().starts.size() == 1);
+    // A task that does not use any processor time yet shows no interference.
+    reportUse(0);
+    CHECK(leader.decide().starts.empty());
+    reportUse(2'000);
+    CHECK(leader.decide().starts.size() == 3);
+}
+
 TEST_CASE("A table that imports learned values gives the same results as the exporting table")
 {
     InterferenceTable table;
