--- a/Tests/Soak/soakrun.cpp
+++ b/Tests/Soak/soakrun.cpp
@@ -7,7 +7,6 @@
 #include <ctime>
 #include <fstream>
 #include <limits>
-#include <set>
 #include <sstream>
 
 namespace Oleander::Testing {
