--- a/Tests/Jobs/simulatedfleet.h
+++ b/Tests/Jobs/simulatedfleet.h
@@ -227,10 +227,10 @@
     static constexpr Duration CrashWindow = std::chrono::milliseconds(100);
     /** Period in which the load of a service rises and falls. */
     static constexpr double LoadPeriodS = 12;
-    /** Time without a run beside capacity for two of its kind after which the platform counts a
-     * long-running task as lost, */
+    /** The platform counts a long-running task as lost that has had no run for this long beside
+     * capacity for two of its kind. */
     static constexpr Duration LostAfterWait = std::chrono::seconds(3);
-    /** if its last run ended at least this long ago. */
+    /** Age of its last run from which it counts a task as lost. */
     static constexpr Duration LostAfterIdle = std::chrono::seconds(6);
     static constexpr Duration PaceInterval = std::chrono::milliseconds(200);
 
