--- a/review/4/run.sh
+++ /dev/null
@@ -1,5 +0,0 @@
-#!/usr/bin/env bash
-# Exits with 1 if the rule was broken, 0 if it held and 2 if the case could not run.
-cd "$(dirname "$0")/../.." || exit 2
-[ -x target/review/cancelled_starts ] || exit 2
-exec target/review/cancelled_starts review/4
