--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,5 +1,6 @@
 #!/usr/bin/env bash
-# Exits with 1 if the rule was broken, 0 if it held and 2 if the case could not run.
+# Exits with 1 if the rule was broken, 0 if it held and 2 if the case could not run. With TROUBLE=0 it
+# does the same without the unanswered orders.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review/cancelled_starts ] || exit 2
-exec target/review/cancelled_starts review/3
+exec target/review/cancelled_starts review/3 "${TROUBLE:-1}"
--- a/review/standins/departure.cpp
+++ b/review/standins/departure.cpp
@@ -20,9 +20,9 @@
 
 } // namespace
 
-int main(int, char **argv)
+int main(int argc, char **argv)
 {
-    openRecord(argv[1]);
+    startCase(argc, argv);
     Deployment deployment(1, Machines);
     if (!deployment.start())
         return CannotRun;
--- a/review/standins/draining_starts.cpp
+++ b/review/standins/draining_starts.cpp
@@ -10,7 +10,9 @@
 constexpr std::int64_t DrainMs = 2000;
 constexpr double UnansweredShare = 0.5;
 constexpr std::int64_t UnansweredMs = 5500;
+constexpr std::int64_t SettleMs = 4000;
 constexpr std::size_t Machines = 6;
+/** Minions that are replaced, two at a time; the new ones start first (release). */
 constexpr std::size_t Leaving = 2;
 /** Time from the first unanswered order to the draining of the minions, and from there to their end
  * ("at times many seconds"). */
@@ -22,13 +24,14 @@
 
 } // namespace
 
-int main(int, char **argv)
+int main(int argc, char **argv)
 {
-    openRecord(argv[1]);
-    Deployment deployment(1, Machines);
+    startCase(argc, argv);
+    Deployment deployment(1, Machines + Leaving, Leaving);
     if (!deployment.start())
         return CannotRun;
-    sleepMs(2000);
+    // Machines are in touch only contactMs after their start.
+    sleepMs(SettleMs);
     if (hasTrouble()) {
         record("for 5.5 s the minions leave half of the orders unanswered");
         for (std::size_t i = 0; i < Machines; ++i) {
@@ -42,7 +45,9 @@
     std::vector<std::thread> leaving;
     for (std::size_t i = 0; i < Leaving; ++i) {
         leaving.emplace_back([&, i] {
-            sleepMs(DrainAfterMs);
+            sleepMs(DrainAfterMs / 2);
+            deployment.startMinion(Machines + i);
+            sleepMs(DrainAfterMs / 2);
             if (!deployment.minion(i).announceDraining())
                 acknowledged = false;
             {
--- a/review/standins/foreign_heartbeat.cpp
+++ b/review/standins/foreign_heartbeat.cpp
@@ -4,9 +4,9 @@
 
 using namespace Review;
 
-int main(int, char **argv)
+int main(int argc, char **argv)
 {
-    openRecord(argv[1]);
+    startCase(argc, argv);
     Deployment deployment(1, 4);
     if (!deployment.start())
         return CannotRun;
--- a/review/standins/harness.cpp
+++ b/review/standins/harness.cpp
@@ -24,6 +24,7 @@
 
 std::mutex recordMutex;
 std::ofstream recordFile;
+bool trouble = true;
 
 /** Time that a minion takes to stop a run; the pages allow stopMs. */
 constexpr std::int64_t StopMs = 100;
@@ -140,15 +141,20 @@
     return true;
 }
 
-bool hasTrouble()
+void startCase(int argc, char **argv)
 {
-    const char *value = std::getenv("TROUBLE");
-    return value == nullptr || std::string(value) != "0";
+    if (argc != 3) {
+        std::cerr << "usage: " << argv[0] << " FOLDER TROUBLE" << std::endl;
+        std::exit(CannotRun);
+    }
+    trouble = std::string(argv[2]) != "0";
+    recordFile.open(std::string(argv[1]) + "/record.txt", std::ios::trunc);
+    record(trouble ? "with the disruption" : "without the disruption (TROUBLE=0)");
 }
 
-void openRecord(const std::string &folder)
+bool hasTrouble()
 {
-    recordFile.open(folder + "/record.txt", std::ios::trunc);
+    return trouble;
 }
 
 void record(const std::string &line)
@@ -683,7 +689,7 @@
     return answer(200, {{"running", running}, {"finished", finished_}});
 }
 
-Deployment::Deployment(std::size_t entries, std::size_t machines)
+Deployment::Deployment(std::size_t entries, std::size_t machines, std::size_t spare) : spare_(spare)
 {
     std::string pattern = (std::filesystem::temp_directory_path() / "review-XXXXXX").string();
     folder_ = ::mkdtemp(pattern.data());
@@ -804,6 +810,17 @@
         folder_ + '/' + name + ".log");
 }
 
+void Deployment::startMinion(std::size_t index)
+{
+    Machine &machine = machines_.at(index);
+    Minion::Options options;
+    options.id = "i-" + std::to_string(index + 1);
+    options.service = "notices";
+    options.address = machine.app;
+    options.agent = machine.door;
+    machine.minion = std::make_unique<Minion>(options, history_);
+}
+
 bool Deployment::start()
 {
     for (std::size_t i = 0; i < controls_.size(); ++i)
@@ -812,14 +829,8 @@
         startAgent(i);
     for (std::size_t i = 0; i < entries_.size(); ++i)
         startEntry(i);
-    for (std::size_t i = 0; i < machines_.size(); ++i) {
-        Minion::Options options;
-        options.id = "i-" + std::to_string(i + 1);
-        options.service = "notices";
-        options.address = machines_[i].app;
-        options.agent = machines_[i].door;
-        machines_[i].minion = std::make_unique<Minion>(options, history_);
-    }
+    for (std::size_t i = 0; i + spare_ < machines_.size(); ++i)
+        startMinion(i);
     if (!configure(configuration(1)))
         return false;
     return waitFor(15'000, [this] {
@@ -923,7 +934,7 @@
 std::size_t Deployment::machineRunning(const std::string &task) const
 {
     for (std::size_t i = 0; i < machines_.size(); ++i) {
-        if (machines_[i].minion->runs(task))
+        if (machines_[i].minion && machines_[i].minion->runs(task))
             return i;
     }
     return machines_.size();
--- a/review/standins/harness.h
+++ b/review/standins/harness.h
@@ -35,11 +35,12 @@
 void sleepMs(std::int64_t duration);
 /** Polls \a condition until it is true or \a timeout has passed; returns its last value. */
 bool waitFor(std::int64_t timeout, const std::function<bool()> &condition);
-/** False if the environment variable TROUBLE is 0: the case then runs without its disruption. */
-bool hasTrouble();
 
-/** Opens record.txt in \a folder. */
-void openRecord(const std::string &folder);
+/** Reads the arguments of a case: its folder, in which record.txt is opened, and the value of
+ * TROUBLE. Ends the program if they are missing. */
+void startCase(int argc, char **argv);
+/** False if TROUBLE is 0: the case then runs without its disruption. */
+bool hasTrouble();
 /** Appends a line with the current time to the record and to standard output. */
 void record(const std::string &line);
 
@@ -245,7 +246,8 @@
 class Deployment
 {
 public:
-    Deployment(std::size_t entries, std::size_t machines);
+    /** The minions of the last \a spare machines are started by startMinion(). */
+    Deployment(std::size_t entries, std::size_t machines, std::size_t spare = 0);
     ~Deployment();
 
     /** Starts all processes and puts the first configuration in force; false if that fails. */
@@ -254,6 +256,7 @@
     void startControl(std::size_t index, bool bootstrap);
     void startEntry(std::size_t index);
     void startAgent(std::size_t index);
+    void startMinion(std::size_t index);
     Process &control(std::size_t index) { return *controls_.at(index).process; }
     Process &agent(std::size_t index) { return *machines_.at(index).agent; }
     Minion &minion(std::size_t index) { return *machines_.at(index).minion; }
@@ -302,6 +305,7 @@
     std::string writeSettings(const std::string &name, const std::string &text) const;
     std::string groupText() const;
 
+    std::size_t spare_ = 0;
     std::string folder_;
     int network_ = 0;
     int hostNumber_ = 0;
