Fleet: Take an announced instance for the minion only once its address confirms it

Cause: the agent took any well-formed announcement with a later birth for the successor of its minion and reported the known instance as ended. The leader ends the runs of an ended instance at once. The true minion's announcements then had an earlier birth and were ignored.

Of the six tests in minionidentitytest.cpp four failed before: the ending of the living minion, the shutting out after a foreign announcement and after a clock set back, and a minion that refused connections for a while. All pass now.

An instance is now polled at the minion's address under its announced name, and replaces the known one only if the list it returns carries its birth. Births are compared for equality only. The check against births in the far future goes: it kept one such announcement from shutting out later instances, which none can do any more; its test stays and asks that the process confirms the birth.

--- a/Source/Fleet/miniontask.cpp
+++ b/Source/Fleet/miniontask.cpp
@@ -21,9 +21,6 @@
 constexpr Duration DepartureTimeout = std::chrono::milliseconds(800);
 /** Minimum remaining time of the lease for sending a start, in milliseconds. */
 constexpr std::uint64_t MinLeaseMs = 200;
-/** Largest difference between the wall clocks of a minion and its agent; any clock that is set at
- * all is closer. */
-constexpr auto MaxClockDifference = std::chrono::hours(24);
 /** Polls wait for ends of runs, so they use a connection of their own and never delay an order. */
 constexpr std::size_t PollConnections = 1;
 constexpr std::size_t OrderConnections = 4;
@@ -41,43 +38,56 @@
 } // namespace
 
 MinionTask::MinionTask(EventLoop &loop, const FleetCodec &codec, const std::string &address)
-    : loop_(loop), codec_(codec), address_(address), tickTimer_(loop, [this] { tick(); })
+    : loop_(loop)
+    , codec_(codec)
+    , address_(address)
+    , verifier_(
+          loop, codec, address,
+          [this](const std::string &name) { return codec_.pollRequest(name, PollOrder{}, term_); })
+    , tickTimer_(loop, [this] { tick(); })
 {
+    verifier_.confirmed.connect(
+        [this](const MinionAnnouncement &announcement) { replaceInstance(announcement); });
     tickTimer_.startEvery(TickInterval);
 }
 
 void MinionTask::handleAnnouncement(const MinionAnnouncement &announcement)
+{
+    if (hasMinion_ && announcement.minion.life == minion_.life)
+        updateInstance(announcement);
+    else
+        verifier_.verify(announcement);
+}
+
+void MinionTask::updateInstance(const MinionAnnouncement &announcement)
+{
+    // An announcement that arrives out of order is ignored.
+    if (announcement.sequence <= announcementSequence_)
+        return;
+    const MinionReport previous = std::exchange(minion_, announcement.minion);
+    minion_.reachable = previous.reachable;
+    announcementSequence_ = announcement.sequence;
+    if (minion_.draining != previous.draining)
+        logEvent(LogEvent::MinionDraining, Step::Leave, minion_.life.name, {});
+    const bool hasShrunk = !minion_.hasCapacityOf(previous);
+    if (hasShrunk)
+        abandonStarts();
+    if (minion_.draining != previous.draining || hasShrunk || !previous.hasCapacityOf(minion_))
+        reportNeeded.emit();
+}
+
+void MinionTask::replaceInstance(const MinionAnnouncement &announcement)
 {
     const MinionLife &life = announcement.minion.life;
-    const std::chrono::milliseconds sinceEpoch = loop_.clock().wallNow().time_since_epoch();
-    // If accepted, it would shut out every later instance that was really started.
-    if (life.bornMs > static_cast<std::uint64_t>((sinceEpoch + MaxClockDifference).count())) {
-        return logEvent(LogEvent::FrameMalformed,
-                        makeError(Failure::InvalidInput, Step::Join, life.name,
-                                  fmt::format("The minion claims to start at {} ms of Unix time, "
-                                              "which is too far in the future.",
-                                              life.bornMs)));
-    }
-    const bool isNewer =
-        life.bornMs > std::max(hasMinion_ ? minion_.life.bornMs : 0, latestEndedInstance_.bornMs);
-    if (hasMinion_ && life == minion_.life) {
-        // An announcement that arrives out of order is ignored.
-        if (announcement.sequence <= announcementSequence_)
-            return;
-        const MinionReport previous = std::exchange(minion_, announcement.minion);
-        minion_.reachable = previous.reachable;
-        announcementSequence_ = announcement.sequence;
-        if (minion_.draining != previous.draining)
-            logEvent(LogEvent::MinionDraining, Step::Leave, life.name, {});
-        const bool hasShrunk = !minion_.hasCapacityOf(previous);
-        if (hasShrunk)
-            abandonStarts();
-        if (minion_.draining != previous.draining || hasShrunk || !previous.hasCapacityOf(minion_))
-            reportNeeded.emit();
-    } else if (isNewer) {
-        endInstance("another instance was announced");
-        startInstance(announcement);
+    // The process refused connections for a while. Until the leader has committed the end of its
+    // runs, the reports cannot distinguish runs that are started from now on.
+    if (std::ranges::find(endedInstances_, life) != endedInstances_.end()) {
+        return logEvent(
+            LogEvent::MinionUnconfirmed, Step::Join, life.name,
+            {{"born_ms", life.bornMs}, {"why", "the end of its runs is not committed yet"}});
     }
+    endInstance("another instance answered at its address");
+    startInstance(announcement);
 }
 
 void MinionTask::startInstance(const MinionAnnouncement &announcement)
@@ -110,9 +120,10 @@
 bool MinionTask::isFromInstance(const HttpResponse &response)
 {
     const auto lists = codec_.decodeRunLists(response);
-    if (lists && lists->bornMs > minion_.life.bornMs)
+    const bool isCurrent = lists && lists->bornMs == minion_.life.bornMs;
+    if (lists && !isCurrent)
         endInstance("another instance answered at its address");
-    return hasMinion_ && lists && lists->bornMs == minion_.life.bornMs;
+    return isCurrent;
 }
 
 void MinionTask::endInstance(const char *why)
@@ -141,7 +152,6 @@
     isPolling_ = false;
     latestEventReport_ = NotYetReported;
     endedInstances_.push_back(minion_.life);
-    latestEndedInstance_ = minion_.life;
     departedAt_.reset();
     minionClockMs_ = 0;
     holdUntilMs_ = 0;
@@ -163,6 +173,7 @@
 
 void MinionTask::handleDeparture(const MinionDeparture &departure)
 {
+    verifier_.forget(departure.name);
     if (hasMinion_ && departure.name == minion_.life.name && !departedAt_) {
         departedAt_ = loop_.clock().now();
         minion_.draining = true;
--- a/Source/Fleet/miniontask.h
+++ b/Source/Fleet/miniontask.h
@@ -2,6 +2,7 @@
 
 #include "Fleet/crashattribution.h"
 #include "Fleet/fleetcodec.h"
+#include "Fleet/instanceverifier.h"
 #include "Jobs/pacecontroller.h"
 #include "Runtime/eventloop.h"
 #include "Runtime/httpclient.h"
@@ -58,10 +59,13 @@
         bool isConfirmed = false;
     };
 
+    void updateInstance(const MinionAnnouncement &announcement);
+    /** Replaces the current instance by the one of \a announcement, which runs at the address. */
+    void replaceInstance(const MinionAnnouncement &announcement);
     void startInstance(const MinionAnnouncement &announcement);
     /** Returns a client whose connections reach only the current instance. */
     std::unique_ptr<HttpClient> makeClient(std::size_t maxConnections);
-    /** True if \a response comes from the current instance; ends it if a later one answered. */
+    /** True if \a response comes from the current instance; ends it if another one answered. */
     bool isFromInstance(const HttpResponse &response);
     void endInstance(const char *why);
     void tick();
@@ -89,6 +93,7 @@
     EventLoop &loop_;
     const FleetCodec &codec_;
     std::string address_;
+    InstanceVerifier verifier_;
     /** Clients of the current instance. A call names only the id, which a later instance may have
      * too; an open connection stays with the process that accepted it. */
     std::unique_ptr<HttpClient> pollClient_;
@@ -106,7 +111,6 @@
     std::vector<MinionLife> endedInstances_;
     /** Those of the ended instances that ended without notice. */
     std::vector<MinionCrash> crashes_;
-    MinionLife latestEndedInstance_;
 
     std::uint64_t term_ = 0;
     std::uint64_t holdUntilMs_ = 0;
--- a/Source/Fleet/miniontaskpolling.cpp
+++ b/Source/Fleet/miniontaskpolling.cpp
@@ -59,13 +59,9 @@
         minion_.reachable = true;
         reportNeeded.emit();
     }
-    // Another instance answered; its announcement will follow.
-    if (lists->bornMs != minion_.life.bornMs) {
-        nextPollAt_ = loop_.clock().now() + PollRetryInterval;
-        if (lists->bornMs > minion_.life.bornMs)
-            endInstance("another instance answered at its address");
-        return;
-    }
+    // The announcement of that instance follows.
+    if (lists->bornMs != minion_.life.bornMs)
+        return endInstance("another instance answered at its address");
     applyRunLists(number, std::move(*lists));
 }
 
--- a/Source/Runtime/logevent.cpp
+++ b/Source/Runtime/logevent.cpp
@@ -34,6 +34,7 @@
     {LogEvent::MinionLapsed, LogLevel::Warning, "minion.lapsed"},
     {LogEvent::MinionEjected, LogLevel::Warning, "minion.ejected"},
     {LogEvent::MinionRestored, LogLevel::Info, "minion.restored"},
+    {LogEvent::MinionUnconfirmed, LogLevel::Warning, "minion.unconfirmed"},
 
     {LogEvent::TaskPlaced, LogLevel::Info, "task.placed"},
     {LogEvent::TaskOrderRefused, LogLevel::Warning, "task.order-refused"},
--- a/Source/Runtime/logevent.h
+++ b/Source/Runtime/logevent.h
@@ -35,6 +35,7 @@
     MinionLapsed = 2012,
     MinionEjected = 2013,
     MinionRestored = 2014,
+    MinionUnconfirmed = 2015,
 
     TaskPlaced = 3000,
     TaskOrderRefused = 3001,
--- /dev/null
+++ b/Tests/Fleet/minionidentitytest.cpp
@@ -0,0 +1,107 @@
+#include "scriptedminion.h"
+
+#include <catch2/catch.hpp>
+
+using namespace Oleander;
+using Oleander::Testing::FirstBirth;
+using Oleander::Testing::ScriptedMinion;
+
+namespace {
+
+const MinionLife Foreign{"i-other", FirstBirth + 1'000};
+
+} // namespace
+
+TEST_CASE("An announcement of another writer does not end the minion that runs")
+{
+    // Its runs would be started elsewhere beside those that go on.
+    ScriptedMinion minion;
+    const MinionLife announced =
+        GENERATE(Foreign, MinionLife{"i-1", FirstBirth + 1'000}, MinionLife{"i-0", 1});
+    minion.announceInstance(announced);
+    minion.runPolls(3);
+    CHECK(minion.isTracked());
+    CHECK(minion.report().ended.empty());
+    minion.restart();
+    minion.announce();
+    minion.runUntil([&] { return minion.isTracked(); });
+}
+
+TEST_CASE("An announcement from the far future does not displace the minion")
+{
+    ScriptedMinion minion;
+    const auto now = minion.loop.clock().wallNow().time_since_epoch();
+    const auto ahead = [&](std::chrono::milliseconds difference) {
+        return MinionLife{"i-1", static_cast<std::uint64_t>((now + difference).count())};
+    };
+    const MinionLife life = minion.life;
+    minion.announceInstance(ahead(std::chrono::hours(48)));
+    minion.announceInstance(ahead(std::chrono::hours(24 * 365 * 1000)));
+    minion.runPolls(3);
+    CHECK(minion.report().minion.life == life);
+    minion.replaceBy(ahead(std::chrono::minutes(1)));
+    minion.announce();
+    minion.runUntil([&] { return minion.isTracked(); });
+}
+
+TEST_CASE("A minion is used although another writer announced itself before it")
+{
+    // An agent that has just started knows no instance.
+    ScriptedMinion minion;
+    minion.crash();
+    minion.runUntil([&] { return !minion.report().hasMinion; });
+    minion.announceInstance(Foreign);
+    minion.replaceBy({"i-2", FirstBirth + 1});
+    minion.announce();
+    minion.runUntil([&] { return minion.isTracked(); });
+    CHECK(minion.report().ended.size() == 1);
+}
+
+TEST_CASE("A minion that starts again with an earlier birth is used")
+{
+    // The clock of its machine was set back between the two starts.
+    ScriptedMinion minion;
+    const std::string name = GENERATE("i-1", "i-2");
+    minion.replaceBy({name, FirstBirth - 1});
+    minion.runUntil([&] {
+        minion.announce();
+        return minion.isTracked();
+    });
+    REQUIRE(minion.report().ended.size() == 1);
+    CHECK(minion.report().ended.front() == MinionLife{"i-1", FirstBirth});
+}
+
+TEST_CASE("The delayed announcement of an ended instance does not displace its successor")
+{
+    ScriptedMinion minion;
+    const MinionLife earlier = minion.life;
+    minion.restart();
+    minion.announce();
+    minion.runUntil([&] { return minion.isTracked(); });
+    minion.announceInstance(earlier, 2);
+    minion.runPolls(3);
+    CHECK(minion.isTracked());
+}
+
+TEST_CASE("A minion that refused connections for a while is used again once its end is committed")
+{
+    ScriptedMinion minion;
+    minion.crash();
+    minion.runUntil([&] { return !minion.report().hasMinion; });
+    minion.listen();
+    // The leader still counts every run on this instance as ended.
+    for (std::uint64_t sequence = 2; sequence < 5; ++sequence) {
+        minion.announce(sequence);
+        minion.runPolls(1);
+        CHECK_FALSE(minion.isTracked());
+    }
+    MachineDirective directive;
+    directive.term = 1;
+    directive.acknowledgedReport = minion.reports;
+    minion.task.handleDirective(directive);
+    minion.runUntil([&] {
+        minion.announce(5);
+        return minion.isTracked();
+    });
+    CHECK(minion.report().ended.empty());
+}
