Fleet: Keep a departing minion's runs until its process has ended

Cause: the agent reported the instance as ended 0.8 s after it had handled the departure call. The call may have been sent long before, and a minion without an acknowledgement goes on for seconds; polls listed its runs all the time.

"A minion that announced its departure keeps its runs as long as it answers" failed before and passes now.

A departure now only marks the minion as draining; the instance ends when its address refuses connections or another instance answers there.

--- a/Source/Fleet/miniontask.cpp
+++ b/Source/Fleet/miniontask.cpp
@@ -17,8 +17,6 @@
  * calls unanswered should cost the call behind the check little time. */
 constexpr Duration CheckTimeout = std::chrono::milliseconds(150);
 constexpr Duration StartRetryInterval = std::chrono::milliseconds(50);
-/** Time after the departure call of a minion until it counts as ended. */
-constexpr Duration DepartureTimeout = std::chrono::milliseconds(800);
 /** Minimum remaining time of the lease for sending a start, in milliseconds. */
 constexpr std::uint64_t MinLeaseMs = 200;
 /** Polls wait for ends of runs, so they use a connection of their own and never delay an order. */
@@ -130,7 +128,7 @@
 {
     if (!hasMinion_)
         return;
-    const bool isCrash = !minion_.draining && !departedAt_;
+    const bool isCrash = !minion_.draining;
     MinionCrash crash;
     if (isCrash) {
         crash = crashAttribution_.describe(
@@ -152,7 +150,6 @@
     isPolling_ = false;
     latestEventReport_ = NotYetReported;
     endedInstances_.push_back(minion_.life);
-    departedAt_.reset();
     minionClockMs_ = 0;
     holdUntilMs_ = 0;
     acknowledgedEnd_ = 0;
@@ -174,11 +171,13 @@
 void MinionTask::handleDeparture(const MinionDeparture &departure)
 {
     verifier_.forget(departure.name);
-    if (hasMinion_ && departure.name == minion_.life.name && !departedAt_) {
-        departedAt_ = loop_.clock().now();
-        minion_.draining = true;
-        reportNeeded.emit();
-    }
+    if (!hasMinion_ || departure.name != minion_.life.name || minion_.draining)
+        return;
+    // Without an acknowledgement the minion goes on for some time, so its runs end with its
+    // process.
+    minion_.draining = true;
+    logEvent(LogEvent::MinionDraining, Step::Leave, minion_.life.name, {});
+    reportNeeded.emit();
 }
 
 void MinionTask::handleDirective(const MachineDirective &directive)
@@ -330,9 +329,6 @@
 
 void MinionTask::tick()
 {
-    const TimePoint now = loop_.clock().now();
-    if (departedAt_ && now > *departedAt_ + DepartureTimeout)
-        endInstance("the minion announced its departure");
     if (!hasMinion_)
         return;
     std::vector<Jobs::RunKey> keys;
@@ -340,7 +336,7 @@
         keys.push_back(key);
     for (const Jobs::RunKey &key : keys)
         sendStart(key);
-    if (!isPolling_ && now >= nextPollAt_)
+    if (!isPolling_ && loop_.clock().now() >= nextPollAt_)
         pollRuns();
 }
 
--- a/Source/Fleet/miniontask.h
+++ b/Source/Fleet/miniontask.h
@@ -12,7 +12,6 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -106,7 +105,6 @@
     MinionReport minion_;
     std::uint64_t announcementSequence_ = 0;
     std::uint64_t minionClockMs_ = 0;
-    std::optional<TimePoint> departedAt_;
     /** Ended instances of the minion whose end the leader has not yet acknowledged. */
     std::vector<MinionLife> endedInstances_;
     /** Those of the ended instances that ended without notice. */
--- a/Tests/Fleet/minionidentitytest.cpp
+++ b/Tests/Fleet/minionidentitytest.cpp
@@ -105,3 +105,20 @@
     });
     CHECK(minion.report().ended.empty());
 }
+
+TEST_CASE("A minion that announced its departure keeps its runs as long as it answers")
+{
+    // A minion whose call was not acknowledged in time goes on for some seconds.
+    ScriptedMinion minion;
+    minion.task.handleDeparture({"i-1"});
+    const TimePoint start = minion.loop.clock().now();
+    minion.runUntil([&] { return minion.loop.clock().now() > start + std::chrono::seconds(2); });
+    minion.runPolls(3);
+    CHECK(minion.isTracked());
+    CHECK(minion.report().minion.draining);
+    CHECK(minion.report().ended.empty());
+    minion.crash();
+    minion.runUntil([&] { return !minion.report().hasMinion; });
+    CHECK(minion.report().ended.size() == 1);
+    CHECK(minion.report().crashes.empty());
+}
