Fleet: Never send a start again once its run is ordered to stop

Cause: an unconfirmed start was sent again every 50 ms until its lease ended, whatever had been ordered since. A stop order was sent beside it and ended it only if it was answered. A start that was given up after its minion had announced less capacity was started again by the leader's next order if its stop stayed unanswered.

"A start is not sent again once its run is ordered to stop" failed before.

A stop order now withdraws an unconfirmed start: it is not sent again, and its stop is repeated until it is answered, unless no call of the start can still be carried out. Expired leases and smaller capacities use the same path.

--- a/Source/Fleet/miniontask.cpp
+++ b/Source/Fleet/miniontask.cpp
@@ -17,6 +17,7 @@
  * calls unanswered should cost the call behind the check little time. */
 constexpr Duration CheckTimeout = std::chrono::milliseconds(150);
 constexpr Duration StartRetryInterval = std::chrono::milliseconds(50);
+constexpr Duration StopRetryInterval = std::chrono::milliseconds(100);
 /** Minimum remaining time of the lease for sending a start, in milliseconds. */
 constexpr std::uint64_t MinLeaseMs = 200;
 /** Polls wait for ends of runs, so they use a connection of their own and never delay an order. */
@@ -68,8 +69,9 @@
     if (minion_.draining != previous.draining)
         logEvent(LogEvent::MinionDraining, Step::Leave, minion_.life.name, {});
     const bool hasShrunk = !minion_.hasCapacityOf(previous);
+    // The leader has decided the starts for the larger capacity.
     if (hasShrunk)
-        abandonStarts();
+        withdrawStarts();
     if (minion_.draining != previous.draining || hasShrunk || !previous.hasCapacityOf(minion_))
         reportNeeded.emit();
 }
@@ -206,8 +208,13 @@
                 order.weight = job.weight;
         }
     }
-    for (const StopOrder &order : directive.stops)
-        sendStop(order);
+    for (const StopOrder &order : directive.stops) {
+        const Jobs::RunKey key{order.task, order.run};
+        if (undeliveredStarts_.contains(key))
+            withdrawStart(key);
+        else
+            sendStop(key);
+    }
     for (const StartOrder &order : directive.starts) {
         const Jobs::RunKey key = keyOf(order);
         startOrders_.insert_or_assign(key, order);
@@ -221,6 +228,8 @@
             continue;
         }
         UndeliveredStart &start = undeliveredStarts_[key];
+        if (start.isWithdrawn)
+            continue;
         start.order = order;
         start.validUntilMs = std::max(start.validUntilMs, directive.holdUntilMs);
         sendStart(key);
@@ -234,7 +243,7 @@
     if (start.isInFlight || loop_.clock().now() < start.retryAt)
         return;
     if (start.validUntilMs < minionClockMs_ + MinLeaseMs)
-        return abandonStart(key);
+        return withdrawStart(key);
     start.isInFlight = true;
     crashAttribution_.startSent(loop_.clock().now(), key);
     orderClient_->call(
@@ -276,38 +285,42 @@
                   {"run", key.second},
                   {"status", result->status},
                   {"answer", result->body}});
-        abandonStart(key);
+        withdrawStart(key);
         break;
     case OrderResult::Unclear:
         break;
     }
 }
 
-void MinionTask::abandonStart(const Jobs::RunKey &key)
+void MinionTask::withdrawStart(const Jobs::RunKey &key)
 {
-    undeliveredStarts_.erase(key);
-    // A minion never starts a run that it has already been told to stop.
-    if (unansweredStarts_.contains(key))
-        return sendStop({key.first, key.second});
-    crashAttribution_.forget(key);
-    refusals_[key] = {pollNumber_, false};
+    undeliveredStarts_.at(key).isWithdrawn = true;
+    stopWithdrawn(key);
 }
 
-void MinionTask::abandonStarts()
+void MinionTask::withdrawStarts()
 {
     for (const auto &[key, start] : std::map(undeliveredStarts_)) {
-        // The minion may still execute the call.
-        if (start.isInFlight)
-            unansweredStarts_[key] = start.validUntilMs;
-        abandonStart(key);
+        if (!start.isWithdrawn)
+            withdrawStart(key);
     }
 }
 
-void MinionTask::sendStop(const StopOrder &order)
+void MinionTask::stopWithdrawn(const Jobs::RunKey &key)
+{
+    // A minion never starts a run that it has already been told to stop.
+    if (undeliveredStarts_.at(key).isInFlight || unansweredStarts_.contains(key))
+        return sendStop(key);
+    undeliveredStarts_.erase(key);
+    crashAttribution_.forget(key);
+    refusals_.try_emplace(key, Refusal{pollNumber_, false});
+}
+
+void MinionTask::sendStop(const Jobs::RunKey &key)
 {
-    const Jobs::RunKey key{order.task, order.run};
     if (!pendingStops_.insert(key).second)
         return;
+    const StopOrder order{key.first, key.second};
     orderClient_->call(codec_.stopRequest(minion_.life.name, order, term_), CallTimeout,
                        [this, key, instance = instanceNumber_](const HttpCallResult &result) {
                            if (isCurrentInstance(instance))
@@ -317,10 +330,15 @@
 
 void MinionTask::onStopAnswer(const Jobs::RunKey &key, const HttpCallResult &result)
 {
-    // The leader orders the stop again as long as the reports list the run.
     pendingStops_.erase(key);
-    if (!result || codec_.decodeOrderResult(*result) != OrderResult::Done)
+    if (!result || codec_.decodeOrderResult(*result) != OrderResult::Done) {
+        // The leader orders the stop again as long as the reports list the run, tick() that of a
+        // withdrawn start.
+        const auto start = undeliveredStarts_.find(key);
+        if (start != undeliveredStarts_.end())
+            start->second.retryAt = loop_.clock().now() + StopRetryInterval;
         return;
+    }
     undeliveredStarts_.erase(key);
     unansweredStarts_.erase(key);
     // A repeated stop adds nothing; it must not defer the confirmation to yet another poll.
@@ -331,12 +349,22 @@
 {
     if (!hasMinion_)
         return;
+    const TimePoint now = loop_.clock().now();
     std::vector<Jobs::RunKey> keys;
-    for (const auto &[key, start] : undeliveredStarts_)
-        keys.push_back(key);
-    for (const Jobs::RunKey &key : keys)
-        sendStart(key);
-    if (!isPolling_ && loop_.clock().now() >= nextPollAt_)
+    for (const auto &[key, start] : undeliveredStarts_) {
+        if (now >= start.retryAt)
+            keys.push_back(key);
+    }
+    for (const Jobs::RunKey &key : keys) {
+        const auto start = undeliveredStarts_.find(key);
+        if (start == undeliveredStarts_.end())
+            continue;
+        if (start->second.isWithdrawn)
+            stopWithdrawn(key);
+        else
+            sendStart(key);
+    }
+    if (!isPolling_ && now >= nextPollAt_)
         pollRuns();
 }
 
--- a/Source/Fleet/miniontask.h
+++ b/Source/Fleet/miniontask.h
@@ -48,6 +48,9 @@
          * it the leader may have started the task elsewhere. */
         std::uint64_t validUntilMs = 0;
         bool isInFlight = false;
+        /** True if the run must not start any more, although the minion may still execute a call.
+         */
+        bool isWithdrawn = false;
         TimePoint retryAt{};
     };
     /** A run that the minion refused, or that was stopped before it started. It certainly never
@@ -76,13 +79,14 @@
     void sendStart(const Jobs::RunKey &key);
     void onStartAnswer(const Jobs::RunKey &key, std::uint64_t instance,
                        const HttpCallResult &result);
-    /** Stops the delivery of the start of \a key; the start is reported as refused once the run can
+    /** Ends the delivery of the start of \a key; the start is reported as refused once the run can
      * certainly not start any more. */
-    void abandonStart(const Jobs::RunKey &key);
-    /** Abandons all starts that the minion has not confirmed, because it has less capacity than the
-     * leader decided them for. */
-    void abandonStarts();
-    void sendStop(const StopOrder &order);
+    void withdrawStart(const Jobs::RunKey &key);
+    /** Withdraws all starts that the minion has not confirmed. */
+    void withdrawStarts();
+    /** Stops the run of a withdrawn start, which the minion may still execute. */
+    void stopWithdrawn(const Jobs::RunKey &key);
+    void sendStop(const Jobs::RunKey &key);
     void onStopAnswer(const Jobs::RunKey &key, const HttpCallResult &result);
     bool isCurrentInstance(std::uint64_t instance) const
     {
--- /dev/null
+++ b/Tests/Fleet/withdrawnstarttest.cpp
@@ -0,0 +1,27 @@
+#include "scriptedminion.h"
+
+#include <catch2/catch.hpp>
+
+using namespace Oleander;
+using Oleander::Testing::ScriptedMinion;
+
+TEST_CASE("A start is not sent again once its run is ordered to stop")
+{
+    // With stops left unanswered, the start of a cancelled job was sent again until its lease
+    // ended.
+    ScriptedMinion minion;
+    minion.startStatus = 0;
+    minion.answersStops = false;
+    minion.sendDirective(6'000, true);
+    minion.runUntil([&] { return minion.starts.size() == 1; });
+    minion.sendStop();
+    minion.runUntil([&] { return minion.stops == 3; });
+    // A leader that has not heard of the stop yet repeats its orders.
+    minion.sendDirective(6'000, true);
+    minion.runUntil([&] { return minion.stops == 5; });
+    CHECK(minion.starts.size() == 1);
+    CHECK_FALSE(minion.reportsRefusal());
+    minion.answersStops = true;
+    minion.runUntil([&] { return minion.reportsRefusal(); });
+    CHECK(minion.starts.size() == 1);
+}
