Fleet: Withdraw the unconfirmed starts of a minion that drains

Cause: start orders were refused only if they arrived while the minion drained. One that had arrived before and was not confirmed was sent again until its lease ended.

"A start that its minion has not confirmed is not sent again once the minion drains" failed before, for the announcement and for the departure call, and passes now.

An announcement that the minion drains, and its departure call, now withdraw all unconfirmed starts, as a smaller capacity does.

--- a/Source/Fleet/miniontask.cpp
+++ b/Source/Fleet/miniontask.cpp
@@ -69,8 +69,8 @@
     if (minion_.draining != previous.draining)
         logEvent(LogEvent::MinionDraining, Step::Leave, minion_.life.name, {});
     const bool hasShrunk = !minion_.hasCapacityOf(previous);
-    // The leader has decided the starts for the larger capacity.
-    if (hasShrunk)
+    // The leader has decided the starts for a minion that stays and has the previous capacity.
+    if (minion_.draining || hasShrunk)
         withdrawStarts();
     if (minion_.draining != previous.draining || hasShrunk || !previous.hasCapacityOf(minion_))
         reportNeeded.emit();
@@ -179,6 +179,7 @@
     // process.
     minion_.draining = true;
     logEvent(LogEvent::MinionDraining, Step::Leave, minion_.life.name, {});
+    withdrawStarts();
     reportNeeded.emit();
 }
 
--- a/Tests/Fleet/withdrawnstarttest.cpp
+++ b/Tests/Fleet/withdrawnstarttest.cpp
@@ -25,3 +25,23 @@
     minion.runUntil([&] { return minion.reportsRefusal(); });
     CHECK(minion.starts.size() == 1);
 }
+
+TEST_CASE("A start that its minion has not confirmed is not sent again once the minion drains")
+{
+    ScriptedMinion minion;
+    minion.startStatus = 0;
+    minion.answersStops = false;
+    minion.sendDirective(6'000, true);
+    minion.runUntil([&] { return minion.starts.size() == 1; });
+    const bool isAnnounced = GENERATE(false, true);
+    if (isAnnounced)
+        minion.announceInstance(minion.life, 2, 1'000, true);
+    else
+        minion.task.handleDeparture({"i-1"});
+    minion.runUntil([&] { return minion.stops == 2; });
+    minion.sendDirective(6'000, true);
+    minion.runUntil([&] { return minion.stops == 4; });
+    CHECK(minion.starts.size() == 1);
+    minion.answersStops = true;
+    minion.runUntil([&] { return minion.reportsRefusal(); });
+}
