Jobs: Count a job as pending until a minion has started one of its tasks

What callers saw: a queue answered that 0 jobs are pending while 4 or 5 had waited for over 5 s without a start (MIXED), when minions left orders unanswered.

Cause: the count ended with the leader's decision to start a task. Until the minion has started it, seconds may pass, and the start may fail for good.

"A job is pending until a minion has started one of its tasks" fails with the previous rule.

The scheduler now counts the open jobs of which no ended run had started and no active one has been listed by its minion.

--- a/Source/Fleet/jobservice.cpp
+++ b/Source/Fleet/jobservice.cpp
@@ -151,7 +151,7 @@
     const std::string id = jobIdFromPath(*queue, call.path);
     if (id.empty()) {
         JobAnswer answer = answerOf(JobAnswerKind::Pending);
-        answer.pending = book().pendingJobs(queue->name);
+        answer.pending = scheduler_.pendingJobs(queue->name);
         return callback(std::move(answer));
     }
     const Jobs::Job *job = book().find(id);
--- a/Source/Jobs/jobbook.cpp
+++ b/Source/Jobs/jobbook.cpp
@@ -279,14 +279,6 @@
     return run == active.end() ? nullptr : &*run;
 }
 
-std::uint64_t JobBook::pendingJobs(const std::string &queue) const
-{
-    return static_cast<std::uint64_t>(std::ranges::count_if(openJobs_, [&](const std::string &id) {
-        const Job &job = jobs_.find(id)->second;
-        return job.queue == queue && job.state == JobState::Queued;
-    }));
-}
-
 std::string JobBook::snapshot() const
 {
     return encode(SnapshotContent{configuration_, queues_, jobs_});
--- a/Source/Jobs/jobbook.h
+++ b/Source/Jobs/jobbook.h
@@ -142,8 +142,6 @@
     const std::map<MinionLife, std::set<RunKey>> &activeRuns() const { return activeRuns_; }
     /** Returns the active run \a key, or null. */
     const ActiveRun *activeRun(const RunKey &key) const;
-    /** Number of jobs of \a queue that have not started a task. */
-    std::uint64_t pendingJobs(const std::string &queue) const;
 
 private:
     JobOutcome execute(const Configure &command);
--- a/Source/Jobs/jobscheduler.cpp
+++ b/Source/Jobs/jobscheduler.cpp
@@ -340,6 +340,30 @@
     return job->hasEnded() || job->tasks[key.first.step][key.first.index].done;
 }
 
+std::uint64_t JobScheduler::pendingJobs(const std::string &queue) const
+{
+    const auto isPending = [&](const std::string &id) {
+        const Job &job = *book_.find(id);
+        return job.queue == queue && !hasBegun(id, job);
+    };
+    return static_cast<std::uint64_t>(std::ranges::count_if(book_.openJobs(), isPending));
+}
+
+bool JobScheduler::hasBegun(const std::string &id, const Job &job) const
+{
+    if (job.hasBegun || job.state == JobState::Queued)
+        return job.hasBegun;
+    for (std::uint32_t step = 0; step < job.tasks.size(); ++step) {
+        for (std::uint32_t index = 0; index < job.tasks[step].size(); ++index) {
+            for (const ActiveRun &run : job.tasks[step][index].active) {
+                if (machines_.hasListed(run.minion, {{id, step, index}, run.run}))
+                    return true;
+            }
+        }
+    }
+    return false;
+}
+
 bool JobScheduler::mustEvacuate(TimePoint now, const Machine &machine, const RunKey &key) const
 {
     const StepSpec &step = stepOf(key);
--- a/Source/Jobs/jobscheduler.h
+++ b/Source/Jobs/jobscheduler.h
@@ -75,6 +75,9 @@
     /** Returns the runs to move that were chosen since the last call. */
     std::vector<RunMove> takeMoves() { return std::exchange(moves_, {}); }
 
+    /** Number of open jobs of \a queue of which no minion is known to have started a task. */
+    std::uint64_t pendingJobs(const std::string &queue) const;
+
     InterferenceTable &interference() { return interference_; }
     const MachineTable &machines() const { return machines_; }
     const WorkEstimates &estimates() const { return estimates_; }
@@ -88,6 +91,7 @@
     /** Weight of the job \a id; computed once for each \a nowMs. */
     double weightOf(const std::string &id, std::int64_t nowMs);
     bool mustStop(const RunKey &key) const;
+    bool hasBegun(const std::string &id, const Job &job) const;
     /** Returns the step of the active run \a key. */
     const StepSpec &stepOf(const RunKey &key) const;
     /** Sums the resources that the active runs \a runs claim. */
--- a/Source/Jobs/machinetable.cpp
+++ b/Source/Jobs/machinetable.cpp
@@ -88,6 +88,13 @@
     return view == machine->second.running.end() ? nullptr : &view->second;
 }
 
+bool MachineTable::hasListed(const MinionLife &life, const RunKey &key) const
+{
+    const auto machine = machines_.find(life);
+    return machine != machines_.end()
+           && (machine->second.running.contains(key) || machine->second.finishing.contains(key));
+}
+
 MinionRunEnd MachineTable::lostRunEnd(const MinionLife &life, const RunKey &key) const
 {
     MinionRunEnd runEnd{life, {0, key.first, key.second, RunEndKind::Lost, {}}};
--- a/Source/Jobs/machinetable.h
+++ b/Source/Jobs/machinetable.h
@@ -121,6 +121,8 @@
     Machine *find(const MinionLife &life);
     /** Returns the run \a key as \a life last listed it, or null. */
     const RunView *findRun(const MinionLife &life, const RunKey &key) const;
+    /** True if \a life has listed the run \a key as running or ended. */
+    bool hasListed(const MinionLife &life, const RunKey &key) const;
     const LeaseOptions &options() const { return options_; }
 
 private:
--- a/Tests/Jobs/jobschedulertest.cpp
+++ b/Tests/Jobs/jobschedulertest.cpp
@@ -69,6 +69,35 @@
     CHECK(leader.scheduler.takeStarts(leader.clock.now(), leader.nowMs).empty());
 }
 
+TEST_CASE("A job is pending until a minion has started one of its tasks")
+{
+    // An order may stay without an answer for seconds.
+    SchedulerFixture leader;
+    registerMinion(leader, "agent-a", LifeA);
+    leader.submit("j", {step(2)});
+    CHECK(leader.scheduler.pendingJobs("press") == 1);
+    CHECK(leader.scheduler.pendingJobs("other") == 0);
+    REQUIRE(leader.decide().starts.size() == 2);
+    MachineReport report = reportOf(LifeA, 1'100);
+    report.undelivered = {endRow(0, First, 1, RunEndKind::Lost)};
+    leader.report("agent-a", report);
+    CHECK(leader.scheduler.pendingJobs("press") == 1);
+    const bool isRunning = GENERATE(true, false);
+    if (isRunning)
+        report.running = {runningRow(First, 1)};
+    else
+        report.finished = {endRow(1, First, 1, RunEndKind::Done)};
+    report.undelivered.clear();
+    leader.report("agent-a", report);
+    CHECK(leader.scheduler.pendingJobs("press") == 0);
+    // The end of the only run that has started does not make the job pending again.
+    report.running.clear();
+    report.finished = {endRow(1, First, 1, RunEndKind::Failed)};
+    leader.report("agent-a", report);
+    REQUIRE(leader.decide().ends.size() == (isRunning ? 1 : 2));
+    CHECK(leader.scheduler.pendingJobs("press") == 0);
+}
+
 TEST_CASE("A minion without a lease receives no task")
 {
     SchedulerFixture leader;
