Jobs: Evict in rounds while a long-running task waits, so that freed capacity does not last

Cause: on a full service the leader evicts runs for tasks of jobs with a smaller share. Between an evicted run and its successor the minion has free capacity for 0.3 s or more. With evictions on many minions one after another there is such capacity all the time, none of it free for the tasks that wait.

Once a task has waited for 2 s, evictions are decided within 0.4 s, and the next follow 1.5 s after the last successor was listed. A plan makes 16 reservations in place of 8, as there are fewer plans.

--- a/Source/Jobs/reservationplanner.cpp
+++ b/Source/Jobs/reservationplanner.cpp
@@ -22,7 +22,7 @@
 constexpr std::size_t MinionsPerReservation = 4;
 /** Maximum number of reservations made by one plan; each of them examines every run of the service.
  */
-constexpr std::size_t MaxReservationsPerPlan = 8;
+constexpr std::size_t MaxReservationsPerPlan = 16;
 /** Maximum number of runs evicted for one task. */
 constexpr std::size_t MaxEvictionsPerTask = 3;
 
@@ -39,6 +39,8 @@
     reservations_.clear();
     evictions_.clear();
     evictedTasks_.clear();
+    successors_.clear();
+    rounds_.clear();
     decisions_.clear();
     nextPlan_ = {};
 }
@@ -58,13 +60,19 @@
 void ReservationPlanner::update(TimePoint now, std::int64_t nowMs)
 {
     dropExpired(now);
+    dropStarted(now);
     if (now < nextPlan_)
         return;
     nextPlan_ = now + PlanInterval;
     Shares shares = findShares(nowMs);
-    const bool hasWaiting =
-        std::ranges::any_of(shares, [](const auto &item) { return !item.second.waiting.empty(); });
-    if (!hasWaiting)
+    std::set<TaskRef> waiting;
+    for (const auto &[id, share] : shares)
+        waiting.insert(share.waiting.begin(), share.waiting.end());
+    const bool hasUnplanned = !waiting.empty();
+    for (const auto &[task, reservation] : reservations_)
+        waiting.insert(task);
+    rounds_.update(now, waiting, isSettled());
+    if (!hasUnplanned)
         return;
     std::vector<Minion> minions = findMinions(now);
     dropUsableByOthers(shares, minions);
@@ -113,8 +121,11 @@
         const auto &[task, reservation] = item;
         const Job *job = book_.find(task.job);
         const auto machine = machines_.machines().find(reservation.minion);
-        return now >= reservation.until || job == nullptr || job->hasEnded()
-               || !job->tasks[task.step][task.index].active.empty()
+        const bool isOpen = job != nullptr && !job->hasEnded();
+        const bool isStarted = isOpen && !job->tasks[task.step][task.index].active.empty();
+        if (isStarted && !reservation.isAccumulating)
+            successors_.emplace(task, reservation.until);
+        return now >= reservation.until || !isOpen || isStarted
                || machine == machines_.machines().end()
                || !machines_.acceptsLongRunningTasks(now, machine->second);
     });
@@ -130,6 +141,26 @@
     });
 }
 
+void ReservationPlanner::dropStarted(TimePoint now)
+{
+    std::erase_if(successors_, [&](const auto &item) {
+        const auto &[task, until] = item;
+        const Job *job = book_.find(task.job);
+        if (now >= until || job == nullptr || job->hasEnded())
+            return true;
+        const auto &active = job->tasks[task.step][task.index].active;
+        return active.empty()
+               || machines_.hasListed(active.back().minion, {task, active.back().run});
+    });
+}
+
+bool ReservationPlanner::isSettled() const
+{
+    return evictions_.empty() && successors_.empty()
+           && std::ranges::all_of(reservations_,
+                                  [](const auto &item) { return item.second.isAccumulating; });
+}
+
 ReservationPlanner::Shares ReservationPlanner::findShares(std::int64_t nowMs) const
 {
     Shares shares;
@@ -228,10 +259,12 @@
     if (spareMilliCores >= taken
         && countAccumulating(minions) < minions.size() / MinionsPerAccumulation + 1)
         eviction.minion = chooseAccumulating(task, recipient, shares, minions);
-    if (eviction.minion == nullptr)
+    if (eviction.minion == nullptr && rounds_.mayEvict(now))
         eviction = chooseEviction(task, recipient, shares, minions, spareMilliCores);
     if (eviction.minion == nullptr)
         return false;
+    if (!eviction.runs.empty())
+        rounds_.recordEviction(now);
     for (const RunKey &run : eviction.runs) {
         Share &donor = shares.at(run.first.job);
         taken -= donor.job->steps[run.first.step].milliCores;
--- a/Source/Jobs/reservationplanner.h
+++ b/Source/Jobs/reservationplanner.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Jobs/evictionrounds.h"
 #include "Jobs/jobbook.h"
 #include "Jobs/machinetable.h"
 #include "Jobs/minionuse.h"
@@ -104,6 +105,10 @@
     using Shares = std::map<std::string, Share>;
 
     void dropExpired(TimePoint now);
+    /** Drops the successors of evicted runs that have started. */
+    void dropStarted(TimePoint now);
+    /** True if no eviction is in progress and every successor of an evicted run has started. */
+    bool isSettled() const;
     /** Drops accumulating reservations where a waiting task of another job fits by now. */
     void dropUsableByOthers(Shares &shares, std::vector<Minion> &minions);
     Shares findShares(std::int64_t nowMs) const;
@@ -146,6 +151,10 @@
     Reservations reservations_;
     /** Runs that are evicted, and the time until which the stop order is repeated. */
     std::map<RunKey, TimePoint> evictions_;
+    /** Tasks that were started with the resources of evicted runs, and the time until which their
+     * minions are expected to list them. */
+    std::map<TaskRef, TimePoint> successors_;
+    EvictionRounds rounds_;
     /** Tasks that were evicted and have no new run yet. */
     std::set<TaskRef> evictedTasks_;
     std::vector<ReservationDecision> decisions_;
