Fleet: Log how often, under which term and with what outcome a start or a stop was sent

run.ordered (leader) is one line an order sent to an agent. run.start-confirmed and run.start-withdrawn (agent) close each start with its attempts, and run.stop-called tells whether a stop was answered, not answered or never sent.

Ruled out: a line for each call of a start; the attempts and the time of the last call in the closing line carry the same.

No decision is changed.

--- a/Source/Fleet/jobservice.cpp
+++ b/Source/Fleet/jobservice.cpp
@@ -1,5 +1,6 @@
 #include "Fleet/jobservice.h"
 
+#include "Fleet/runlog.h"
 #include "Jobs/servicelevel.h"
 #include "Runtime/log.h"
 #include "Runtime/metrics.h"
@@ -255,13 +256,10 @@
     if (endBatch.batch.empty())
         return;
     for (const Jobs::MinionRunEnd &runEnd : endBatch.batch.ends) {
-        logEvent(LogEvent::RunEnded, Step::Report, runEnd.minion.name,
-                 {{"job", runEnd.end.task.job},
-                  {"step", runEnd.end.task.step},
-                  {"index", runEnd.end.task.index},
-                  {"run", runEnd.end.run},
-                  {"how", static_cast<unsigned>(runEnd.end.kind)},
-                  {"crash_suspects", runEnd.crashSuspects}});
+        logRunEvent(LogEvent::RunEnded, Step::Report, runEnd.minion.name,
+                    {runEnd.end.task, runEnd.end.run},
+                    {{"how", static_cast<unsigned>(runEnd.end.kind)},
+                     {"crash_suspects", runEnd.crashSuspects}});
         processMetrics()
             .counter("oleander_runs_ended_total", "Ends of runs by how, as in run.ended.",
                      {{"how", std::to_string(static_cast<unsigned>(runEnd.end.kind))}})
@@ -297,11 +295,7 @@
         return;
     recordStartWaits(batch);
     for (const Jobs::RunStart &start : batch.starts) {
-        logEvent(LogEvent::RunDecided, Step::Place, start.minion.name,
-                 {{"job", start.task.job},
-                  {"step", start.task.step},
-                  {"index", start.task.index},
-                  {"run", start.run}});
+        logRunEvent(LogEvent::RunDecided, Step::Place, start.minion.name, {start.task, start.run});
     }
     commit(std::move(batch),
            [this, generation = roleGeneration_](const Result<Jobs::JobOutcome> &) {
@@ -335,11 +329,27 @@
 {
     for (Jobs::AddressedDirective &addressed :
          scheduler_.takeDirectives(loop_.clock().now(), nowMs())) {
+        logOrders(addressed.directive);
         // A lost order is sent again until the agent's reports show its effect.
         static_cast<void>(messenger_.send(addressed.agent, std::move(addressed.directive)));
     }
 }
 
+void JobService::logOrders(const MachineDirective &directive) const
+{
+    const auto logOrder = [&](const TaskRef &task, std::uint32_t run, const char *order) {
+        const Jobs::Job *job = book().find(task.job);
+        logRunEvent(LogEvent::RunOrdered, Step::Order, directive.life.name, {task, run},
+                    {{"order", order},
+                     {"term", directive.term},
+                     {"job_ended", job == nullptr || job->hasEnded() ? 1 : 0}});
+    };
+    for (const StartOrder &start : directive.starts)
+        logOrder(start.task, start.run, "start");
+    for (const StopOrder &stop : directive.stops)
+        logOrder(stop.task, stop.run, "stop");
+}
+
 void JobService::shareInterference()
 {
     if (!isLeading_)
@@ -372,16 +382,12 @@
 void JobService::logMoves()
 {
     for (const Jobs::RunMove &move : scheduler_.takeMoves()) {
-        const auto &[task, run] = move.run;
-        logEvent(LogEvent::RunMoved, Step::Place, move.from.name,
-                 {{"job", task.job},
-                  {"step", task.step},
-                  {"index", task.index},
-                  {"run", run},
-                  {"percent", move.percent},
-                  {"standing_ms",
-                   std::chrono::duration_cast<std::chrono::milliseconds>(move.stalledFor).count()},
-                  {"room_on", move.to.name}});
+        logRunEvent(
+            LogEvent::RunMoved, Step::Place, move.from.name, move.run,
+            {{"percent", move.percent},
+             {"standing_ms",
+              std::chrono::duration_cast<std::chrono::milliseconds>(move.stalledFor).count()},
+             {"room_on", move.to.name}});
     }
 }
 
--- a/Source/Fleet/jobservice.h
+++ b/Source/Fleet/jobservice.h
@@ -63,6 +63,7 @@
     void recordStartWaits(const Jobs::JobBatch &batch) const;
     /** Sends the learned interference to the other control hosts. */
     void shareInterference();
+    void logOrders(const MachineDirective &directive) const;
     void logReservations();
     void logMoves();
     /** Logs the long-running jobs that miss their service level, and sets the gauges. */
--- a/Source/Fleet/miniontask.cpp
+++ b/Source/Fleet/miniontask.cpp
@@ -1,6 +1,7 @@
 #include "Fleet/miniontask.h"
 
 #include "Fleet/miniontaskprivate.h"
+#include "Fleet/runlog.h"
 #include "Runtime/log.h"
 
 #include <fmt/format.h>
@@ -29,6 +30,18 @@
     return {order.task, order.run};
 }
 
+std::int64_t elapsedMs(TimePoint from, TimePoint until)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(until - from).count();
+}
+
+const char *stopOutcome(const HttpCallResult &result, bool isDone)
+{
+    if (result)
+        return isDone ? "done" : "refused";
+    return result.error().mayHaveBeenSent ? "unanswered" : "unsent";
+}
+
 RunEnd makeRunEnd(const Jobs::RunKey &key, RunEndKind kind)
 {
     return {0, key.first, key.second, kind, {}};
@@ -71,7 +84,7 @@
     const bool hasShrunk = !minion_.hasCapacityOf(previous);
     // The leader has decided the starts for a minion that stays and has the previous capacity.
     if (minion_.draining || hasShrunk)
-        withdrawStarts();
+        withdrawStarts(minion_.draining ? "the minion drains" : "the minion has shrunk");
     if (minion_.draining != previous.draining || hasShrunk || !previous.hasCapacityOf(minion_))
         reportNeeded.emit();
 }
@@ -179,7 +192,7 @@
     // process.
     minion_.draining = true;
     logEvent(LogEvent::MinionDraining, Step::Leave, minion_.life.name, {});
-    withdrawStarts();
+    withdrawStarts("the minion leaves");
     reportNeeded.emit();
 }
 
@@ -212,7 +225,7 @@
     for (const StopOrder &order : directive.stops) {
         const Jobs::RunKey key{order.task, order.run};
         if (undeliveredStarts_.contains(key))
-            withdrawStart(key);
+            withdrawStart(key, "its stop was ordered");
         else
             sendStop(key);
     }
@@ -232,6 +245,7 @@
         if (start.isWithdrawn)
             continue;
         start.order = order;
+        start.orderedAt = loop_.clock().now();
         start.validUntilMs = std::max(start.validUntilMs, directive.holdUntilMs);
         sendStart(key);
     }
@@ -244,9 +258,11 @@
     if (start.isInFlight || loop_.clock().now() < start.retryAt)
         return;
     if (start.validUntilMs < minionClockMs_ + MinLeaseMs)
-        return withdrawStart(key);
+        return withdrawStart(key, "the lease ends");
     start.isInFlight = true;
-    crashAttribution_.startSent(loop_.clock().now(), key);
+    start.sentAt = loop_.clock().now();
+    ++start.attempts;
+    crashAttribution_.startSent(start.sentAt, key);
     orderClient_->call(
         codec_.startRequest(minion_.life.name, start.order, term_, start.validUntilMs), CallTimeout,
         [this, key, instance = instanceNumber_](const HttpCallResult &result) {
@@ -273,37 +289,55 @@
     }
     switch (codec_.decodeOrderResult(*result)) {
     case OrderResult::Done:
-        undeliveredStarts_.erase(found);
+        confirmStart(key, "answer");
         unansweredStarts_.erase(key);
         crashAttribution_.startConfirmed(loop_.clock().now(), key);
         break;
     case OrderResult::Refused:
     case OrderResult::Busy:
-        logEvent(LogEvent::TaskOrderRefused, Step::Start, minion_.life.name,
-                 {{"job", key.first.job},
-                  {"step", key.first.step},
-                  {"index", key.first.index},
-                  {"run", key.second},
-                  {"status", result->status},
-                  {"answer", result->body}});
-        withdrawStart(key);
+        logRunEvent(LogEvent::TaskOrderRefused, Step::Start, minion_.life.name, key,
+                    {{"status", result->status}, {"answer", result->body}});
+        withdrawStart(key, "the minion refused it");
         break;
     case OrderResult::Unclear:
         break;
     }
 }
 
-void MinionTask::withdrawStart(const Jobs::RunKey &key)
+void MinionTask::confirmStart(const Jobs::RunKey &key, const char *by)
 {
-    undeliveredStarts_.at(key).isWithdrawn = true;
+    const auto found = undeliveredStarts_.find(key);
+    if (found == undeliveredStarts_.end())
+        return;
+    const UndeliveredStart &start = found->second;
+    logRunEvent(LogEvent::RunStartConfirmed, Step::Start, minion_.life.name, key,
+                {{"term", term_},
+                 {"by", by},
+                 {"attempts", start.attempts},
+                 {"ordered_ms", elapsedMs(start.orderedAt, loop_.clock().now())},
+                 {"withdrawn", start.isWithdrawn ? 1 : 0}});
+    undeliveredStarts_.erase(found);
+}
+
+void MinionTask::withdrawStart(const Jobs::RunKey &key, const char *why)
+{
+    UndeliveredStart &start = undeliveredStarts_.at(key);
+    if (!std::exchange(start.isWithdrawn, true)) {
+        const TimePoint now = loop_.clock().now();
+        logRunEvent(LogEvent::RunStartWithdrawn, Step::Start, minion_.life.name, key,
+                    {{"term", term_},
+                     {"why", why},
+                     {"attempts", start.attempts},
+                     {"sent_ms", start.attempts == 0 ? 0 : elapsedMs(start.sentAt, now)}});
+    }
     stopWithdrawn(key);
 }
 
-void MinionTask::withdrawStarts()
+void MinionTask::withdrawStarts(const char *why)
 {
     for (const auto &[key, start] : std::map(undeliveredStarts_)) {
         if (!start.isWithdrawn)
-            withdrawStart(key);
+            withdrawStart(key, why);
     }
 }
 
@@ -323,16 +357,23 @@
         return;
     const StopOrder order{key.first, key.second};
     orderClient_->call(codec_.stopRequest(minion_.life.name, order, term_), CallTimeout,
-                       [this, key, instance = instanceNumber_](const HttpCallResult &result) {
+                       [this, key, instance = instanceNumber_,
+                        calledAt = loop_.clock().now()](const HttpCallResult &result) {
                            if (isCurrentInstance(instance))
-                               onStopAnswer(key, result);
+                               onStopAnswer(key, calledAt, result);
                        });
 }
 
-void MinionTask::onStopAnswer(const Jobs::RunKey &key, const HttpCallResult &result)
+void MinionTask::onStopAnswer(const Jobs::RunKey &key, TimePoint calledAt,
+                              const HttpCallResult &result)
 {
     pendingStops_.erase(key);
-    if (!result || codec_.decodeOrderResult(*result) != OrderResult::Done) {
+    const bool isDone = result && codec_.decodeOrderResult(*result) == OrderResult::Done;
+    logRunEvent(LogEvent::RunStopCalled, Step::Stop, minion_.life.name, key,
+                {{"term", term_},
+                 {"outcome", stopOutcome(result, isDone)},
+                 {"waited_ms", elapsedMs(calledAt, loop_.clock().now())}});
+    if (!isDone) {
         // The leader orders the stop again as long as the reports list the run, tick() that of a
         // withdrawn start.
         const auto start = undeliveredStarts_.find(key);
--- a/Source/Fleet/miniontask.h
+++ b/Source/Fleet/miniontask.h
@@ -52,6 +52,9 @@
          */
         bool isWithdrawn = false;
         TimePoint retryAt{};
+        TimePoint orderedAt{};
+        TimePoint sentAt{};
+        unsigned attempts = 0;
     };
     /** A run that the minion refused, or that was stopped before it started. It certainly never
      * started if a poll begun afterwards does not list it; the refusal is then confirmed. */
@@ -79,15 +82,17 @@
     void sendStart(const Jobs::RunKey &key);
     void onStartAnswer(const Jobs::RunKey &key, std::uint64_t instance,
                        const HttpCallResult &result);
+    /** Forgets the start of \a key, which the minion has confirmed \a by its answer or its list. */
+    void confirmStart(const Jobs::RunKey &key, const char *by);
     /** Ends the delivery of the start of \a key; the start is reported as refused once the run can
      * certainly not start any more. */
-    void withdrawStart(const Jobs::RunKey &key);
+    void withdrawStart(const Jobs::RunKey &key, const char *why);
     /** Withdraws all starts that the minion has not confirmed. */
-    void withdrawStarts();
+    void withdrawStarts(const char *why);
     /** Stops the run of a withdrawn start, which the minion may still execute. */
     void stopWithdrawn(const Jobs::RunKey &key);
     void sendStop(const Jobs::RunKey &key);
-    void onStopAnswer(const Jobs::RunKey &key, const HttpCallResult &result);
+    void onStopAnswer(const Jobs::RunKey &key, TimePoint calledAt, const HttpCallResult &result);
     bool isCurrentInstance(std::uint64_t instance) const
     {
         return hasMinion_ && instance == instanceNumber_;
--- a/Source/Fleet/miniontaskpolling.cpp
+++ b/Source/Fleet/miniontaskpolling.cpp
@@ -104,7 +104,7 @@
         crashAttribution_.forget({end.task, end.run});
     }
     for (const Jobs::RunKey &key : present)
-        undeliveredStarts_.erase(key);
+        confirmStart(key, "list");
     std::erase_if(unansweredStarts_, [this](const auto &item) {
         return item.second < minionClockMs_ && !undeliveredStarts_.contains(item.first);
     });
--- a/Source/Runtime/logevent.cpp
+++ b/Source/Runtime/logevent.cpp
@@ -51,6 +51,10 @@
     {LogEvent::JobServiceLevel, LogLevel::Info, "job.service-level"},
     {LogEvent::CapacityReserved, LogLevel::Info, "room.kept"},
     {LogEvent::RunMoved, LogLevel::Info, "run.moved"},
+    {LogEvent::RunOrdered, LogLevel::Info, "run.ordered"},
+    {LogEvent::RunStartConfirmed, LogLevel::Info, "run.start-confirmed"},
+    {LogEvent::RunStartWithdrawn, LogLevel::Info, "run.start-withdrawn"},
+    {LogEvent::RunStopCalled, LogLevel::Info, "run.stop-called"},
 
     {LogEvent::LeaderElected, LogLevel::Info, "control.leader-elected"},
     {LogEvent::LeaderSteppedDown, LogLevel::Warning, "control.leader-stood-down"},
--- a/Source/Runtime/logevent.h
+++ b/Source/Runtime/logevent.h
@@ -52,6 +52,10 @@
     JobServiceLevel = 3024,
     CapacityReserved = 3025,
     RunMoved = 3026,
+    RunOrdered = 3027,
+    RunStartConfirmed = 3028,
+    RunStartWithdrawn = 3029,
+    RunStopCalled = 3030,
 
     LeaderElected = 4000,
     LeaderSteppedDown = 4001,
