Fleet: Send a start only on a recent word of the leader

Cause: an agent sent an unconfirmed start again every 50 ms until its lease ended, 5 s after the report that the lease was granted on, and sent a start order that reached it late as if it were new. A stop ends that only if a leader can order it; during an election, behind a cut link or in an agent that does not get to run, nobody can.

The leader echoes the time of the report that it had when it gave an order, on the agent's clock, and renews in each directive the undelivered starts that are still to happen. The agent sends a start only for two thirds of the time within which a cancelled job may still start tasks, counted from that report. A cancelling that the leader did not know then was acknowledged later, so no start is sent later than 2 s after an acknowledgement; the wait of a call adds 0.4 s at most. A start that is too old is held, not withdrawn, and sent again once the leader renews it.

Ruled out: a shorter lease (kills long-running tasks at each election); the agent's time of receipt as the start of the validity (a delayed directive would be new again).

--- a/Source/Fleet/miniontask.cpp
+++ b/Source/Fleet/miniontask.cpp
@@ -24,6 +24,10 @@
 /** Polls wait for ends of runs, so they use a connection of their own and never delay an order. */
 constexpr std::size_t PollConnections = 1;
 constexpr std::size_t OrderConnections = 4;
+/** Share of the cancel time for which a start may be sent after the report that the leader's order
+ * is based on. The rest covers the wait of the call and the start of the task. */
+constexpr int StartValidityPercent = 66;
+constexpr int Hundred = 100;
 
 Jobs::RunKey keyOf(const StartOrder &order)
 {
@@ -49,10 +53,12 @@
 
 } // namespace
 
-MinionTask::MinionTask(EventLoop &loop, const FleetCodec &codec, const std::string &address)
+MinionTask::MinionTask(EventLoop &loop, const FleetCodec &codec, const std::string &address,
+                       Duration cancelTime)
     : loop_(loop)
     , codec_(codec)
     , address_(address)
+    , startValidity_(cancelTime * StartValidityPercent / Hundred)
     , verifier_(
           loop, codec, address,
           [this](const std::string &name) { return codec_.pollRequest(name, PollOrder{}, term_); })
@@ -222,6 +228,17 @@
                 order.weight = job.weight;
         }
     }
+    // A cancelling that the leader did not know then is acknowledged after the report. Leaders of
+    // earlier versions send no stamp.
+    const TimePoint now = loop_.clock().now();
+    const TimePoint stamp(Duration(directive.reportStamp));
+    const TimePoint reportedAt = directive.reportStamp == 0 ? now : std::min(stamp, now);
+    const TimePoint sendUntil = reportedAt + startValidity_;
+    for (const StartRenewal &renewal : directive.renewals) {
+        const auto start = undeliveredStarts_.find({renewal.task, renewal.run});
+        if (start != undeliveredStarts_.end())
+            start->second.sendUntil = std::max(start->second.sendUntil, sendUntil);
+    }
     for (const StopOrder &order : directive.stops) {
         const Jobs::RunKey key{order.task, order.run};
         if (undeliveredStarts_.contains(key))
@@ -245,7 +262,8 @@
         if (start.isWithdrawn)
             continue;
         start.order = order;
-        start.orderedAt = loop_.clock().now();
+        start.orderedAt = now;
+        start.sendUntil = std::max(start.sendUntil, sendUntil);
         start.validUntilMs = std::max(start.validUntilMs, directive.holdUntilMs);
         sendStart(key);
     }
@@ -259,6 +277,8 @@
         return;
     if (start.validUntilMs < minionClockMs_ + MinLeaseMs)
         return withdrawStart(key, "the lease ends");
+    if (isOutdated(key, start))
+        return;
     start.isInFlight = true;
     start.sentAt = loop_.clock().now();
     ++start.attempts;
@@ -270,6 +290,21 @@
         });
 }
 
+bool MinionTask::isOutdated(const Jobs::RunKey &key, UndeliveredStart &start)
+{
+    const TimePoint now = loop_.clock().now();
+    const bool isOutdated = now >= start.sendUntil;
+    if (isOutdated && !start.isHeld) {
+        logRunEvent(LogEvent::RunStartHeld, Step::Start, minion_.life.name, key,
+                    {{"term", term_},
+                     {"attempts", start.attempts},
+                     {"ordered_ms", elapsedMs(start.orderedAt, now)},
+                     {"outdated_ms", elapsedMs(start.sendUntil, now)}});
+    }
+    start.isHeld = isOutdated;
+    return isOutdated;
+}
+
 void MinionTask::onStartAnswer(const Jobs::RunKey &key, std::uint64_t instance,
                                const HttpCallResult &result)
 {
@@ -414,6 +449,7 @@
 {
     MachineReport report;
     report.sequence = sequence;
+    report.stamp = loop_.clock().now().time_since_epoch().count();
     report.ended = endedInstances_;
     report.crashes = crashes_;
     report.hasMinion = hasMinion_;
--- a/Source/Fleet/miniontask.h
+++ b/Source/Fleet/miniontask.h
@@ -29,7 +29,10 @@
 class MinionTask
 {
 public:
-    MinionTask(EventLoop &loop, const FleetCodec &codec, const std::string &address);
+    /** \a cancelTime is the time after the acknowledgement of a job's cancelling within which its
+     * tasks may still start. */
+    MinionTask(EventLoop &loop, const FleetCodec &codec, const std::string &address,
+               Duration cancelTime = std::chrono::seconds(3));
 
     void handleAnnouncement(const MinionAnnouncement &announcement);
     void handleDeparture(const MinionDeparture &departure);
@@ -47,10 +50,14 @@
         /** Expiry, on the minion's clock, of the lease under which the leader gave the order; after
          * it the leader may have started the task elsewhere. */
         std::uint64_t validUntilMs = 0;
+        /** Time until which the start may be sent unless the leader renews it. */
+        TimePoint sendUntil{};
         bool isInFlight = false;
         /** True if the run must not start any more, although the minion may still execute a call.
          */
         bool isWithdrawn = false;
+        /** True while the start is not sent because sendUntil has passed. */
+        bool isHeld = false;
         TimePoint retryAt{};
         TimePoint orderedAt{};
         TimePoint sentAt{};
@@ -80,6 +87,8 @@
     void onPollFailure(const HttpCallError &error);
     void updatePace();
     void sendStart(const Jobs::RunKey &key);
+    /** True if the leader has ordered or renewed \a start too long ago for sending it. */
+    bool isOutdated(const Jobs::RunKey &key, UndeliveredStart &start);
     void onStartAnswer(const Jobs::RunKey &key, std::uint64_t instance,
                        const HttpCallResult &result);
     /** Forgets the start of \a key, which the minion has confirmed \a by its answer or its list. */
@@ -101,6 +110,8 @@
     EventLoop &loop_;
     const FleetCodec &codec_;
     std::string address_;
+    /** Time after a report for which the starts that the leader ordered on it may be sent. */
+    Duration startValidity_;
     InstanceVerifier verifier_;
     /** Clients of the current instance. A call names only the id, which a later instance may have
      * too; an open connection stays with the process that accepted it. */
--- a/Source/Jobs/jobscheduler.cpp
+++ b/Source/Jobs/jobscheduler.cpp
@@ -198,6 +198,7 @@
         MachineDirective directive;
         directive.term = term_;
         directive.life = life;
+        directive.reportStamp = machine.reportStamp;
         const bool renewed = machines_.renewLease(now, machine);
         directive.holdUntilMs = machine.leaseUntilMs;
         const auto due = committedAcknowledgements_.find({machine.agent, life});
@@ -258,8 +259,9 @@
             claim->remove(stepOf(key));
             if (recordOrderIfDue(now, key))
                 directive.stops.push_back({key.first, key.second});
-        } else if (machine.leaseUntilMs > 0 && !isOrderKnown && !machine.undelivered.contains(key)
-                   && recordOrderIfDue(now, key)) {
+        } else if (machine.undelivered.contains(key)) {
+            directive.renewals.push_back({key.first, key.second});
+        } else if (machine.leaseUntilMs > 0 && !isOrderKnown && recordOrderIfDue(now, key)) {
             const Job *job = book_.find(key.first.job);
             const StepSpec &step = job->steps[key.first.step];
             directive.starts.push_back({key.first, key.second, job->spec,
--- a/Source/Jobs/machinetable.cpp
+++ b/Source/Jobs/machinetable.cpp
@@ -142,6 +142,7 @@
     machine.agent = agent;
     machine.minion = report.minion;
     machine.reportedAt = now;
+    machine.reportStamp = report.stamp;
     machine.fillingPercent = report.fillingPercent;
     machine.clockMs = std::max(machine.clockMs, report.minionClockMs);
     updateRuns(now, machine, report, book);
--- a/Source/Jobs/machinetable.h
+++ b/Source/Jobs/machinetable.h
@@ -62,6 +62,8 @@
     TimePoint reportedAt{};
     /** Time of the last report that listed the runs. */
     TimePoint listedAt{};
+    /** MachineReport::stamp of the latest report. */
+    std::int64_t reportStamp = 0;
     std::uint64_t clockMs = 0;
     std::uint64_t leaseUntilMs = 0;
     TimePoint leaseGrantedAt{};
--- a/Source/Protocol/jobmessages.h
+++ b/Source/Protocol/jobmessages.h
@@ -164,6 +164,8 @@
     std::uint32_t fillingPercent = 100;
     /** Those of \a ended that ended without notice. */
     std::vector<MinionCrash> crashes;
+    /** Time of the report on the agent's clock, in microseconds; only the agent interprets it. */
+    std::int64_t stamp = 0;
 };
 
 template<typename F>
@@ -181,6 +183,7 @@
     f(v.refused);
     f(v.fillingPercent);
     f(v.crashes);
+    f(v.stamp);
 }
 
 /** Order to start a run on a minion, with the data that its agent needs for throttling. */
@@ -226,6 +229,20 @@
     f(v.run);
 }
 
+/** Confirms that a run whose start the agent is still trying to deliver is to start. */
+struct StartRenewal
+{
+    TaskRef task;
+    std::uint32_t run = 0;
+};
+
+template<typename F>
+void visitFields(F &&f, Fields<StartRenewal> auto &&v)
+{
+    f(v.task);
+    f(v.run);
+}
+
 /**
  * Interference of a filling image with a serving image: the latency pressure that each core in use
  * by the filling image adds, as a fraction of the serving image's latency bound.
@@ -308,6 +325,9 @@
     std::vector<ImageInterference> interference;
     /** Weights of the jobs with filling runs on the minion; empty if unchanged. */
     std::vector<JobWeight> weights;
+    /** MachineReport::stamp of the latest report that the leader had when it gave the orders. */
+    std::int64_t reportStamp = 0;
+    std::vector<StartRenewal> renewals;
 };
 
 template<typename F>
@@ -322,6 +342,8 @@
     f(v.stops);
     f(v.interference);
     f(v.weights);
+    f(v.reportStamp);
+    f(v.renewals);
 }
 
 } // namespace Oleander
--- a/Source/Runtime/logevent.cpp
+++ b/Source/Runtime/logevent.cpp
@@ -55,6 +55,7 @@
     {LogEvent::RunStartConfirmed, LogLevel::Info, "run.start-confirmed"},
     {LogEvent::RunStartWithdrawn, LogLevel::Info, "run.start-withdrawn"},
     {LogEvent::RunStopCalled, LogLevel::Info, "run.stop-called"},
+    {LogEvent::RunStartHeld, LogLevel::Warning, "run.start-held"},
 
     {LogEvent::LeaderElected, LogLevel::Info, "control.leader-elected"},
     {LogEvent::LeaderSteppedDown, LogLevel::Warning, "control.leader-stood-down"},
--- a/Source/Runtime/logevent.h
+++ b/Source/Runtime/logevent.h
@@ -56,6 +56,7 @@
     RunStartConfirmed = 3028,
     RunStartWithdrawn = 3029,
     RunStopCalled = 3030,
+    RunStartHeld = 3031,
 
     LeaderElected = 4000,
     LeaderSteppedDown = 4001,
--- a/Source/Settings/fleetsettings.cpp
+++ b/Source/Settings/fleetsettings.cpp
@@ -83,6 +83,8 @@
     binder.address(AgentSection, "minion-door", settings.minionDoor, Presence::Required,
                    PortRule::AllowZero);
     binder.address(AgentSection, "minion", settings.minion, Presence::Required, PortRule::NonZero);
+    binder.duration(AgentSection, "cancel-time", settings.cancelTime, milliseconds(100),
+                    seconds(60));
     bindMetricsDoor(binder, AgentSection, settings.metricsDoor);
     bindGroup(binder, settings.group);
     bindLimits(binder, "minion-limits", settings.limits);
--- a/Source/Settings/fleetsettings.h
+++ b/Source/Settings/fleetsettings.h
@@ -72,6 +72,9 @@
     std::string minionDoor;
     /** Address of the minion. */
     std::string minion;
+    /** Time after the acknowledgement of a job's cancelling within which its tasks may still start.
+     */
+    Duration cancelTime = std::chrono::seconds(3);
     /** Address of the HTTP server for metrics; disabled if empty. */
     std::string metricsDoor;
     GroupSettings group;
--- a/Tests/Fleet/withdrawnstarttest.cpp
+++ b/Tests/Fleet/withdrawnstarttest.cpp
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 
 using namespace Oleander;
+using Oleander::Testing::First;
 using Oleander::Testing::ScriptedMinion;
 
 TEST_CASE("A start is not sent again once its run is ordered to stop")
@@ -26,6 +27,46 @@
     CHECK(minion.starts.size() == 1);
 }
 
+TEST_CASE("A start is not sent again while no leader confirms that its run is to start")
+{
+    // Without a leader in touch, the start of a cancelled job was sent again until its lease ended.
+    constexpr Duration CancelTime = std::chrono::seconds(3);
+    ScriptedMinion minion;
+    minion.startStatus = 500;
+    minion.sendDirective(6'000, true);
+    const TimePoint orderedAt = minion.loop.clock().now();
+    minion.runUntil([&] { return minion.loop.clock().now() > orderedAt + CancelTime; });
+    const std::size_t starts = minion.starts.size();
+    CHECK(starts > 1);
+    minion.runPolls(20);
+    CHECK(minion.starts.size() == starts);
+}
+
+TEST_CASE("A start order that is old on arrival is sent only after the leader has renewed it")
+{
+    // The agent or the link may have stood still while the job was cancelled.
+    ScriptedMinion minion;
+    const std::int64_t stamp = minion.report().stamp;
+    MachineDirective directive;
+    directive.term = 1;
+    directive.life = minion.life;
+    directive.holdUntilMs = 6'000;
+    directive.reportStamp = stamp - Duration(std::chrono::seconds(3)).count();
+    StartOrder order;
+    order.task = First;
+    order.run = 1;
+    directive.starts.push_back(order);
+    minion.task.handleDirective(directive);
+    minion.runPolls(5);
+    CHECK(minion.starts.empty());
+    REQUIRE(minion.report().undelivered.size() == 1);
+    directive.starts.clear();
+    directive.renewals.push_back({First, 1});
+    directive.reportStamp = minion.report().stamp;
+    minion.task.handleDirective(directive);
+    minion.runUntil([&] { return minion.starts.size() == 1; });
+}
+
 TEST_CASE("A start that its minion has not confirmed is not sent again once the minion drains")
 {
     ScriptedMinion minion;
--- a/Tests/Jobs/jobschedulertest.cpp
+++ b/Tests/Jobs/jobschedulertest.cpp
@@ -98,6 +98,30 @@
     CHECK(leader.scheduler.pendingJobs("press") == 0);
 }
 
+TEST_CASE("Only the undelivered starts of runs that are to start are renewed")
+{
+    SchedulerFixture leader;
+    registerMinion(leader, "agent-a", LifeA);
+    leader.submit("j", {step(1)});
+    leader.submit("k", {step(1)});
+    REQUIRE(leader.decide().starts.size() == 2);
+    const TaskRef first{"j", 0, 0};
+    const TaskRef second{"k", 0, 0};
+    leader.advance(1s);
+    leader.cancel("k");
+    MachineReport report = reportOf(LifeA, 2'200);
+    report.stamp = 77;
+    report.undelivered = {endRow(0, first, 1, RunEndKind::Lost),
+                          endRow(0, second, 1, RunEndKind::Lost)};
+    leader.report("agent-a", report);
+    const MachineDirective directive = leader.directive("agent-a");
+    CHECK(directive.reportStamp == 77);
+    REQUIRE(directive.renewals.size() == 1);
+    CHECK(directive.renewals.front().task == first);
+    REQUIRE(directive.stops.size() == 1);
+    CHECK(directive.stops.front().task == second);
+}
+
 TEST_CASE("A minion without a lease receives no task")
 {
     SchedulerFixture leader;
