Jobs: Order a stop for an undelivered start whose run is no longer active

Cause: the leader ordered stops for the runs that its book holds as active and for those that the minion lists. A run whose end was committed (its lease had expired) while the agent still tried to deliver the start was in neither set, so the agent tried until its own lease ended.

Evidence: "The undelivered start of a run that is no longer active is ordered to stop" failed before (0 stops instead of 1).

The undelivered starts of the report are a third set.

--- a/Source/Jobs/jobscheduler.cpp
+++ b/Source/Jobs/jobscheduler.cpp
@@ -271,10 +271,14 @@
                                         step.filling ? weightOf(key.first.job, nowMs) : 1.0});
         }
     }
-    for (const auto &[key, view] : machine.running) {
+    const auto stopUnlessActive = [&](const RunKey &key) {
         if (!active.contains(key) && recordOrderIfDue(now, key))
             directive.stops.push_back({key.first, key.second});
-    }
+    };
+    for (const auto &[key, view] : machine.running)
+        stopUnlessActive(key);
+    for (const RunKey &key : machine.undelivered)
+        stopUnlessActive(key);
 }
 
 double JobScheduler::weightOf(const std::string &id, std::int64_t nowMs)
--- a/Tests/Jobs/jobschedulertest.cpp
+++ b/Tests/Jobs/jobschedulertest.cpp
@@ -122,6 +122,25 @@
     CHECK(directive.stops.front().task == second);
 }
 
+TEST_CASE("The undelivered start of a run that is no longer active is ordered to stop")
+{
+    // Without the order, the agent would deliver it until the lease ends.
+    SchedulerFixture leader;
+    registerMinion(leader, "agent-a", LifeA);
+    leader.submit("j", {step(1)});
+    REQUIRE(leader.decide().starts.size() == 1);
+    const TaskRef task{"j", 0, 0};
+    leader.end(task, 1, LifeA, RunEndKind::Lost);
+    leader.cancel("j");
+    MachineReport report = reportOf(LifeA, 1'200);
+    report.undelivered = {endRow(0, task, 1, RunEndKind::Lost)};
+    leader.report("agent-a", report);
+    const MachineDirective directive = leader.directive("agent-a");
+    REQUIRE(directive.stops.size() == 1);
+    CHECK(directive.stops.front().task == task);
+    CHECK(directive.starts.empty());
+}
+
 TEST_CASE("A minion without a lease receives no task")
 {
     SchedulerFixture leader;
