Fleet: Log and count the end of a run once, however often its agent repeats it

What operators saw: `oleander_runs_ended_total{how="0"}` was 6, 7 or 8 after the five runs of a job, and the leader's log had as many `run.ended`. "Each process serves its metrics at its own address" failed now and then.

Cause: an agent repeats an end in each report until it is acknowledged, which happens after the commit. A report that came while the end was being committed queued it again, and each batch was logged and counted.

"An end that is reported again before its commit is counted once" fails if every end of a batch counts.

Ruled out: a change of leader and a failed commit (one leader had counted, its commits had succeeded), and runs started twice (the state had five ends).

takeEnds() now tells which ends are the first of their run in the term, and drops those that have been applied meanwhile. An end in flight is still proposed again, as its acknowledgement waits for a commit. After a change of leader the sum over the processes may still exceed the number of runs.

--- a/Source/Fleet/jobservice.cpp
+++ b/Source/Fleet/jobservice.cpp
@@ -254,7 +254,7 @@
     Jobs::JobScheduler::EndBatch endBatch = scheduler_.takeEnds(loop_.clock().now(), nowMs());
     if (endBatch.batch.empty())
         return;
-    for (const Jobs::MinionRunEnd &runEnd : endBatch.batch.ends) {
+    for (const Jobs::MinionRunEnd &runEnd : endBatch.firstEnds) {
         logEvent(LogEvent::RunEnded, Step::Report, runEnd.minion.name,
                  {{"job", runEnd.end.task.job},
                   {"step", runEnd.end.task.step},
--- a/Source/Jobs/jobscheduler.cpp
+++ b/Source/Jobs/jobscheduler.cpp
@@ -149,8 +149,14 @@
     }
     taken.batch.atMs = nowMs;
     taken.batch.ends = std::exchange(pendingEnds_, {});
-    for (const MinionRunEnd &runEnd : taken.batch.ends)
-        endingRuns_.insert({runEnd.end.task, runEnd.end.run});
+    std::erase_if(taken.batch.ends, [&](const MinionRunEnd &runEnd) {
+        const ActiveRun *active = book_.activeRun({runEnd.end.task, runEnd.end.run});
+        return active == nullptr || active->minion != runEnd.minion;
+    });
+    for (const MinionRunEnd &runEnd : taken.batch.ends) {
+        if (endingRuns_.insert({runEnd.end.task, runEnd.end.run}).second)
+            taken.firstEnds.push_back(runEnd);
+    }
     taken.acknowledgements = std::exchange(uncommittedAcknowledgements_, {});
     // Without ends to commit, the acknowledgements need not wait for a commit.
     if (taken.batch.empty())
--- a/Source/Jobs/jobscheduler.h
+++ b/Source/Jobs/jobscheduler.h
@@ -52,6 +52,9 @@
     struct EndBatch
     {
         JobBatch batch;
+        /** The ends of the batch that no earlier batch of this term contained. Agents repeat an end
+         * until it is acknowledged, so several batches in flight may contain it. */
+        std::vector<MinionRunEnd> firstEnds;
         std::map<Reporter, Acknowledgement> acknowledgements;
     };
 
--- a/Tests/Jobs/jobschedulertest.cpp
+++ b/Tests/Jobs/jobschedulertest.cpp
@@ -185,6 +185,47 @@
     }
 }
 
+TEST_CASE("An end that is reported again before its commit is counted once")
+{
+    SchedulerFixture leader;
+    registerMinion(leader, "agent-a", LifeA);
+    leader.submit("j", {step(2)});
+    REQUIRE(leader.decide().starts.size() == 2);
+    MachineReport report = reportOf(LifeA, 1'200);
+    report.finished = {endRow(1, First, 1, RunEndKind::Done)};
+    leader.report("agent-a", report);
+    leader.report("agent-a", report);
+    const auto first = leader.scheduler.takeEnds(leader.clock.now(), leader.nowMs);
+    REQUIRE(first.firstEnds.size() == 1);
+    CHECK(first.firstEnds.at(0).end.task == First);
+    report.sequence += 1;
+    leader.report("agent-a", report);
+    const auto second = leader.scheduler.takeEnds(leader.clock.now(), leader.nowMs);
+    CHECK(second.batch.ends.size() == 1);
+    CHECK(second.firstEnds.empty());
+    // The acknowledgement waits for the commit although the end is known.
+    CHECK(leader.directive("agent-a").acknowledgedEnd == 0);
+    leader.report("agent-a", report);
+    SECTION("committed")
+    {
+        leader.apply(first.batch);
+        leader.scheduler.endsCommitted(first.acknowledgements);
+        leader.advance(1s);
+        const auto later = leader.scheduler.takeEnds(leader.clock.now(), leader.nowMs);
+        CHECK(later.batch.ends.empty());
+        CHECK(later.firstEnds.empty());
+        CHECK(leader.directive("agent-a").acknowledgedEnd == 1);
+    }
+    SECTION("not committed")
+    {
+        leader.scheduler.endsFailed(first.batch.ends);
+        leader.advance(1s);
+        const auto later = leader.scheduler.takeEnds(leader.clock.now(), leader.nowMs);
+        CHECK(!later.batch.ends.empty());
+        CHECK(later.firstEnds.empty());
+    }
+}
+
 TEST_CASE("Tasks of a silent minion start elsewhere only after its lease has certainly expired")
 {
     SchedulerFixture leader;
