--- a/Source/Fleet/jobservice.cpp
+++ b/Source/Fleet/jobservice.cpp
@@ -255,7 +255,7 @@
     Jobs::JobScheduler::EndBatch endBatch = scheduler_.takeEnds(loop_.clock().now(), nowMs());
     if (endBatch.batch.empty())
         return;
-    for (const Jobs::MinionRunEnd &runEnd : endBatch.batch.ends) {
+    for (const Jobs::MinionRunEnd &runEnd : endBatch.firstEnds) {
         logRunEvent(LogEvent::RunEnded, Step::Report, runEnd.minion.name,
                     {runEnd.end.task, runEnd.end.run},
                     {{"how", static_cast<unsigned>(runEnd.end.kind)},
