Fleet: Log a leader that cannot be reached, with the last answer about the group

A process whose calls end with "No leader could be reached" logged nothing about its search, so that three explanations were alike in the log: a host that never answers again, an answer that names hosts of before, and no connection to the leader. control.leader-unreachable (4016) gives the time, the leader and the term followed, the hosts known, the connections, and who answered last with what. It is logged after 3 s, then at twice the time.

--- a/Source/Fleet/leaderclient.cpp
+++ b/Source/Fleet/leaderclient.cpp
@@ -20,6 +20,8 @@
 constexpr Duration UnsentTimeout = std::chrono::milliseconds(1'500);
 /** Delay after which a refused caller should retry: the duration of an election plus a margin. */
 constexpr std::uint32_t RetryAfterMs = 1'000;
+/** Time without a reachable leader that is reported; longer than an election takes. */
+constexpr Duration UnreachableReportTime = std::chrono::seconds(3);
 
 } // namespace
 
@@ -27,6 +29,7 @@
     : loop_(loop)
     , messenger_(messenger)
     , seeds_(std::move(seeds))
+    , nextReportAfter_(UnreachableReportTime)
     , tickTimer_(loop, [this] { tick(); })
 {
     messenger_.on<GroupView>(
@@ -53,6 +56,7 @@
 
 void LeaderClient::start()
 {
+    reachableAt_ = loop_.clock().now();
     updateHosts({});
     tickTimer_.startEvery(TickInterval);
 }
@@ -84,6 +88,8 @@
 void LeaderClient::onGroupView(const std::string &from, const GroupView &view)
 {
     const TimePoint now = loop_.clock().now();
+    lastAnswerFrom_ = from;
+    lastAnswer_ = view;
     if (view.leader == from && view.term >= term_)
         leaderConfirmedAt_ = now;
     if (view.term < term_ || (view.leader.empty() && !leader_.empty()))
@@ -217,6 +223,7 @@
         finish(id, std::move(answer));
     }
     sendPending();
+    reportUnreachableLeader();
     const Duration interval = isLeaderReachable() ? ConfirmInterval : TickInterval;
     if (now < lastQueryAt_ + interval)
         return;
@@ -229,4 +236,32 @@
         queryGroup(peer);
 }
 
+void LeaderClient::reportUnreachableLeader()
+{
+    const TimePoint now = loop_.clock().now();
+    const std::vector<std::string> peers = messenger_.peers();
+    // The only control host of a group asks nobody.
+    if (isLeaderReachable() || peers.empty()) {
+        reachableAt_ = now;
+        nextReportAfter_ = UnreachableReportTime;
+        return;
+    }
+    if (now < reachableAt_ + nextReportAfter_)
+        return;
+    const auto connected = std::ranges::count_if(
+        peers, [this](const std::string &peer) { return messenger_.connected(peer); });
+    const auto silence =
+        std::chrono::duration_cast<std::chrono::milliseconds>(now - reachableAt_).count();
+    logEvent(LogEvent::LeaderUnreachable, Step::Connect, lastAnswerFrom_,
+             {{"for_ms", silence},
+              {"term", term_},
+              {"leader", leader_},
+              {"hosts", hosts_.size()},
+              {"connected", connected},
+              {"said_term", lastAnswer_.term},
+              {"said_leader", lastAnswer_.leader},
+              {"said_hosts", lastAnswer_.hosts.size()}});
+    nextReportAfter_ *= 2;
+}
+
 } // namespace Oleander::Fleet
--- a/Source/Fleet/leaderclient.h
+++ b/Source/Fleet/leaderclient.h
@@ -64,6 +64,7 @@
     };
 
     void tick();
+    void reportUnreachableLeader();
     void queryGroup(const std::string &host);
     void onGroupView(const std::string &from, const GroupView &view);
     void onAnswer(JobAnswer &&answer);
@@ -81,6 +82,11 @@
     std::uint64_t term_ = 0;
     TimePoint leaderConfirmedAt_{};
     TimePoint lastQueryAt_{};
+    /** Last time at which the leader was reachable, or the start. */
+    TimePoint reachableAt_{};
+    Duration nextReportAfter_;
+    std::string lastAnswerFrom_;
+    GroupView lastAnswer_;
     std::uint64_t nextId_ = 1;
     std::map<std::uint64_t, PendingCall> pending_;
     Timer tickTimer_;
--- a/Source/Runtime/logevent.cpp
+++ b/Source/Runtime/logevent.cpp
@@ -68,6 +68,7 @@
     {LogEvent::StorageOpened, LogLevel::Info, "control.storage-opened"},
     {LogEvent::SnapshotFailed, LogLevel::Warning, "control.snapshot-failed"},
     {LogEvent::StorageRemovalFailed, LogLevel::Warning, "control.storage-removal-failed"},
+    {LogEvent::LeaderUnreachable, LogLevel::Warning, "control.leader-unreachable"},
 
     {LogEvent::RecordAccepted, LogLevel::Info, "record.accepted"},
     {LogEvent::RecordRefused, LogLevel::Info, "record.refused"},
--- a/Source/Runtime/logevent.h
+++ b/Source/Runtime/logevent.h
@@ -69,6 +69,7 @@
     StorageOpened = 4013,
     SnapshotFailed = 4014,
     StorageRemovalFailed = 4015,
+    LeaderUnreachable = 4016,
 
     RecordAccepted = 5000,
     RecordRefused = 5001,
