Fleet: Tell askers about the leader and hosts that a control host has heard of

After a restart of every process with seeds that name control hosts without a disk, entries, agents and the other control hosts without disks never found the leader, and every call ended with "No leader could be reached".

A control host answered a query for the group from its own replica only. Without one (no data folder, or a disk that is full at start) it answered term 0, no leader and no hosts, although its own search had found the leader; nor did it tell those who had asked when it heard of one. A host with an empty replica did the same. So whoever knew only such seeds could not learn of any other host. The seeds themselves knew the voters because the voters had asked them, with their addresses.

Now the answer is the newer of what the replica and the search of the host know. A change is sent at once to all who have asked.

Three faults of the same search on the receiving side are mended with it: a host without a leader that names a high term hid the leader of a lower one (its term was taken over); hosts in a later view of the same term were not taken over from hosts other than the leader, so that a leader was followed without a connection to it; a change of the seeds cut the connection to a leader that no list of hosts named. A view without a leader now only adds hosts, while the leader is out of reach.

--- a/Source/Fleet/controlhost.cpp
+++ b/Source/Fleet/controlhost.cpp
@@ -116,6 +116,7 @@
             [this](const JobCallBody &body, JobService::Callback callback) {
                 return jobService_.serve(body, std::move(callback));
             });
+        leaderClient_.leaderChanged.connect([this] { announceLeader(); });
         leaderClient_.start();
         replica_.roleChanged.connect([this] {
             jobService_.onRoleChanged();
@@ -130,7 +131,7 @@
         return {};
     }
 
-    GroupView groupView() const
+    GroupView replicaView() const
     {
         const ReplicaStatus status = replica_.status();
         GroupView view;
@@ -141,6 +142,21 @@
         return view;
     }
 
+    // A host without a replica, or with one that the group has left behind, tells what it has heard
+    // from others.
+    GroupView groupView() const
+    {
+        GroupView view = replicaView();
+        GroupView heard = leaderClient_.groupView();
+        if (heard.term > view.term)
+            return heard;
+        if (view.leader.empty() && heard.term == view.term)
+            view.leader = heard.leader;
+        if (view.hosts.empty())
+            view.hosts = std::move(heard.hosts);
+        return view;
+    }
+
     void sendGroupView(const std::string &peer)
     {
         // A process that cannot be reached sends its query again.
@@ -159,7 +175,7 @@
 
     void updateMembership()
     {
-        const GroupView view = groupView();
+        const GroupView view = replicaView();
         for (const std::string &host : view.hosts) {
             if (host != settings_.link)
                 messenger_.addPeer(host, host);
@@ -170,13 +186,19 @@
         const bool rejoin = !view.hosts.empty()
                             && std::ranges::find(view.hosts, settings_.link) == view.hosts.end();
         replica_.setJoinTargets(std::move(joinTargets), rejoin);
-        if (view.leader != announcedLeader_) {
-            announcedLeader_ = view.leader;
-            broadcastGroupView();
-        }
+        announceLeader();
         replaceSilentVoter();
     }
 
+    void announceLeader()
+    {
+        const std::string leader = groupView().leader;
+        if (leader == announcedLeader_)
+            return;
+        announcedLeader_ = leader;
+        broadcastGroupView();
+    }
+
     // A permanently lost machine is replaced by one with another address. The old voter is removed
     // as soon as its replacement has caught up, because it still counts towards the quorum.
     void replaceSilentVoter()
--- a/Source/Fleet/leaderclient.cpp
+++ b/Source/Fleet/leaderclient.cpp
@@ -51,21 +51,34 @@
 void LeaderClient::setSeeds(std::vector<std::string> seeds)
 {
     seeds_ = std::move(seeds);
-    updateHosts({hosts_.begin(), hosts_.end()});
+    updatePeers();
 }
 
 void LeaderClient::start()
 {
     reachableAt_ = loop_.clock().now();
-    updateHosts({});
+    updatePeers();
     tickTimer_.startEvery(TickInterval);
 }
 
-void LeaderClient::updateHosts(const std::vector<std::string> &hosts)
+void LeaderClient::setHosts(const std::vector<std::string> &hosts)
 {
-    std::set<std::string> targetHosts(hosts.begin(), hosts.end());
-    hosts_ = targetHosts;
+    hosts_ = {hosts.begin(), hosts.end()};
+    updatePeers();
+}
+
+void LeaderClient::addHosts(const std::vector<std::string> &hosts)
+{
+    hosts_.insert(hosts.begin(), hosts.end());
+    updatePeers();
+}
+
+void LeaderClient::updatePeers()
+{
+    std::set<std::string> targetHosts = hosts_;
     targetHosts.insert(seeds_.begin(), seeds_.end());
+    if (!leader_.empty())
+        targetHosts.insert(leader_);
     targetHosts.erase(messenger_.name());
     for (const std::string &host : targetHosts)
         messenger_.addPeer(host, host);
@@ -92,27 +105,52 @@
     lastAnswer_ = view;
     if (view.leader == from && view.term >= term_)
         leaderConfirmedAt_ = now;
-    if (view.term < term_ || (view.leader.empty() && !leader_.empty()))
+    if (view.leader.empty() || view.term < term_) {
+        // Its hosts may be outdated, but one of them may know the leader.
+        if (view.leader.empty() && !isLeaderReachable())
+            addHosts(view.hosts);
         return;
-    if (!view.hosts.empty() && (view.term > term_ || view.leader == from))
-        updateHosts(view.hosts);
+    }
+    const bool isChange = view.leader != leader_;
+    const bool isNewer = view.term > term_;
     term_ = view.term;
-    if (view.leader.empty() || view.leader == leader_)
-        return sendPending();
     leader_ = view.leader;
-    leaderConfirmedAt_ = now;
-    logEvent(LogEvent::LeaderFollowed, Step::Connect, leader_,
-             {{"term", term_}, {"told_by", from}});
-    leaderChanged.emit();
+    if (isChange)
+        leaderConfirmedAt_ = now;
+    // Within a term only the leader knows which hosts have left.
+    if (!view.hosts.empty() && (isNewer || view.leader == from))
+        setHosts(view.hosts);
+    else if (isChange || !isLeaderReachable())
+        addHosts(view.hosts);
+    if (isChange) {
+        logEvent(LogEvent::LeaderFollowed, Step::Connect, leader_,
+                 {{"term", term_}, {"told_by", from}});
+        leaderChanged.emit();
+    }
     sendPending();
 }
 
+GroupView LeaderClient::groupView() const
+{
+    GroupView view;
+    if (leader_ != messenger_.name() && isLeaderConfirmed()) {
+        view.term = term_;
+        view.leader = leader_;
+    }
+    view.hosts = {hosts_.begin(), hosts_.end()};
+    return view;
+}
+
+bool LeaderClient::isLeaderConfirmed() const
+{
+    return !leader_.empty() && loop_.clock().now() < leaderConfirmedAt_ + ReachableTimeout;
+}
+
 bool LeaderClient::isLeaderReachable() const
 {
     if (leader_ == messenger_.name())
         return true;
-    return !leader_.empty() && messenger_.connected(leader_)
-           && loop_.clock().now() < leaderConfirmedAt_ + ReachableTimeout;
+    return messenger_.connected(leader_) && isLeaderConfirmed();
 }
 
 bool LeaderClient::sendToLeader(const Message &message)
--- a/Source/Fleet/leaderclient.h
+++ b/Source/Fleet/leaderclient.h
@@ -45,6 +45,10 @@
     bool sendToLeader(const Message &message);
     /** True if the leader is known and has recently confirmed that it leads. */
     bool isLeaderReachable() const;
+    /** What this process can tell others about the group: the control hosts it has heard of, and
+     * the leader while it is another process that was confirmed recently. Without a leader the term
+     * is 0. */
+    GroupView groupView() const;
     std::size_t pendingCalls() const { return pending_.size(); }
 
     /** Emitted when a different leader becomes known. */
@@ -71,7 +75,10 @@
     void trySend(std::uint64_t id);
     void sendPending();
     void finish(std::uint64_t id, JobAnswer answer);
-    void updateHosts(const std::vector<std::string> &hosts);
+    void setHosts(const std::vector<std::string> &hosts);
+    void addHosts(const std::vector<std::string> &hosts);
+    void updatePeers();
+    bool isLeaderConfirmed() const;
 
     EventLoop &loop_;
     Messenger &messenger_;
--- a/Tests/Fleet/fleetcluster.cpp
+++ b/Tests/Fleet/fleetcluster.cpp
@@ -3,6 +3,7 @@
 #include "Support/loopback.h"
 
 #include <algorithm>
+#include <csignal>
 #include <filesystem>
 #include <sstream>
 #include <thread>
@@ -20,7 +21,7 @@
 {
     // All control hosts use the same link port, because the seeds only give their hosts.
     for (std::size_t i = 0; i < Controls; ++i)
-        addControl();
+        seeds_.push_back(addControl());
     for (std::size_t i = 0; i < Entries; ++i) {
         const std::string host = Loopback::nextHost();
         entries_.push_back({Loopback::freeAddress(host), Loopback::freeAddress(host),
@@ -48,8 +49,8 @@
 std::string FleetCluster::groupLines() const
 {
     std::string seeds;
-    for (std::size_t i = 0; i < Controls; ++i)
-        seeds += (seeds.empty() ? "" : ",") + controls_[i].operatorAddress;
+    for (const std::size_t seed : seeds_)
+        seeds += (seeds.empty() ? "" : ",") + controls_.at(seed).operatorAddress;
     return "[group]\nseeds = " + seeds + "\nlink-port = " + linkPort_ + '\n';
 }
 
@@ -58,16 +59,55 @@
     return (folder_.path() / ("data-" + std::to_string(control))).string();
 }
 
+std::string FleetCluster::writeSettings(const std::string &name, const std::string &lines)
+{
+    settings_[name] = lines;
+    return folder_.write(name + ".ini", lines + groupLines());
+}
+
+void FleetCluster::setSeeds(const std::vector<std::size_t> &controls)
+{
+    seeds_ = controls;
+    for (const auto &[name, lines] : settings_)
+        folder_.write(name + ".ini", lines + groupLines());
+    const auto reload = [](const std::unique_ptr<ChildProcess> &process) {
+        if (process)
+            process->signal(SIGHUP);
+    };
+    for (const Control &control : controls_)
+        reload(control.process);
+    for (const Entry &entry : entries_)
+        reload(entry.process);
+    for (const Machine &machine : machines_)
+        reload(machine.agent);
+}
+
+std::string FleetCluster::controlLines(std::size_t control) const
+{
+    const Control &host = controls_.at(control);
+    return "[control-host]\nlink = " + host.linkAddress
+           + "\noperator-door = " + host.operatorAddress + "\nmetrics-door = " + host.metricsAddress
+           + "\ntolerated-losses = 1\n";
+}
+
 void FleetCluster::startControl(std::size_t control, bool mayForm)
 {
-    Control &host = controls_.at(control);
     std::filesystem::create_directories(dataFolder(control));
-    const std::string path = folder_.write(
-        "control-" + std::to_string(control) + ".ini",
-        "[control-host]\nlink = " + host.linkAddress + "\noperator-door = " + host.operatorAddress
-            + "\nmetrics-door = " + host.metricsAddress + "\ndata-folder = " + dataFolder(control)
-            + "\nmay-form = " + (mayForm ? "true" : "false") + "\ntolerated-losses = 1\n"
-            + groupLines());
+    const std::string path =
+        writeSettings("control-" + std::to_string(control),
+                      controlLines(control) + "data-folder = " + dataFolder(control)
+                          + "\nmay-form = " + (mayForm ? "true" : "false") + '\n');
+    Control &host = controls_.at(control);
+    host.process.reset();
+    host.process =
+        std::make_unique<ChildProcess>(std::vector<std::string>{OLEANDER_PROGRAM, "control", path});
+}
+
+void FleetCluster::startDiskless(std::size_t control)
+{
+    const std::string path =
+        writeSettings("control-" + std::to_string(control), controlLines(control));
+    Control &host = controls_.at(control);
     host.process.reset();
     host.process =
         std::make_unique<ChildProcess>(std::vector<std::string>{OLEANDER_PROGRAM, "control", path});
@@ -77,10 +117,10 @@
 {
     Entry &host = entries_.at(entry);
     const std::string name = "entry-" + std::to_string(entry);
-    const std::string path = folder_.write(
-        name + ".ini", "[job-entry]\nname = " + name + "\ncaller-door = " + host.callerAddress
-                           + "\nhealth-door = " + host.healthAddress + "\nmetrics-door = "
-                           + host.metricsAddress + "\ndrain-delay = 100ms\n" + groupLines());
+    const std::string path =
+        writeSettings(name, "[job-entry]\nname = " + name + "\ncaller-door = " + host.callerAddress
+                                + "\nhealth-door = " + host.healthAddress + "\nmetrics-door = "
+                                + host.metricsAddress + "\ndrain-delay = 100ms\n");
     host.process.reset();
     host.process =
         std::make_unique<ChildProcess>(std::vector<std::string>{OLEANDER_PROGRAM, "entry", path});
@@ -90,10 +130,10 @@
 {
     Machine &host = machines_.at(machine);
     const std::string name = "agent-" + std::to_string(machine);
-    const std::string path = folder_.write(
-        name + ".ini", "[machine-agent]\nname = " + name + "\nminion-door = " + host.agentAddress
-                           + "\nminion = " + host.minionAddress
-                           + "\nmetrics-door = " + host.metricsAddress + '\n' + groupLines());
+    const std::string path =
+        writeSettings(name, "[machine-agent]\nname = " + name + "\nminion-door = "
+                                + host.agentAddress + "\nminion = " + host.minionAddress
+                                + "\nmetrics-door = " + host.metricsAddress + '\n');
     host.agent.reset();
     host.agent = std::make_unique<ChildProcess>(
         std::vector<std::string>{OLEANDER_AGENT_PROGRAM, "machine", path});
--- a/Tests/Fleet/fleetcluster.h
+++ b/Tests/Fleet/fleetcluster.h
@@ -5,6 +5,7 @@
 #include "Support/temporaryfolder.h"
 #include "Support/waitfor.h"
 
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -28,6 +29,10 @@
     bool start();
     /** Starts or restarts a control host; \a mayForm allows it to form a new group. */
     void startControl(std::size_t control, bool mayForm);
+    /** Starts or restarts a control host without a data folder. */
+    void startDiskless(std::size_t control);
+    /** Names \a controls as the seeds in the settings of every process, which reload them. */
+    void setSeeds(const std::vector<std::size_t> &controls);
     /** Returns the number of a control host with an address of its own, which is not a seed. */
     std::size_t addControl();
     void startEntry(std::size_t entry);
@@ -87,8 +92,14 @@
     };
 
     std::string groupLines() const;
+    /** Writes the settings of a process, with the current seeds; returns their path. */
+    std::string writeSettings(const std::string &name, const std::string &lines);
+    std::string controlLines(std::size_t control) const;
 
     TemporaryFolder folder_;
+    std::vector<std::size_t> seeds_;
+    /** Settings written so far, without the seeds. */
+    std::map<std::string, std::string> settings_;
     std::vector<Control> controls_;
     std::vector<Entry> entries_;
     std::vector<Machine> machines_;
--- /dev/null
+++ b/Tests/Fleet/leaderclienttest.cpp
@@ -0,0 +1,152 @@
+#include "Fleet/leaderclient.h"
+
+#include "Support/loopback.h"
+#include "Support/rununtil.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+
+using namespace Oleander;
+using namespace Oleander::Fleet;
+using Oleander::Testing::Loopback;
+using Oleander::Testing::runUntil;
+
+namespace {
+
+/** A control host whose answers the test chooses. */
+struct ScriptedHost
+{
+    std::string address = Loopback::freeAddress(Loopback::nextHost());
+    Messenger messenger;
+    GroupView view;
+    bool answers = true;
+    std::size_t queries = 0;
+
+    explicit ScriptedHost(EventLoop &loop) : messenger(loop, address, 1)
+    {
+        REQUIRE(messenger.listen(address).has_value());
+        messenger.on<GroupQuery>([this](const Sender &from, GroupQuery &&) {
+            asker = from.name;
+            ++queries;
+            if (answers)
+                tell(view);
+        });
+    }
+    void tell(const GroupView &told) { REQUIRE(messenger.send(asker, told).has_value()); }
+
+private:
+    std::string asker;
+};
+
+struct Search
+{
+    EventLoop loop;
+    ScriptedHost seed{loop};
+    ScriptedHost leader{loop};
+    Messenger messenger{loop, "entry-1", 1};
+    LeaderClient client{loop, messenger, {seed.address}};
+    /** An address at which nobody listens. */
+    std::string gone = Loopback::freeAddress(Loopback::nextHost());
+
+    Search() { leader.view = {3, leader.address, {leader.address}}; }
+
+    bool isPeer(const std::string &host) const
+    {
+        return std::ranges::count(messenger.peers(), host) > 0;
+    }
+    void runUntilReachable()
+    {
+        runUntil(loop, [&] { return client.isLeaderReachable(); });
+    }
+    /** Runs until \a host has been asked \a count more times. */
+    void runUntilAsked(ScriptedHost &host, std::size_t count)
+    {
+        const std::size_t target = host.queries + count;
+        runUntil(loop, [&] { return host.queries >= target; });
+    }
+};
+
+} // namespace
+
+TEST_CASE("Hosts named by a seed that knows no leader and no term are asked for the leader")
+{
+    Search search;
+    search.seed.view = {0, "", {search.leader.address}};
+    search.client.start();
+    search.runUntilReachable();
+    CHECK(search.client.groupView().leader == search.leader.address);
+}
+
+TEST_CASE("A leader is reached although a host without a leader names a higher term")
+{
+    Search search;
+    search.seed.view = {9, "", {search.leader.address}};
+    search.client.start();
+    search.runUntilReachable();
+    CHECK(search.client.groupView().leader == search.leader.address);
+}
+
+TEST_CASE("A leader is reached that a seed names after it has named the same term without hosts")
+{
+    Search search;
+    search.seed.view = {3, "", {}};
+    search.client.start();
+    search.runUntilAsked(search.seed, 2);
+    search.seed.view = {3, search.leader.address, {search.leader.address}};
+    search.runUntilReachable();
+}
+
+TEST_CASE("A view of an earlier term that comes late changes neither the leader nor the hosts")
+{
+    Search search;
+    search.seed.answers = false;
+    search.client.setSeeds({search.seed.address, search.leader.address});
+    search.client.start();
+    search.runUntilReachable();
+    REQUIRE(search.seed.queries > 0);
+    search.seed.tell({2, search.gone, {search.gone}});
+    search.seed.tell({0, "", {search.gone}});
+    search.runUntilAsked(search.leader, 1);
+    CHECK(search.client.isLeaderReachable());
+    CHECK_FALSE(search.isPeer(search.gone));
+}
+
+TEST_CASE("A leader that changes while the answer about the earlier one is on its way is reached")
+{
+    Search search;
+    search.seed.view = {2, search.gone, {search.gone, search.leader.address}};
+    search.client.start();
+    search.runUntilReachable();
+    search.seed.tell({2, search.gone, {search.gone}});
+    search.runUntilAsked(search.leader, 1);
+    CHECK(search.client.isLeaderReachable());
+}
+
+TEST_CASE("A process names no leader that has stopped confirming, but still its hosts")
+{
+    Search search;
+    search.seed.view = search.leader.view;
+    search.client.start();
+    search.runUntilReachable();
+    search.leader.answers = false;
+    runUntil(search.loop, [&] { return search.client.groupView().leader.empty(); });
+    CHECK(search.client.groupView().term == 0);
+    CHECK(search.client.groupView().hosts == std::vector{search.leader.address});
+    // The word of another host does not count as a confirmation.
+    search.runUntilAsked(search.seed, 2);
+    CHECK(search.client.groupView().leader.empty());
+}
+
+TEST_CASE("The leader stays connected when the seeds change to hosts that do not answer")
+{
+    Search search;
+    search.seed.view = {3, search.leader.address, {}};
+    search.leader.view.hosts.clear();
+    search.client.start();
+    search.runUntilReachable();
+    search.client.setSeeds({search.gone});
+    search.runUntilAsked(search.leader, 2);
+    CHECK(search.client.isLeaderReachable());
+    CHECK_FALSE(search.isPeer(search.seed.address));
+}
