Fleet: Ask for the leader less often the longer it is not found

While no leader was reachable every process asked every host it knew each 100 ms. A host sends each change of the leader by itself to all who have asked, and a new connection is asked at once, so asking again serves only for a message that was lost. The interval now doubles from 100 ms to 1 s and starts again at 100 ms once a leader was reachable.

--- a/Source/Fleet/leaderclient.cpp
+++ b/Source/Fleet/leaderclient.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 constexpr Duration TickInterval = std::chrono::milliseconds(100);
-/** Interval of the group queries while the leader is reachable. */
+/** Interval of the group queries while the leader is reachable, and longest interval otherwise. */
 constexpr Duration ConfirmInterval = std::chrono::seconds(1);
 /** Time without a confirmation after which the leader counts as unreachable. */
 constexpr Duration ReachableTimeout = std::chrono::milliseconds(2'500);
@@ -29,6 +29,7 @@
     : loop_(loop)
     , messenger_(messenger)
     , seeds_(std::move(seeds))
+    , searchInterval_(TickInterval)
     , nextReportAfter_(UnreachableReportTime)
     , tickTimer_(loop, [this] { tick(); })
 {
@@ -262,7 +263,9 @@
     }
     sendPending();
     reportUnreachableLeader();
-    const Duration interval = isLeaderReachable() ? ConfirmInterval : TickInterval;
+    if (isLeaderReachable())
+        searchInterval_ = TickInterval;
+    const Duration interval = isLeaderReachable() ? ConfirmInterval : searchInterval_;
     if (now < lastQueryAt_ + interval)
         return;
     lastQueryAt_ = now;
@@ -272,6 +275,8 @@
         return;
     for (const std::string &peer : messenger_.peers())
         queryGroup(peer);
+    // A host that has been asked sends every change of the leader by itself.
+    searchInterval_ = std::min(2 * searchInterval_, ConfirmInterval);
 }
 
 void LeaderClient::reportUnreachableLeader()
--- a/Source/Fleet/leaderclient.h
+++ b/Source/Fleet/leaderclient.h
@@ -89,6 +89,7 @@
     std::uint64_t term_ = 0;
     TimePoint leaderConfirmedAt_{};
     TimePoint lastQueryAt_{};
+    Duration searchInterval_;
     /** Last time at which the leader was reachable, or the start. */
     TimePoint reachableAt_{};
     Duration nextReportAfter_;
--- a/Utilities/capacity.sh
+++ b/Utilities/capacity.sh
@@ -21,3 +21,6 @@
 for size in 10 100 300; do
     "$programs/capacity-links" "$size"
 done
+for size in 100 700 2800; do
+    "$programs/capacity-search" "$size"
+done
