Tests: Wait until control hosts without disks are up before they reload

"A seed without a disk that restarts alone" failed in one run of the whole program on the repaired search: the seed wrote no line, because SIGHUP, by which the test makes it reload its seeds, ended it before it handled signals. The fleet of these tests now waits until each such host has a connection. No check is changed.

--- a/Tests/Fleet/leadersearchtest.cpp
+++ b/Tests/Fleet/leadersearchtest.cpp
@@ -28,6 +28,8 @@
             diskless.push_back(addControl());
             startDiskless(diskless.back());
         }
+        // A process that has just started does not handle SIGHUP yet.
+        REQUIRE(othersAreConnected());
     }
 
     void killAll()
