--- a/Source/Fleet/leaderclient.cpp
+++ b/Source/Fleet/leaderclient.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 constexpr Duration TickInterval = std::chrono::milliseconds(100);
-/** Interval of the group queries while the leader is reachable. */
+/** Interval of the group queries while the leader is reachable, and longest interval otherwise. */
 constexpr Duration ConfirmInterval = std::chrono::seconds(1);
 /** Time without a confirmation after which the leader counts as unreachable. */
 constexpr Duration ReachableTimeout = std::chrono::milliseconds(2'500);
@@ -20,6 +20,8 @@
 constexpr Duration UnsentTimeout = std::chrono::milliseconds(1'500);
 /** Delay after which a refused caller should retry: the duration of an election plus a margin. */
 constexpr std::uint32_t RetryAfterMs = 1'000;
+/** Time without a reachable leader that is reported; longer than an election takes. */
+constexpr Duration UnreachableReportTime = std::chrono::seconds(3);
 
 } // namespace
 
@@ -27,6 +29,8 @@
     : loop_(loop)
     , messenger_(messenger)
     , seeds_(std::move(seeds))
+    , searchInterval_(TickInterval)
+    , nextReportAfter_(UnreachableReportTime)
     , tickTimer_(loop, [this] { tick(); })
 {
     messenger_.on<GroupView>(
@@ -48,20 +52,34 @@
 void LeaderClient::setSeeds(std::vector<std::string> seeds)
 {
     seeds_ = std::move(seeds);
-    updateHosts({hosts_.begin(), hosts_.end()});
+    updatePeers();
 }
 
 void LeaderClient::start()
 {
-    updateHosts({});
+    reachableAt_ = loop_.clock().now();
+    updatePeers();
     tickTimer_.startEvery(TickInterval);
 }
 
-void LeaderClient::updateHosts(const std::vector<std::string> &hosts)
+void LeaderClient::setHosts(const std::vector<std::string> &hosts)
 {
-    std::set<std::string> targetHosts(hosts.begin(), hosts.end());
-    hosts_ = targetHosts;
+    hosts_ = {hosts.begin(), hosts.end()};
+    updatePeers();
+}
+
+void LeaderClient::addHosts(const std::vector<std::string> &hosts)
+{
+    hosts_.insert(hosts.begin(), hosts.end());
+    updatePeers();
+}
+
+void LeaderClient::updatePeers()
+{
+    std::set<std::string> targetHosts = hosts_;
     targetHosts.insert(seeds_.begin(), seeds_.end());
+    if (!leader_.empty())
+        targetHosts.insert(leader_);
     targetHosts.erase(messenger_.name());
     for (const std::string &host : targetHosts)
         messenger_.addPeer(host, host);
@@ -84,29 +102,56 @@
 void LeaderClient::onGroupView(const std::string &from, const GroupView &view)
 {
     const TimePoint now = loop_.clock().now();
+    lastAnswerFrom_ = from;
+    lastAnswer_ = view;
     if (view.leader == from && view.term >= term_)
         leaderConfirmedAt_ = now;
-    if (view.term < term_ || (view.leader.empty() && !leader_.empty()))
+    if (view.leader.empty() || view.term < term_) {
+        // Its hosts may be outdated, but one of them may know the leader.
+        if (view.leader.empty() && !isLeaderReachable())
+            addHosts(view.hosts);
         return;
-    if (!view.hosts.empty() && (view.term > term_ || view.leader == from))
-        updateHosts(view.hosts);
+    }
+    const bool isChange = view.leader != leader_;
+    const bool isNewer = view.term > term_;
     term_ = view.term;
-    if (view.leader.empty() || view.leader == leader_)
-        return sendPending();
     leader_ = view.leader;
-    leaderConfirmedAt_ = now;
-    logEvent(LogEvent::LeaderFollowed, Step::Connect, leader_,
-             {{"term", term_}, {"told_by", from}});
-    leaderChanged.emit();
+    if (isChange)
+        leaderConfirmedAt_ = now;
+    // Within a term only the leader knows which hosts have left.
+    if (!view.hosts.empty() && (isNewer || view.leader == from))
+        setHosts(view.hosts);
+    else if (isChange || !isLeaderReachable())
+        addHosts(view.hosts);
+    if (isChange) {
+        logEvent(LogEvent::LeaderFollowed, Step::Connect, leader_,
+                 {{"term", term_}, {"told_by", from}});
+        leaderChanged.emit();
+    }
     sendPending();
 }
 
+GroupView LeaderClient::groupView() const
+{
+    GroupView view;
+    if (leader_ != messenger_.name() && isLeaderConfirmed()) {
+        view.term = term_;
+        view.leader = leader_;
+    }
+    view.hosts = {hosts_.begin(), hosts_.end()};
+    return view;
+}
+
+bool LeaderClient::isLeaderConfirmed() const
+{
+    return !leader_.empty() && loop_.clock().now() < leaderConfirmedAt_ + ReachableTimeout;
+}
+
 bool LeaderClient::isLeaderReachable() const
 {
     if (leader_ == messenger_.name())
         return true;
-    return !leader_.empty() && messenger_.connected(leader_)
-           && loop_.clock().now() < leaderConfirmedAt_ + ReachableTimeout;
+    return messenger_.connected(leader_) && isLeaderConfirmed();
 }
 
 bool LeaderClient::sendToLeader(const Message &message)
@@ -217,7 +262,10 @@
         finish(id, std::move(answer));
     }
     sendPending();
-    const Duration interval = isLeaderReachable() ? ConfirmInterval : TickInterval;
+    reportUnreachableLeader();
+    if (isLeaderReachable())
+        searchInterval_ = TickInterval;
+    const Duration interval = isLeaderReachable() ? ConfirmInterval : searchInterval_;
     if (now < lastQueryAt_ + interval)
         return;
     lastQueryAt_ = now;
@@ -227,6 +275,36 @@
         return;
     for (const std::string &peer : messenger_.peers())
         queryGroup(peer);
+    // A host that has been asked sends every change of the leader by itself.
+    searchInterval_ = std::min(2 * searchInterval_, ConfirmInterval);
+}
+
+void LeaderClient::reportUnreachableLeader()
+{
+    const TimePoint now = loop_.clock().now();
+    const std::vector<std::string> peers = messenger_.peers();
+    // The only control host of a group asks nobody.
+    if (isLeaderReachable() || peers.empty()) {
+        reachableAt_ = now;
+        nextReportAfter_ = UnreachableReportTime;
+        return;
+    }
+    if (now < reachableAt_ + nextReportAfter_)
+        return;
+    const auto connected = std::ranges::count_if(
+        peers, [this](const std::string &peer) { return messenger_.connected(peer); });
+    const auto silence =
+        std::chrono::duration_cast<std::chrono::milliseconds>(now - reachableAt_).count();
+    logEvent(LogEvent::LeaderUnreachable, Step::Connect, lastAnswerFrom_,
+             {{"for_ms", silence},
+              {"term", term_},
+              {"leader", leader_},
+              {"hosts", hosts_.size()},
+              {"connected", connected},
+              {"said_term", lastAnswer_.term},
+              {"said_leader", lastAnswer_.leader},
+              {"said_hosts", lastAnswer_.hosts.size()}});
+    nextReportAfter_ *= 2;
 }
 
 } // namespace Oleander::Fleet
--- a/Source/Fleet/leaderclient.h
+++ b/Source/Fleet/leaderclient.h
@@ -45,6 +45,10 @@
     bool sendToLeader(const Message &message);
     /** True if the leader is known and has recently confirmed that it leads. */
     bool isLeaderReachable() const;
+    /** What this process can tell others about the group: the control hosts it has heard of, and
+     * the leader while it is another process that was confirmed recently. Without a leader the term
+     * is 0. */
+    GroupView groupView() const;
     std::size_t pendingCalls() const { return pending_.size(); }
 
     /** Emitted when a different leader becomes known. */
@@ -64,13 +68,17 @@
     };
 
     void tick();
+    void reportUnreachableLeader();
     void queryGroup(const std::string &host);
     void onGroupView(const std::string &from, const GroupView &view);
     void onAnswer(JobAnswer &&answer);
     void trySend(std::uint64_t id);
     void sendPending();
     void finish(std::uint64_t id, JobAnswer answer);
-    void updateHosts(const std::vector<std::string> &hosts);
+    void setHosts(const std::vector<std::string> &hosts);
+    void addHosts(const std::vector<std::string> &hosts);
+    void updatePeers();
+    bool isLeaderConfirmed() const;
 
     EventLoop &loop_;
     Messenger &messenger_;
@@ -81,6 +89,12 @@
     std::uint64_t term_ = 0;
     TimePoint leaderConfirmedAt_{};
     TimePoint lastQueryAt_{};
+    Duration searchInterval_;
+    /** Last time at which the leader was reachable, or the start. */
+    TimePoint reachableAt_{};
+    Duration nextReportAfter_;
+    std::string lastAnswerFrom_;
+    GroupView lastAnswer_;
     std::uint64_t nextId_ = 1;
     std::map<std::uint64_t, PendingCall> pending_;
     Timer tickTimer_;
