Fleet: Send stops before starts and never keep them waiting behind them

Callers saw tasks of a cancelled job run on while the minion of the task left other starts unanswered. The log had run.stop-called outcome=unsent with waited_ms=400: starts, paces and stops shared four connections in the order of their calls, and the timeout of a call counted from its queueing. Behind the starts of a wide job a stop waited until its own timeout, and was sent in its last milliseconds or not at all until the leader ordered it again.

HttpClient gets a precedence: urgent calls go before normal ones, normal calls never occupy the connections reserved for urgent ones, and the timeout of an urgent call counts from its sending. Stops are urgent. A client of its own for stops was weighed: it would open and check further connections to the minion even while those of the starts are idle. Reserved connections are opened only when all others are occupied, and every new one is still checked first.

With 40 starts ordered before it, the stop reached the minion after 40 starts; now after at most the 4 that are under way.

--- a/Source/Fleet/miniontask.cpp
+++ b/Source/Fleet/miniontask.cpp
@@ -22,8 +22,9 @@
 /** Minimum remaining time of the lease for sending a start, in milliseconds. */
 constexpr std::uint64_t MinLeaseMs = 200;
 /** Polls wait for ends of runs, so they use a connection of their own and never delay an order. */
-constexpr std::size_t PollConnections = 1;
-constexpr std::size_t OrderConnections = 4;
+constexpr ConnectionLimits PollConnections{1, 0};
+/** Starts never occupy the connections that are reserved for stops. */
+constexpr ConnectionLimits OrderConnections{4, 4};
 
 Jobs::RunKey keyOf(const StartOrder &order)
 {
@@ -118,7 +119,7 @@
     reportNeeded.emit();
 }
 
-std::unique_ptr<HttpClient> MinionTask::makeClient(std::size_t maxConnections)
+std::unique_ptr<HttpClient> MinionTask::makeClient(ConnectionLimits limits)
 {
     ConnectionCheck check;
     check.timeout = CheckTimeout;
@@ -127,7 +128,7 @@
     check.accepts = [this, instance = instanceNumber_](const HttpResponse &response) {
         return isCurrentInstance(instance) && isFromInstance(response);
     };
-    return std::make_unique<HttpClient>(loop_, address_, maxConnections, std::move(check));
+    return std::make_unique<HttpClient>(loop_, address_, limits, std::move(check));
 }
 
 bool MinionTask::isFromInstance(const HttpResponse &response)
@@ -356,12 +357,14 @@
     if (!pendingStops_.insert(key).second)
         return;
     const StopOrder order{key.first, key.second};
-    orderClient_->call(codec_.stopRequest(minion_.life.name, order, term_), CallTimeout,
-                       [this, key, instance = instanceNumber_,
-                        calledAt = loop_.clock().now()](const HttpCallResult &result) {
-                           if (isCurrentInstance(instance))
-                               onStopAnswer(key, calledAt, result);
-                       });
+    orderClient_->call(
+        codec_.stopRequest(minion_.life.name, order, term_), CallTimeout,
+        [this, key, instance = instanceNumber_,
+         calledAt = loop_.clock().now()](const HttpCallResult &result) {
+            if (isCurrentInstance(instance))
+                onStopAnswer(key, calledAt, result);
+        },
+        Precedence::Urgent);
 }
 
 void MinionTask::onStopAnswer(const Jobs::RunKey &key, TimePoint calledAt,
--- a/Source/Fleet/miniontask.h
+++ b/Source/Fleet/miniontask.h
@@ -69,7 +69,7 @@
     void replaceInstance(const MinionAnnouncement &announcement);
     void startInstance(const MinionAnnouncement &announcement);
     /** Returns a client whose connections reach only the current instance. */
-    std::unique_ptr<HttpClient> makeClient(std::size_t maxConnections);
+    std::unique_ptr<HttpClient> makeClient(ConnectionLimits limits);
     /** True if \a response comes from the current instance; ends it if another one answered. */
     bool isFromInstance(const HttpResponse &response);
     void endInstance(const char *why);
--- a/Source/Runtime/httpclient.cpp
+++ b/Source/Runtime/httpclient.cpp
@@ -63,6 +63,8 @@
     {
         evhttp_connection *native = nullptr;
         CallId call = 0;
+        /** Precedence of the call. */
+        Precedence precedence = Precedence::Normal;
         bool bytesSent = false;
         /** True once the ConnectionCheck, if there is one, has accepted the open connection. */
         bool isAccepted = false;
@@ -74,6 +76,8 @@
         CallId id = 0;
         HttpRequest request;
         Callback callback;
+        Precedence precedence = Precedence::Normal;
+        Duration timeout{};
         std::unique_ptr<Timer> timer;
         TimePoint deadline{};
         Connection *connection = nullptr;
@@ -81,22 +85,27 @@
 
     EventLoop &loop;
     std::string address;
-    std::size_t maxConnections;
+    ConnectionLimits limits;
     std::optional<ConnectionCheck> check;
     SocketAddress parsed;
     CallId lastId = 0;
     std::map<CallId, std::unique_ptr<Call>> calls;
-    std::deque<CallId> waiting;
+    std::deque<CallId> waitingUrgent;
+    std::deque<CallId> waitingNormal;
     std::list<Connection> connections;
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 
     Connection *acquireConnection();
     void discard(Connection *connection);
+    void occupy(Connection &connection, Call &call);
     void start(Call &call, Connection *connection);
     /** Sends \a request for \a call: its own request, or the check of its connection. */
     void send(Call &call, const HttpRequest &request);
     /** Sends the request of \a call if the check accepts \a response. */
     void completeCheck(Call *call, const HttpResponse &response);
+    /** Sends \a call over its accepted connection, with the time that it has left. */
+    void sendAccepted(Call &call);
+    bool mayStartNormal() const;
     void startWaiting();
     void complete(Call *call, evhttp_request *native);
     void expire(CallId id);
@@ -145,7 +154,7 @@
         }
         discard(&connection);
     }
-    if (connections.size() >= maxConnections)
+    if (connections.size() >= limits.normal + limits.reserved)
         return nullptr;
     auto &connection = connections.emplace_back();
     connection.native =
@@ -174,17 +183,26 @@
 
 void HttpClient::Private::start(Call &call, Connection *connection)
 {
-    call.connection = connection;
-    connection->call = call.id;
+    occupy(*connection, call);
     if (!check)
         connection->isAccepted = true;
     if (connection->isAccepted)
-        return send(call, call.request);
+        return sendAccepted(call);
     const Duration rest = call.deadline - loop.clock().now();
-    call.timer->startOnce(std::min(check->timeout, rest));
+    const bool isUrgent = call.precedence == Precedence::Urgent;
+    call.timer->startOnce(isUrgent ? check->timeout : std::min(check->timeout, rest));
     send(call, check->request());
 }
 
+void HttpClient::Private::sendAccepted(Call &call)
+{
+    const TimePoint now = loop.clock().now();
+    if (call.precedence == Precedence::Urgent)
+        call.deadline = now + call.timeout;
+    call.timer->startOnce(call.deadline - now);
+    send(call, call.request);
+}
+
 void HttpClient::Private::send(Call &call, const HttpRequest &request)
 {
     Connection *connection = call.connection;
@@ -224,19 +242,38 @@
     });
 }
 
+void HttpClient::Private::occupy(Connection &connection, Call &call)
+{
+    call.connection = &connection;
+    connection.call = call.id;
+    connection.precedence = call.precedence;
+}
+
+bool HttpClient::Private::mayStartNormal() const
+{
+    const auto occupied = std::ranges::count_if(connections, [](const Connection &item) {
+        return item.call != 0 && item.precedence == Precedence::Normal;
+    });
+    return static_cast<std::size_t>(occupied) < limits.normal;
+}
+
 void HttpClient::Private::startWaiting()
 {
-    while (!waiting.empty()) {
-        const auto found = calls.find(waiting.front());
-        if (found == calls.end()) {
-            waiting.pop_front();
-            continue;
+    for (auto *waiting : {&waitingUrgent, &waitingNormal}) {
+        while (!waiting->empty()) {
+            const auto found = calls.find(waiting->front());
+            if (found == calls.end()) {
+                waiting->pop_front();
+                continue;
+            }
+            if (waiting == &waitingNormal && !mayStartNormal())
+                return;
+            Connection *connection = acquireConnection();
+            if (connection == nullptr)
+                return;
+            waiting->pop_front();
+            start(*found->second, connection);
         }
-        Connection *connection = acquireConnection();
-        if (connection == nullptr)
-            return;
-        waiting.pop_front();
-        start(*found->second, connection);
     }
 }
 
@@ -291,10 +328,8 @@
                                               false, "The connection did not pass its check.")));
     }
     connection->isAccepted = true;
-    connection->call = call->id;
-    call->connection = connection;
-    call->timer->startOnce(call->deadline - loop.clock().now());
-    send(*call, call->request);
+    occupy(*connection, *call);
+    sendAccepted(*call);
 }
 
 void HttpClient::Private::expire(CallId id)
@@ -331,7 +366,12 @@
 
 HttpClient::HttpClient(EventLoop &loop, std::string address, std::size_t maxConnections,
                        std::optional<ConnectionCheck> check)
-    : private_(new Private{loop, std::move(address), maxConnections, std::move(check)})
+    : HttpClient(loop, std::move(address), ConnectionLimits{maxConnections, 0}, std::move(check))
+{}
+
+HttpClient::HttpClient(EventLoop &loop, std::string address, ConnectionLimits limits,
+                       std::optional<ConnectionCheck> check)
+    : private_(new Private{loop, std::move(address), limits, std::move(check)})
 {
     if (auto parsed = parseSocketAddress(private_->address))
         private_->parsed = *parsed;
@@ -345,7 +385,8 @@
         evhttp_connection_free(connection.native);
 }
 
-HttpClient::CallId HttpClient::call(HttpRequest request, Duration timeout, Callback callback)
+HttpClient::CallId HttpClient::call(HttpRequest request, Duration timeout, Callback callback,
+                                    Precedence precedence)
 {
     auto *self = private_.get();
     const CallId id = ++self->lastId;
@@ -355,10 +396,14 @@
     call->request = std::move(request);
     call->callback = std::move(callback);
     call->timer = std::make_unique<Timer>(self->loop, [self, id] { self->expire(id); });
-    call->timer->startOnce(timeout);
+    call->precedence = precedence;
+    call->timeout = timeout;
     call->deadline = self->loop.clock().now() + timeout;
+    const bool isUrgent = precedence == Precedence::Urgent;
+    if (!isUrgent)
+        call->timer->startOnce(timeout);
     self->calls[id] = std::move(call);
-    self->waiting.push_back(id);
+    (isUrgent ? self->waitingUrgent : self->waitingNormal).push_back(id);
     self->startWaiting();
     return id;
 }
--- a/Source/Runtime/httpclient.h
+++ b/Source/Runtime/httpclient.h
@@ -30,6 +30,22 @@
     Duration timeout{};
 };
 
+/** Order in which waiting calls get a connection. */
+enum class Precedence {
+    Normal,
+    /** Goes before normal calls; its timeout counts from the sending of the request. */
+    Urgent,
+};
+
+/** Maximum numbers of connections of a client. */
+struct ConnectionLimits
+{
+    /** Connections that normal calls may occupy at once. */
+    std::size_t normal = 1;
+    /** Further connections, which only urgent calls may occupy. */
+    std::size_t reserved = 0;
+};
+
 /**
  * \class HttpClient
  * \brief HTTP client for one server with a connection pool over evhttp; never retries a request.
@@ -46,12 +62,15 @@
 
     HttpClient(EventLoop &loop, std::string address, std::size_t maxConnections,
                std::optional<ConnectionCheck> check = std::nullopt);
+    HttpClient(EventLoop &loop, std::string address, ConnectionLimits limits,
+               std::optional<ConnectionCheck> check = std::nullopt);
     ~HttpClient();
     HttpClient(const HttpClient &) = delete;
     HttpClient &operator=(const HttpClient &) = delete;
 
     /** Sends \a request; \a callback is called exactly once unless the call is cancelled. */
-    CallId call(HttpRequest request, Duration timeout, Callback callback);
+    CallId call(HttpRequest request, Duration timeout, Callback callback,
+                Precedence precedence = Precedence::Normal);
     /** Aborts the call and closes its connection; its callback is not called. */
     void cancel(CallId id);
 
--- /dev/null
+++ b/Tests/Fleet/orderprecedencetest.cpp
@@ -0,0 +1,68 @@
+#include "scriptedminion.h"
+
+#include <catch2/catch.hpp>
+
+using namespace Oleander;
+using Oleander::Testing::First;
+using Oleander::Testing::FirstBirth;
+using Oleander::Testing::ScriptedMinion;
+
+namespace {
+
+constexpr std::uint32_t Width = 40;
+/** Number of starts that a MinionTask has under way at once. */
+constexpr std::size_t StartsAtOnce = 4;
+
+MachineDirective directiveOf(std::uint64_t holdUntilMs)
+{
+    MachineDirective directive;
+    directive.term = 1;
+    directive.life = {"i-1", FirstBirth};
+    directive.holdUntilMs = holdUntilMs;
+    return directive;
+}
+
+TaskRef taskOf(std::uint32_t index)
+{
+    return {First.job, 1, index};
+}
+
+void sendStarts(ScriptedMinion &minion, std::uint32_t run)
+{
+    MachineDirective directive = directiveOf(6'000);
+    for (std::uint32_t index = 0; index < Width; ++index) {
+        StartOrder order;
+        order.task = taskOf(index);
+        order.run = run;
+        directive.starts.push_back(order);
+    }
+    minion.task.handleDirective(directive);
+}
+
+void sendWideStop(ScriptedMinion &minion)
+{
+    MachineDirective directive = directiveOf(0);
+    for (std::uint32_t index = 0; index < Width; ++index)
+        directive.stops.push_back({taskOf(index), 1});
+    minion.task.handleDirective(directive);
+}
+
+} // namespace
+
+TEST_CASE("A stop does not wait for starts that the minion leaves unanswered")
+{
+    ScriptedMinion minion;
+    // Opens the connections.
+    sendWideStop(minion);
+    minion.runUntil([&] { return minion.stops == Width; });
+    minion.startStatus = 0;
+    sendStarts(minion, 2);
+    minion.sendStop();
+    minion.runUntil([&] { return minion.starts.size() == StartsAtOnce; });
+    minion.startStatus = 200;
+    minion.runUntil([&] {
+        minion.answerAll();
+        return minion.stops > Width;
+    });
+    CHECK(minion.startsBeforeStop <= StartsAtOnce);
+}
--- a/Tests/Fleet/scriptedminion.h
+++ b/Tests/Fleet/scriptedminion.h
@@ -38,6 +38,8 @@
     std::vector<Json> starts;
     std::vector<Json> polls;
     std::size_t stops = 0;
+    /** Number of starts received before the latest stop. */
+    std::size_t startsBeforeStop = 0;
     std::vector<std::shared_ptr<HttpExchange>> unansweredRequests;
     std::uint64_t reports = 0;
 
@@ -111,6 +113,7 @@
         }
         if (path.ends_with("run-stop")) {
             ++stops;
+            startsBeforeStop = starts.size();
             if (answersStops)
                 return exchange->respond({200, {}, body.dump()});
         } else if (path.ends_with("run-start")) {
@@ -121,6 +124,13 @@
         unansweredRequests.push_back(exchange);
     }
 
+    /** Answers the unanswered requests. */
+    void answerAll()
+    {
+        for (const auto &exchange : std::exchange(unansweredRequests, {}))
+            exchange->respond({200, {}, Json{{"clockMs", clockMs}}.dump()});
+    }
+
     void sendDirective(std::uint64_t holdUntilMs, bool start, std::uint32_t run = 1)
     {
         MachineDirective directive;
--- a/Tests/Runtime/httptest.cpp
+++ b/Tests/Runtime/httptest.cpp
@@ -287,6 +287,61 @@
     fixture.held.clear();
 }
 
+TEST_CASE("An urgent call goes before normal calls and does not wait for them")
+{
+    Fixture fixture;
+    std::vector<std::string> paths;
+    HttpServer server(fixture.loop, {}, [&](const std::shared_ptr<HttpExchange> &exchange) {
+        paths.push_back(exchange->request().path);
+        fixture.held.push_back(exchange);
+    });
+    const auto address = server.listen("127.0.0.1:0");
+    REQUIRE(address.has_value());
+    HttpClient client(fixture.loop, *address, ConnectionLimits{1, 1});
+    const auto call = [&](const char *path, Precedence precedence) {
+        client.call(
+            {"POST", path}, RunLimit, [](const HttpCallResult &) {}, precedence);
+    };
+    call("/normal-1", Precedence::Normal);
+    call("/normal-2", Precedence::Normal);
+    call("/urgent-1", Precedence::Urgent);
+    call("/urgent-2", Precedence::Urgent);
+    fixture.runUntil([&] { return paths.size() == 2; });
+    CHECK_THAT(paths, Catch::UnorderedEquals(std::vector<std::string>{"/normal-1", "/urgent-1"}));
+    for (const char *next : {"/urgent-2", "/normal-2"}) {
+        const std::size_t count = paths.size();
+        fixture.held.front()->respond({200, {}, "x"});
+        fixture.held.erase(fixture.held.begin());
+        fixture.runUntil([&] { return paths.size() > count; });
+        CHECK(paths.back() == next);
+    }
+    fixture.held.clear();
+}
+
+TEST_CASE("The timeout of an urgent call counts from its sending")
+{
+    Fixture fixture;
+    HttpServer server(fixture.loop, {}, [&](const std::shared_ptr<HttpExchange> &exchange) {
+        fixture.held.push_back(exchange);
+    });
+    const auto address = server.listen("127.0.0.1:0");
+    REQUIRE(address.has_value());
+    HttpClient client(fixture.loop, *address, 1);
+    std::vector<HttpCallResult> results;
+    for (int i = 0; i < 2; ++i) {
+        client.call(
+            {"POST", "/"}, std::chrono::milliseconds(500),
+            [&](HttpCallResult answer) { results.push_back(std::move(answer)); },
+            Precedence::Urgent);
+    }
+    fixture.runUntil([&] { return results.size() == 2; });
+    for (const HttpCallResult &result : results) {
+        REQUIRE_FALSE(result.has_value());
+        CHECK(result.error().mayHaveBeenSent);
+    }
+    fixture.held.clear();
+}
+
 TEST_CASE("A call that times out reports whether the request may have been sent")
 {
     Fixture fixture;
