Fleet: Drop a waiting start when its run is ordered to stop

A start that waited for a connection to the minion stayed queued when its run was ordered to stop, when the minion drained or when it shrank, and was sent as soon as an earlier start was answered.

A start whose connection is being checked is still treated as sent: it is followed by a stop until the minion confirms one.

--- a/Source/Fleet/miniontask.cpp
+++ b/Source/Fleet/miniontask.cpp
@@ -264,7 +264,7 @@
     start.sentAt = loop_.clock().now();
     ++start.attempts;
     crashAttribution_.startSent(start.sentAt, key);
-    orderClient_->call(
+    start.call = orderClient_->call(
         codec_.startRequest(minion_.life.name, start.order, term_, start.validUntilMs), CallTimeout,
         [this, key, instance = instanceNumber_](const HttpCallResult &result) {
             onStartAnswer(key, instance, result);
@@ -344,8 +344,11 @@
 
 void MinionTask::stopWithdrawn(const Jobs::RunKey &key)
 {
+    UndeliveredStart &start = undeliveredStarts_.at(key);
+    if (start.isInFlight && orderClient_->cancelWaiting(start.call))
+        start.isInFlight = false;
     // A minion never starts a run that it has already been told to stop.
-    if (undeliveredStarts_.at(key).isInFlight || unansweredStarts_.contains(key))
+    if (start.isInFlight || unansweredStarts_.contains(key))
         return sendStop(key);
     undeliveredStarts_.erase(key);
     crashAttribution_.forget(key);
--- a/Source/Fleet/miniontask.h
+++ b/Source/Fleet/miniontask.h
@@ -48,6 +48,7 @@
          * it the leader may have started the task elsewhere. */
         std::uint64_t validUntilMs = 0;
         bool isInFlight = false;
+        HttpClient::CallId call = 0;
         /** True if the run must not start any more, although the minion may still execute a call.
          */
         bool isWithdrawn = false;
--- a/Source/Runtime/httpclient.cpp
+++ b/Source/Runtime/httpclient.cpp
@@ -422,4 +422,13 @@
     private_->startWaiting();
 }
 
+bool HttpClient::cancelWaiting(CallId id)
+{
+    const auto found = private_->calls.find(id);
+    if (found == private_->calls.end() || found->second->connection != nullptr)
+        return false;
+    private_->calls.erase(found);
+    return true;
+}
+
 } // namespace Oleander
--- a/Source/Runtime/httpclient.h
+++ b/Source/Runtime/httpclient.h
@@ -73,6 +73,8 @@
                 Precedence precedence = Precedence::Normal);
     /** Aborts the call and closes its connection; its callback is not called. */
     void cancel(CallId id);
+    /** Cancels the call and returns true if it still waits for a connection. */
+    bool cancelWaiting(CallId id);
 
 private:
     struct Private;
--- a/Tests/Fleet/orderprecedencetest.cpp
+++ b/Tests/Fleet/orderprecedencetest.cpp
@@ -66,3 +66,15 @@
     });
     CHECK(minion.startsBeforeStop <= StartsAtOnce);
 }
+
+TEST_CASE("A start that waits for a connection is not sent once its run is ordered to stop")
+{
+    ScriptedMinion minion;
+    minion.startStatus = 0;
+    sendStarts(minion, 1);
+    minion.runUntil([&] { return minion.starts.size() == StartsAtOnce; });
+    sendWideStop(minion);
+    minion.answerAll();
+    minion.runUntil([&] { return minion.report().refused.size() == Width; });
+    CHECK(minion.starts.size() == StartsAtOnce);
+}
