--- a/Source/Jobs/jobscheduler.cpp
+++ b/Source/Jobs/jobscheduler.cpp
@@ -198,6 +198,7 @@
         MachineDirective directive;
         directive.term = term_;
         directive.life = life;
+        directive.reportStamp = machine.reportStamp;
         const bool renewed = machines_.renewLease(now, machine);
         directive.holdUntilMs = machine.leaseUntilMs;
         const auto due = committedAcknowledgements_.find({machine.agent, life});
@@ -258,8 +259,9 @@
             claim->remove(stepOf(key));
             if (recordOrderIfDue(now, key))
                 directive.stops.push_back({key.first, key.second});
-        } else if (machine.leaseUntilMs > 0 && !isOrderKnown && !machine.undelivered.contains(key)
-                   && recordOrderIfDue(now, key)) {
+        } else if (machine.undelivered.contains(key)) {
+            directive.renewals.push_back({key.first, key.second});
+        } else if (machine.leaseUntilMs > 0 && !isOrderKnown && recordOrderIfDue(now, key)) {
             const Job *job = book_.find(key.first.job);
             const StepSpec &step = job->steps[key.first.step];
             directive.starts.push_back({key.first, key.second, job->spec,
@@ -269,10 +271,14 @@
                                         step.filling ? weightOf(key.first.job, nowMs) : 1.0});
         }
     }
-    for (const auto &[key, view] : machine.running) {
+    const auto stopUnlessActive = [&](const RunKey &key) {
         if (!active.contains(key) && recordOrderIfDue(now, key))
             directive.stops.push_back({key.first, key.second});
-    }
+    };
+    for (const auto &[key, view] : machine.running)
+        stopUnlessActive(key);
+    for (const RunKey &key : machine.undelivered)
+        stopUnlessActive(key);
 }
 
 double JobScheduler::weightOf(const std::string &id, std::int64_t nowMs)
--- a/Tests/Jobs/jobschedulertest.cpp
+++ b/Tests/Jobs/jobschedulertest.cpp
@@ -98,6 +98,49 @@
     CHECK(leader.scheduler.pendingJobs("press") == 0);
 }
 
+TEST_CASE("Only the undelivered starts of runs that are to start are renewed")
+{
+    SchedulerFixture leader;
+    registerMinion(leader, "agent-a", LifeA);
+    leader.submit("j", {step(1)});
+    leader.submit("k", {step(1)});
+    REQUIRE(leader.decide().starts.size() == 2);
+    const TaskRef first{"j", 0, 0};
+    const TaskRef second{"k", 0, 0};
+    leader.advance(1s);
+    leader.cancel("k");
+    MachineReport report = reportOf(LifeA, 2'200);
+    report.stamp = 77;
+    report.undelivered = {endRow(0, first, 1, RunEndKind::Lost),
+                          endRow(0, second, 1, RunEndKind::Lost)};
+    leader.report("agent-a", report);
+    const MachineDirective directive = leader.directive("agent-a");
+    CHECK(directive.reportStamp == 77);
+    REQUIRE(directive.renewals.size() == 1);
+    CHECK(directive.renewals.front().task == first);
+    REQUIRE(directive.stops.size() == 1);
+    CHECK(directive.stops.front().task == second);
+}
+
+TEST_CASE("The undelivered start of a run that is no longer active is ordered to stop")
+{
+    // Without the order, the agent would deliver it until the lease ends.
+    SchedulerFixture leader;
+    registerMinion(leader, "agent-a", LifeA);
+    leader.submit("j", {step(1)});
+    REQUIRE(leader.decide().starts.size() == 1);
+    const TaskRef task{"j", 0, 0};
+    leader.end(task, 1, LifeA, RunEndKind::Lost);
+    leader.cancel("j");
+    MachineReport report = reportOf(LifeA, 1'200);
+    report.undelivered = {endRow(0, task, 1, RunEndKind::Lost)};
+    leader.report("agent-a", report);
+    const MachineDirective directive = leader.directive("agent-a");
+    REQUIRE(directive.stops.size() == 1);
+    CHECK(directive.stops.front().task == task);
+    CHECK(directive.starts.empty());
+}
+
 TEST_CASE("A minion without a lease receives no task")
 {
     SchedulerFixture leader;
