Fleet: Repeat an unanswered stop while no leader is in touch

Tasks of a cancelled job ran on after their stop was left unanswered: the agent sent it once and left the repetition to the leader, which orders a stop again only on a fresh report and 400 ms after the last order. Without a leader in touch the run went on until it was done or its lease ended.

The agent now repeats an unanswered stop every 100 ms, as it does for withdrawn starts, until the minion has answered or a directive has come since the call. Then the leader decides, as it may no longer want an evicted or moved run to stop. A refused stop stays with the leader, too: the minion knows a higher fence.

--- a/Source/Fleet/miniontask.cpp
+++ b/Source/Fleet/miniontask.cpp
@@ -185,6 +185,7 @@
     undeliveredStarts_.clear();
     unansweredStarts_.clear();
     pendingStops_.clear();
+    stopRetries_.clear();
     refusals_.clear();
     paceController_ = {};
     reportNeeded.emit();
@@ -216,6 +217,8 @@
     }
     if (!hasMinion_ || directive.life != minion_.life)
         return;
+    directedAt_ = loop_.clock().now();
+    stopRetries_.clear();
     holdUntilMs_ = std::max(holdUntilMs_, directive.holdUntilMs);
     if (directive.acknowledgedEnd > acknowledgedEnd_) {
         acknowledgedEnd_ = directive.acknowledgedEnd;
@@ -394,6 +397,7 @@
 {
     if (!pendingStops_.insert(key).second)
         return;
+    stopRetries_.erase(key);
     const StopOrder order{key.first, key.second};
     orderClient_->call(
         codec_.stopRequest(minion_.life.name, order, term_), CallTimeout,
@@ -415,11 +419,13 @@
                  {"outcome", stopOutcome(result, isDone)},
                  {"waited_ms", elapsedMs(calledAt, loop_.clock().now())}});
     if (!isDone) {
-        // The leader orders the stop again as long as the reports list the run, tick() that of a
-        // withdrawn start.
+        const TimePoint retryAt = loop_.clock().now() + StopRetryInterval;
         const auto start = undeliveredStarts_.find(key);
         if (start != undeliveredStarts_.end())
-            start->second.retryAt = loop_.clock().now() + StopRetryInterval;
+            start->second.retryAt = retryAt;
+        else if (!result && directedAt_ <= calledAt)
+            stopRetries_[key] = retryAt;
+        // A leader in touch orders the stop again as long as the reports list the run.
         return;
     }
     undeliveredStarts_.erase(key);
@@ -447,6 +453,10 @@
         else
             sendStart(key);
     }
+    for (const auto &[key, retryAt] : std::map(stopRetries_)) {
+        if (now >= retryAt)
+            sendStop(key);
+    }
     if (!isPolling_ && now >= nextPollAt_)
         pollRuns();
 }
--- a/Source/Fleet/miniontask.h
+++ b/Source/Fleet/miniontask.h
@@ -152,6 +152,11 @@
      * minion's clock after which it will not. */
     std::map<Jobs::RunKey, std::uint64_t> unansweredStarts_;
     std::set<Jobs::RunKey> pendingStops_;
+    /** Time of the latest directive for the current instance. */
+    TimePoint directedAt_{};
+    /** Runs with an unanswered stop that no later directive can have repeated or omitted, and the
+     * time of the next call. */
+    std::map<Jobs::RunKey, TimePoint> stopRetries_;
     std::map<Jobs::RunKey, Refusal> refusals_;
     /** Sequence number of the latest report that contained refusals or ended instances. */
     std::uint64_t latestEventReport_ = 0;
--- a/Tests/Fleet/orderprecedencetest.cpp
+++ b/Tests/Fleet/orderprecedencetest.cpp
@@ -78,3 +78,26 @@
     minion.runUntil([&] { return minion.report().refused.size() == Width; });
     CHECK(minion.starts.size() == StartsAtOnce);
 }
+
+TEST_CASE("An unanswered stop is sent again although no leader is in touch")
+{
+    // The agent left the repetition to the leader.
+    ScriptedMinion minion;
+    minion.unansweredStops = 1;
+    minion.sendStop();
+    minion.runUntil([&] { return minion.stops == 2; });
+    minion.runPolls(2);
+    CHECK(minion.stops == 2);
+}
+
+TEST_CASE("An unanswered stop is left to the leader that has sent a directive since")
+{
+    ScriptedMinion minion;
+    minion.unansweredStops = 1;
+    minion.sendStop();
+    minion.runUntil([&] { return minion.stops == 1; });
+    minion.sendDirective(6'000, false);
+    const TimePoint until = minion.loop.clock().now() + std::chrono::seconds(1);
+    minion.runUntil([&] { return minion.loop.clock().now() > until; });
+    CHECK(minion.stops == 1);
+}
--- a/Tests/Fleet/scriptedminion.h
+++ b/Tests/Fleet/scriptedminion.h
@@ -35,6 +35,8 @@
     /** HTTP status of the answers to starts; 0 for no answer. */
     unsigned startStatus = 200;
     bool answersStops = true;
+    /** Number of the next stops that are left unanswered although answersStops is set. */
+    std::size_t unansweredStops = 0;
     std::vector<Json> starts;
     std::vector<Json> polls;
     std::size_t stops = 0;
@@ -114,7 +116,9 @@
         if (path.ends_with("run-stop")) {
             ++stops;
             startsBeforeStop = starts.size();
-            if (answersStops)
+            const bool isUnanswered = unansweredStops > 0;
+            unansweredStops -= isUnanswered ? 1 : 0;
+            if (answersStops && !isUnanswered)
                 return exchange->respond({200, {}, body.dump()});
         } else if (path.ends_with("run-start")) {
             starts.push_back(Json::parse(exchange->request().body));
