--- a/Source/Fleet/miniontask.cpp
+++ b/Source/Fleet/miniontask.cpp
@@ -22,8 +22,9 @@
 /** Minimum remaining time of the lease for sending a start, in milliseconds. */
 constexpr std::uint64_t MinLeaseMs = 200;
 /** Polls wait for ends of runs, so they use a connection of their own and never delay an order. */
-constexpr std::size_t PollConnections = 1;
-constexpr std::size_t OrderConnections = 4;
+constexpr ConnectionLimits PollConnections{1, 0};
+/** Starts never occupy the connections that are reserved for stops. */
+constexpr ConnectionLimits OrderConnections{4, 4};
 /** Share of the cancel time for which a start may be sent after the report that the leader's order
  * is based on. The rest covers the wait of the call and the start of the task. */
 constexpr int StartValidityPercent = 66;
@@ -124,7 +125,7 @@
     reportNeeded.emit();
 }
 
-std::unique_ptr<HttpClient> MinionTask::makeClient(std::size_t maxConnections)
+std::unique_ptr<HttpClient> MinionTask::makeClient(ConnectionLimits limits)
 {
     ConnectionCheck check;
     check.timeout = CheckTimeout;
@@ -133,7 +134,7 @@
     check.accepts = [this, instance = instanceNumber_](const HttpResponse &response) {
         return isCurrentInstance(instance) && isFromInstance(response);
     };
-    return std::make_unique<HttpClient>(loop_, address_, maxConnections, std::move(check));
+    return std::make_unique<HttpClient>(loop_, address_, limits, std::move(check));
 }
 
 bool MinionTask::isFromInstance(const HttpResponse &response)
@@ -184,6 +185,7 @@
     undeliveredStarts_.clear();
     unansweredStarts_.clear();
     pendingStops_.clear();
+    stopRetries_.clear();
     refusals_.clear();
     paceController_ = {};
     reportNeeded.emit();
@@ -215,6 +217,8 @@
     }
     if (!hasMinion_ || directive.life != minion_.life)
         return;
+    directedAt_ = loop_.clock().now();
+    stopRetries_.clear();
     holdUntilMs_ = std::max(holdUntilMs_, directive.holdUntilMs);
     if (directive.acknowledgedEnd > acknowledgedEnd_) {
         acknowledgedEnd_ = directive.acknowledgedEnd;
@@ -283,7 +287,7 @@
     start.sentAt = loop_.clock().now();
     ++start.attempts;
     crashAttribution_.startSent(start.sentAt, key);
-    orderClient_->call(
+    start.call = orderClient_->call(
         codec_.startRequest(minion_.life.name, start.order, term_, start.validUntilMs), CallTimeout,
         [this, key, instance = instanceNumber_](const HttpCallResult &result) {
             onStartAnswer(key, instance, result);
@@ -378,8 +382,11 @@
 
 void MinionTask::stopWithdrawn(const Jobs::RunKey &key)
 {
+    UndeliveredStart &start = undeliveredStarts_.at(key);
+    if (start.isInFlight && orderClient_->cancelWaiting(start.call))
+        start.isInFlight = false;
     // A minion never starts a run that it has already been told to stop.
-    if (undeliveredStarts_.at(key).isInFlight || unansweredStarts_.contains(key))
+    if (start.isInFlight || unansweredStarts_.contains(key))
         return sendStop(key);
     undeliveredStarts_.erase(key);
     crashAttribution_.forget(key);
@@ -390,13 +397,16 @@
 {
     if (!pendingStops_.insert(key).second)
         return;
+    stopRetries_.erase(key);
     const StopOrder order{key.first, key.second};
-    orderClient_->call(codec_.stopRequest(minion_.life.name, order, term_), CallTimeout,
-                       [this, key, instance = instanceNumber_,
-                        calledAt = loop_.clock().now()](const HttpCallResult &result) {
-                           if (isCurrentInstance(instance))
-                               onStopAnswer(key, calledAt, result);
-                       });
+    orderClient_->call(
+        codec_.stopRequest(minion_.life.name, order, term_), CallTimeout,
+        [this, key, instance = instanceNumber_,
+         calledAt = loop_.clock().now()](const HttpCallResult &result) {
+            if (isCurrentInstance(instance))
+                onStopAnswer(key, calledAt, result);
+        },
+        Precedence::Urgent);
 }
 
 void MinionTask::onStopAnswer(const Jobs::RunKey &key, TimePoint calledAt,
@@ -409,11 +419,13 @@
                  {"outcome", stopOutcome(result, isDone)},
                  {"waited_ms", elapsedMs(calledAt, loop_.clock().now())}});
     if (!isDone) {
-        // The leader orders the stop again as long as the reports list the run, tick() that of a
-        // withdrawn start.
+        const TimePoint retryAt = loop_.clock().now() + StopRetryInterval;
         const auto start = undeliveredStarts_.find(key);
         if (start != undeliveredStarts_.end())
-            start->second.retryAt = loop_.clock().now() + StopRetryInterval;
+            start->second.retryAt = retryAt;
+        else if (!result && directedAt_ <= calledAt)
+            stopRetries_[key] = retryAt;
+        // A leader in touch orders the stop again as long as the reports list the run.
         return;
     }
     undeliveredStarts_.erase(key);
@@ -441,6 +453,10 @@
         else
             sendStart(key);
     }
+    for (const auto &[key, retryAt] : std::map(stopRetries_)) {
+        if (now >= retryAt)
+            sendStop(key);
+    }
     if (!isPolling_ && now >= nextPollAt_)
         pollRuns();
 }
--- a/Source/Fleet/miniontask.h
+++ b/Source/Fleet/miniontask.h
@@ -53,6 +53,7 @@
         /** Time until which the start may be sent unless the leader renews it. */
         TimePoint sendUntil{};
         bool isInFlight = false;
+        HttpClient::CallId call = 0;
         /** True if the run must not start any more, although the minion may still execute a call.
          */
         bool isWithdrawn = false;
@@ -76,7 +77,7 @@
     void replaceInstance(const MinionAnnouncement &announcement);
     void startInstance(const MinionAnnouncement &announcement);
     /** Returns a client whose connections reach only the current instance. */
-    std::unique_ptr<HttpClient> makeClient(std::size_t maxConnections);
+    std::unique_ptr<HttpClient> makeClient(ConnectionLimits limits);
     /** True if \a response comes from the current instance; ends it if another one answered. */
     bool isFromInstance(const HttpResponse &response);
     void endInstance(const char *why);
@@ -151,6 +152,11 @@
      * minion's clock after which it will not. */
     std::map<Jobs::RunKey, std::uint64_t> unansweredStarts_;
     std::set<Jobs::RunKey> pendingStops_;
+    /** Time of the latest directive for the current instance. */
+    TimePoint directedAt_{};
+    /** Runs with an unanswered stop that no later directive can have repeated or omitted, and the
+     * time of the next call. */
+    std::map<Jobs::RunKey, TimePoint> stopRetries_;
     std::map<Jobs::RunKey, Refusal> refusals_;
     /** Sequence number of the latest report that contained refusals or ended instances. */
     std::uint64_t latestEventReport_ = 0;
--- a/Tests/Fleet/scriptedminion.h
+++ b/Tests/Fleet/scriptedminion.h
@@ -35,9 +35,13 @@
     /** HTTP status of the answers to starts; 0 for no answer. */
     unsigned startStatus = 200;
     bool answersStops = true;
+    /** Number of the next stops that are left unanswered although answersStops is set. */
+    std::size_t unansweredStops = 0;
     std::vector<Json> starts;
     std::vector<Json> polls;
     std::size_t stops = 0;
+    /** Number of starts received before the latest stop. */
+    std::size_t startsBeforeStop = 0;
     std::vector<std::shared_ptr<HttpExchange>> unansweredRequests;
     std::uint64_t reports = 0;
 
@@ -111,7 +115,10 @@
         }
         if (path.ends_with("run-stop")) {
             ++stops;
-            if (answersStops)
+            startsBeforeStop = starts.size();
+            const bool isUnanswered = unansweredStops > 0;
+            unansweredStops -= isUnanswered ? 1 : 0;
+            if (answersStops && !isUnanswered)
                 return exchange->respond({200, {}, body.dump()});
         } else if (path.ends_with("run-start")) {
             starts.push_back(Json::parse(exchange->request().body));
@@ -121,6 +128,13 @@
         unansweredRequests.push_back(exchange);
     }
 
+    /** Answers the unanswered requests. */
+    void answerAll()
+    {
+        for (const auto &exchange : std::exchange(unansweredRequests, {}))
+            exchange->respond({200, {}, Json{{"clockMs", clockMs}}.dump()});
+    }
+
     void sendDirective(std::uint64_t holdUntilMs, bool start, std::uint32_t run = 1)
     {
         MachineDirective directive;
