Jobs: Order a stop at once although the start was ordered just before

Tasks of a job that was cancelled right after its acceptance were ordered to stop only up to 400 ms later. The leader repeats an order for a run only after that time, and counted it from the last order of either kind, so the first stop waited for the retry interval of the start. A leader that froze in between had not ordered the stop at all.

The times of start and stop orders are kept apart. The test cancels a job 10 ms after the order of its start: before, the next directive had no stop; now it has one, and the one after it has none.

--- a/Source/Jobs/jobscheduler.cpp
+++ b/Source/Jobs/jobscheduler.cpp
@@ -249,7 +249,7 @@
             continue;
         if (mustStop(key) || mustEvacuate(now, machine, key) || planner_.evicts(key)
             || movingRuns_.contains(key)) {
-            if (recordOrderIfDue(now, key))
+            if (recordOrderIfDue(now, key, OrderKind::Stop))
                 directive.stops.push_back({key.first, key.second});
         } else if (view == machine.running.end() && exceedsCapacity()) {
             // The minion has shrunk since the start was decided. A run that the latest report could
@@ -257,11 +257,12 @@
             if (machine.listedAt != machine.reportedAt)
                 continue;
             claim->remove(stepOf(key));
-            if (recordOrderIfDue(now, key))
+            if (recordOrderIfDue(now, key, OrderKind::Stop))
                 directive.stops.push_back({key.first, key.second});
         } else if (machine.undelivered.contains(key)) {
             directive.renewals.push_back({key.first, key.second});
-        } else if (machine.leaseUntilMs > 0 && !isOrderKnown && recordOrderIfDue(now, key)) {
+        } else if (machine.leaseUntilMs > 0 && !isOrderKnown
+                   && recordOrderIfDue(now, key, OrderKind::Start)) {
             const Job *job = book_.find(key.first.job);
             const StepSpec &step = job->steps[key.first.step];
             directive.starts.push_back({key.first, key.second, job->spec,
@@ -272,7 +273,7 @@
         }
     }
     const auto stopUnlessActive = [&](const RunKey &key) {
-        if (!active.contains(key) && recordOrderIfDue(now, key))
+        if (!active.contains(key) && recordOrderIfDue(now, key, OrderKind::Stop))
             directive.stops.push_back({key.first, key.second});
     };
     for (const auto &[key, view] : machine.running)
@@ -318,9 +319,9 @@
         directive.weights.push_back({id, weightOf(id, nowMs)});
 }
 
-bool JobScheduler::recordOrderIfDue(TimePoint now, const RunKey &key)
+bool JobScheduler::recordOrderIfDue(TimePoint now, const RunKey &key, OrderKind kind)
 {
-    const auto [ordered, first] = lastOrderAt_.try_emplace(key, now);
+    const auto [ordered, first] = lastOrderAt_.try_emplace({key, kind}, now);
     if (!first && now < ordered->second + OrderRetry)
         return false;
     ordered->second = now;
--- a/Source/Jobs/jobscheduler.h
+++ b/Source/Jobs/jobscheduler.h
@@ -83,6 +83,11 @@
     const WorkEstimates &estimates() const { return estimates_; }
 
 private:
+    enum class OrderKind {
+        Start,
+        Stop,
+    };
+
     void addOrders(TimePoint now, std::int64_t nowMs, const MinionLife &life,
                    const Machine &machine, MachineDirective &directive);
     /** Adds the interference between the images on the minion \a life and the weights of the jobs
@@ -98,8 +103,8 @@
     Claim claimOf(const std::set<RunKey> &runs) const;
     /** True if \a key has to leave the machine because it drains or is disturbed. */
     bool mustEvacuate(TimePoint now, const Machine &machine, const RunKey &key) const;
-    /** Returns true and records \a now if an order for the run \a key may be sent. */
-    bool recordOrderIfDue(TimePoint now, const RunKey &key);
+    /** Returns true and records \a now if an order \a kind for the run \a key may be sent. */
+    bool recordOrderIfDue(TimePoint now, const RunKey &key, OrderKind kind);
     void learnInterference(TimePoint now, const MachineReport &report);
     /** Updates the estimated durations with the runs that \a report lists or ends. */
     void learnDurations(std::int64_t nowMs, const MachineReport &report);
@@ -116,8 +121,8 @@
     std::set<RunKey> endingRuns_;
     std::map<Reporter, Acknowledgement> uncommittedAcknowledgements_;
     std::map<Reporter, Acknowledgement> committedAcknowledgements_;
-    /** Time at which each run was last ordered to start or stop. */
-    std::map<RunKey, TimePoint> lastOrderAt_;
+    /** Time at which each run was last ordered to start, or to stop. */
+    std::map<std::pair<RunKey, OrderKind>, TimePoint> lastOrderAt_;
     /** Filling runs that are being stopped in order to continue on another minion. */
     std::set<RunKey> movingRuns_;
     std::vector<RunMove> moves_;
--- a/Tests/Jobs/jobschedulertest.cpp
+++ b/Tests/Jobs/jobschedulertest.cpp
@@ -141,6 +141,20 @@
     CHECK(directive.starts.empty());
 }
 
+TEST_CASE("The stop of a run does not wait until its start may be ordered again")
+{
+    SchedulerFixture leader;
+    registerMinion(leader, "agent-a", LifeA);
+    leader.submit("j", {step(1)});
+    REQUIRE(leader.decide().starts.size() == 1);
+    REQUIRE(leader.directive("agent-a").starts.size() == 1);
+    leader.cancel("j");
+    leader.advance(10ms);
+    CHECK(leader.directive("agent-a").stops.size() == 1);
+    leader.advance(10ms);
+    CHECK(leader.directive("agent-a").stops.empty());
+}
+
 TEST_CASE("A minion without a lease receives no task")
 {
     SchedulerFixture leader;
