Placement: Call the worker to stop an attempt right after its start

A task that was ordered to stop just after its start ran on for up to 500 ms: the retry interval of calls about an attempt counted from the last call of any kind, so the first stop waited for the retry interval of the start.

The first call to stop an attempt is now due at once, further ones after the retry interval. In the test no call was due 10 ms after the start and the order to stop; now the stop is, and no second one.

--- a/Source/Placement/taskexecutor.cpp
+++ b/Source/Placement/taskexecutor.cpp
@@ -204,11 +204,13 @@
 std::optional<WorkerCall> TaskExecutor::dueCall(const std::string &task, Entry &entry,
                                                 TimePoint now)
 {
-    if (entry.isRemoved || now < entry.lastCall + settings_.retryInterval)
+    const bool isFirstStop = entry.mustStop && !entry.isStopCalled;
+    if (entry.isRemoved || (now < entry.lastCall + settings_.retryInterval && !isFirstStop))
         return std::nullopt;
     std::optional<WorkerCall> call;
     if (entry.mustStop) {
         call = callFor(TaskAction::Stop, task, entry);
+        entry.isStopCalled = true;
     } else if (!entry.wasListed && !hasEnded(entry.state)) {
         call = callFor(TaskAction::Start, task, entry);
     } else if (entry.wantsCheckpoint && entry.state == AttemptState::Running) {
--- a/Tests/Placement/taskexecutortest.cpp
+++ b/Tests/Placement/taskexecutortest.cpp
@@ -103,6 +103,19 @@
     CHECK(fixture.executor.dueCalls(fixture.now).size() == 1);
 }
 
+TEST_CASE("The first stop does not wait for the retry interval of the start")
+{
+    ExecutorFixture fixture;
+    CHECK(fixture.start(1).empty());
+    CHECK(fixture.executor.dueCalls(fixture.now).size() == 1);
+    CHECK(fixture.stop(1).empty());
+    fixture.now += std::chrono::milliseconds(10);
+    const auto calls = fixture.executor.dueCalls(fixture.now);
+    REQUIRE(calls.size() == 1);
+    CHECK(calls.front().action == TaskAction::Stop);
+    CHECK(fixture.executor.dueCalls(fixture.now).empty());
+}
+
 TEST_CASE("A restarted agent adopts attempts of its session and stops those of an earlier one")
 {
     TaskExecutor executor{ExecutorSettings{}};
