Agent: Send stops and leases to the worker before starts that wait

Tasks that were ordered to stop ran on, and leases of running tasks were not renewed, while the worker left other starts unanswered: all calls shared eight connections in the order of their calls, and each could wait for the 5 s of eight unanswered starts. A start that was still waiting when its task was ordered to stop was sent after that.

Stops and leases are urgent calls of HttpClient with connections reserved for them, and a stop takes the starts of its attempt that still wait out of the queue.

--- a/Source/Agent/workertask.cpp
+++ b/Source/Agent/workertask.cpp
@@ -6,7 +6,8 @@
 
 namespace {
 
-constexpr std::size_t MaxWorkerConnections = 8;
+/** Starts never occupy the connections that are reserved for stops and leases. */
+constexpr ConnectionLimits WorkerConnections{8, 2};
 constexpr unsigned FirstClientErrorStatus = 400;
 constexpr unsigned FirstServerErrorStatus = 500;
 
@@ -28,7 +29,7 @@
 {
     if (options_.address.empty())
         return;
-    client_ = std::make_unique<HttpClient>(loop_, options_.address, MaxWorkerConnections);
+    client_ = std::make_unique<HttpClient>(loop_, options_.address, WorkerConnections);
     messenger_.on<HeartbeatReply>([this](const Sender &, HeartbeatReply &&reply) {
         if (executor_.handleReply(reply))
             mustSendLease_ = true;
@@ -79,18 +80,45 @@
         return;
     mustSendLease_ = false;
     isSendingLease_ = true;
-    client_->call(leaseRequest(*executor_.leaseEnd(), executor_.session()), options_.callTimeout,
-                  [this](const HttpCallResult &result) {
-                      isSendingLease_ = false;
-                      if (!isSuccess(result))
-                          mustSendLease_ = true;
-                  });
+    client_->call(
+        leaseRequest(*executor_.leaseEnd(), executor_.session()), options_.callTimeout,
+        [this](const HttpCallResult &result) {
+            isSendingLease_ = false;
+            if (!isSuccess(result))
+                mustSendLease_ = true;
+        },
+        Precedence::Urgent);
 }
 
 void WorkerTask::call(const Placement::WorkerCall &call)
 {
-    client_->call(workerRequest(call), options_.callTimeout,
-                  [this, call](const HttpCallResult &result) { handleCallResult(call, result); });
+    const bool isStop = call.action == TaskAction::Stop;
+    if (isStop)
+        cancelWaitingStarts(call);
+    const auto id = std::make_shared<HttpClient::CallId>();
+    *id = client_->call(
+        workerRequest(call), options_.callTimeout,
+        [this, call, id](const HttpCallResult &result) {
+            const auto starts = startCalls_.find({call.task, call.attempt});
+            if (starts != startCalls_.end() && starts->second.erase(*id) > 0
+                && starts->second.empty())
+                startCalls_.erase(starts);
+            handleCallResult(call, result);
+        },
+        isStop ? Precedence::Urgent : Precedence::Normal);
+    if (call.action == TaskAction::Start)
+        startCalls_[{call.task, call.attempt}].insert(*id);
+}
+
+void WorkerTask::cancelWaitingStarts(const Placement::WorkerCall &stop)
+{
+    const auto starts = startCalls_.find({stop.task, stop.attempt});
+    if (starts == startCalls_.end())
+        return;
+    std::erase_if(starts->second,
+                  [this](HttpClient::CallId id) { return client_->cancelWaiting(id); });
+    if (starts->second.empty())
+        startCalls_.erase(starts);
 }
 
 void WorkerTask::handleCallResult(const Placement::WorkerCall &call, const HttpCallResult &result)
--- a/Source/Agent/workertask.h
+++ b/Source/Agent/workertask.h
@@ -8,7 +8,9 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace Oleander {
@@ -58,6 +60,8 @@
     void listTasks();
     void readUsage();
     void call(const Placement::WorkerCall &call);
+    /** Cancels the calls to start the attempt of \a stop that still wait for a connection. */
+    void cancelWaitingStarts(const Placement::WorkerCall &stop);
     void handleCallResult(const Placement::WorkerCall &call, const HttpCallResult &result);
     void sendLease();
     void report();
@@ -67,6 +71,8 @@
     WorkerTaskOptions options_;
     Placement::TaskExecutor executor_;
     std::unique_ptr<HttpClient> client_;
+    /** Calls without a result that start the attempt. */
+    std::map<std::pair<std::string, std::uint32_t>, std::set<HttpClient::CallId>> startCalls_;
     Timer tickTimer_;
     Timer listTimer_;
     Timer usageTimer_;
