Tests: Check what late answers about the group do after they were received

The two tests of late and crossing answers ended before the late answer had to be received, so they passed with the comparison of terms taken out. A mark on the same connection now follows the answer. With the comparison out both fail; with hosts of a view without a leader always taken over, the first fails; with a leader named to others without a recent confirmation, "A process names no leader that has stopped confirming" fails.

--- a/Tests/Fleet/leaderclienttest.cpp
+++ b/Tests/Fleet/leaderclienttest.cpp
@@ -27,16 +27,16 @@
     {
         REQUIRE(messenger.listen(address).has_value());
         messenger.on<GroupQuery>([this](const Sender &from, GroupQuery &&) {
-            asker = from.name;
+            asker_ = from.name;
             ++queries;
             if (answers)
                 tell(view);
         });
     }
-    void tell(const GroupView &told) { REQUIRE(messenger.send(asker, told).has_value()); }
+    void tell(const Message &told) { REQUIRE(messenger.send(asker_, told).has_value()); }
 
 private:
-    std::string asker;
+    std::string asker_;
 };
 
 struct Search
@@ -49,12 +49,27 @@
     /** An address at which nobody listens. */
     std::string gone = Loopback::freeAddress(Loopback::nextHost());
 
-    Search() { leader.view = {3, leader.address, {leader.address}}; }
+    int leaderChanges = 0;
+
+    Search()
+    {
+        leader.view = {3, leader.address, {leader.address}};
+        client.leaderChanged.connect([this] { ++leaderChanges; });
+        messenger.on<RequestCancel>([this](const Sender &, RequestCancel &&) { ++marks_; });
+    }
 
     bool isPeer(const std::string &host) const
     {
         return std::ranges::count(messenger.peers(), host) > 0;
     }
+    /** Has \a host send \a view and runs until it was received. */
+    void receive(ScriptedHost &host, const GroupView &view)
+    {
+        const int target = marks_ + 1;
+        host.tell(view);
+        host.tell(RequestCancel{"mark"});
+        runUntil(loop, [&] { return marks_ == target; });
+    }
     void runUntilReachable()
     {
         runUntil(loop, [&] { return client.isLeaderReachable(); });
@@ -65,6 +80,9 @@
         const std::size_t target = host.queries + count;
         runUntil(loop, [&] { return host.queries >= target; });
     }
+
+private:
+    int marks_ = 0;
 };
 
 } // namespace
@@ -105,10 +123,10 @@
     search.client.start();
     search.runUntilReachable();
     REQUIRE(search.seed.queries > 0);
-    search.seed.tell({2, search.gone, {search.gone}});
-    search.seed.tell({0, "", {search.gone}});
-    search.runUntilAsked(search.leader, 1);
+    search.receive(search.seed, {2, search.gone, {search.gone}});
+    search.receive(search.seed, {0, "", {search.gone}});
     CHECK(search.client.isLeaderReachable());
+    CHECK(search.leaderChanges == 1);
     CHECK_FALSE(search.isPeer(search.gone));
 }
 
@@ -118,9 +136,9 @@
     search.seed.view = {2, search.gone, {search.gone, search.leader.address}};
     search.client.start();
     search.runUntilReachable();
-    search.seed.tell({2, search.gone, {search.gone}});
-    search.runUntilAsked(search.leader, 1);
+    search.receive(search.seed, {2, search.gone, {search.gone}});
     CHECK(search.client.isLeaderReachable());
+    CHECK(search.client.groupView().leader == search.leader.address);
 }
 
 TEST_CASE("A process names no leader that has stopped confirming, but still its hosts")
--- a/Tests/Fleet/leadersearchtest.cpp
+++ b/Tests/Fleet/leadersearchtest.cpp
@@ -155,6 +155,27 @@
     }));
 }
 
+TEST_CASE("A seed that was frozen while the leader changed misleads no process when it resumes")
+{
+    SearchingFleet fleet(2);
+    fleet.setSeeds({fleet.diskless[0], fleet.diskless[1]});
+    REQUIRE(fleet.everyProcessFindsLeader());
+    fleet.control(fleet.diskless[0]).freeze();
+    const std::size_t leader = fleet.leader();
+    fleet.control(leader < FleetCluster::Controls ? leader : fleet.voters[2]).kill();
+    fleet.startEntry(0);
+    fleet.startAgent(0);
+    fleet.control(fleet.diskless[0]).resume();
+    CHECK(fleet.call(0, "GET", "/press/").status == 200);
+    CHECK(fleet.call(1, "GET", "/press/").status == 200);
+    const std::string body = FleetCluster::configuration(9);
+    for (const std::size_t host : fleet.diskless)
+        CHECK(waitFor([&] { return fleet.configure(host, body) == 200; }));
+    CHECK(waitFor([&] {
+        return fleet.agent(0).standardOutput().find("control.leader-followed") != std::string::npos;
+    }));
+}
+
 TEST_CASE("A control host with an empty disk whose seeds hold no disk joins the group")
 {
     SearchingFleet fleet(2);
