Tests: Reserve the hosts of a test program for as long as a process of it lives

Cause: a stand-in minion of another test program announced itself to an agent of this one. A killed test program leaves its processes behind (seen: two stand-in minions after SIGKILL), and they go on announcing themselves to an address that the system may hand out again. Hosts of their own kept running programs apart, but were derived from the process id, which is reused after 32,768 processes.

"The hosts of a killed test program are not handed out while its processes run" fails if the processes do not inherit the reservation.

--- a/Tests/Support/Selftest/forwardertest.cpp
+++ b/Tests/Support/Selftest/forwardertest.cpp
@@ -1,5 +1,6 @@
 #include "Support/forwarder.h"
 
+#include "Support/childprocess.h"
 #include "Support/loopback.h"
 #include "Support/socket.h"
 #include "Support/waitfor.h"
@@ -8,6 +9,7 @@
 #include <poll.h>
 #include <sys/socket.h>
 
+#include <memory>
 #include <set>
 #include <string>
 
@@ -75,6 +77,17 @@
     }
 }
 
+TEST_CASE("The hosts of a killed test program are not handed out while its processes run")
+{
+    const HostBlock own(0);
+    auto killed = std::make_unique<HostBlock>(0);
+    const std::string host = killed->host(0);
+    CHECK(host != own.host(0));
+    const ChildProcess left({"/bin/sleep", "600"});
+    killed.reset();
+    CHECK(HostBlock(0).host(0) != host);
+}
+
 TEST_CASE("Test programs get hosts of 127.0.0.0/8 and free ports")
 {
     const auto first = Loopback::nextHost();
