Tests: Resume a frozen or isolated agent only once its worker counts as lost

What was seen: "Tasks of a frozen agent move after its lease has expired, and never run on two workers" waited 60 s in vain for the event "The worker is back." (KNOWN-RED.txt).

Cause found, not proved to be that of the one failure: the test took the busier worker from two looks, in which an unanswered one counts as no attempts. If the frozen agent has no task, the other worker runs all jobs already, so the agent is resumed before its lease has expired; it is never lost, and never back.

Both tests now choose the worker from one look that finds all jobs, and require the event of the loss before they resume or heal, which they did not check before. All other checks are unchanged.

--- a/Tests/TaskPath/taskfaultstest.cpp
+++ b/Tests/TaskPath/taskfaultstest.cpp
@@ -7,6 +7,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <array>
 #include <cstdint>
 #include <fstream>
 #include <limits>
@@ -84,8 +85,16 @@
         return count;
     }
 
-    /** The worker that runs more of the jobs. */
-    std::size_t busierWorker() const { return runningAttempts(0) >= runningAttempts(1) ? 0 : 1; }
+    /** The worker that runs more of the jobs, from one look that finds all of them. */
+    std::size_t busierWorker() const
+    {
+        std::array<std::size_t, 2> attempts{};
+        REQUIRE(waitFor([&] {
+            attempts = {runningAttempts(0), runningAttempts(1)};
+            return attempts[0] + attempts[1] == Jobs;
+        }));
+        return attempts[0] >= attempts[1] ? 0 : 1;
+    }
 
     /** Describes the first two overlapping attempts of a task; empty if there are none. */
     std::string describeOverlap() const
@@ -162,6 +171,7 @@
     tasks.cluster().agent(frozen).freeze();
     REQUIRE(waitFor([&] { return tasks.runningAttempts(1 - frozen) == Jobs; }));
     CHECK(tasks.runningAttempts(frozen) == 0);
+    REQUIRE(tasks.waitForEvent("The worker is lost."));
     tasks.cluster().agent(frozen).resume();
     REQUIRE(tasks.waitForEvent("The worker is back."));
     CHECK(tasks.runningAttempts(0) + tasks.runningAttempts(1) == Jobs);
@@ -177,6 +187,7 @@
     tasks.cluster().isolate(name);
     REQUIRE(waitFor([&] { return tasks.runningAttempts(1 - cut) == Jobs; }));
     CHECK(tasks.runningAttempts(cut) == 0);
+    REQUIRE(tasks.waitForEvent("The worker is lost."));
     tasks.cluster().heal();
     REQUIRE(tasks.waitForEvent("The worker is back."));
     CHECK(tasks.runningAttempts(0) + tasks.runningAttempts(1) == Jobs);
