Runtime: Send no call whose deadline has passed

A call that waited for a connection, or for the check of its connection, was sent after its deadline if the process stood still meanwhile: after a stall the event loop handles the answer that frees or accepts the connection before the expired timer. Callers saw such a call time out with the word that it may have been sent, and the server executed it as late as the stall was long. A start that the agent had handed over on a recent word of the leader could thus reach the minion any time later, whatever had been cancelled since.

The new test lets the process stand still for twice the timeout of a call that waits: on the code before, the call reached the server in 3 of 3 runs, both behind a busy connection and behind the check; with the change it did not in 3 of 3 runs.

Now the deadline is examined at the one place where a call's own request is sent. The connection stays open for the next call. The timeout of an urgent call counts from its sending, so it is not affected.

--- a/Source/Runtime/httpclient.cpp
+++ b/Source/Runtime/httpclient.cpp
@@ -15,6 +15,7 @@
 #include <deque>
 #include <list>
 #include <map>
+#include <utility>
 
 namespace Oleander {
 
@@ -103,7 +104,10 @@
     void send(Call &call, const HttpRequest &request);
     /** Sends the request of \a call if the check accepts \a response. */
     void completeCheck(Call *call, const HttpResponse &response);
-    /** Sends \a call over its accepted connection, with the time that it has left. */
+    /** Returns the connection of \a call, over which nothing has been sent for it. */
+    void release(Call &call);
+    /** Sends \a call over its accepted connection, with the time that it has left; a call that has
+     * none left is left to its timer. */
     void sendAccepted(Call &call);
     bool mayStartNormal() const;
     void startWaiting();
@@ -200,6 +204,9 @@
     if (call.precedence == Precedence::Urgent)
         call.deadline = now + call.timeout;
     call.timer->startOnce(call.deadline - now);
+    // After a stall of the process, sockets are handled before expired timers.
+    if (now >= call.deadline)
+        return release(call);
     send(call, call.request);
 }
 
@@ -249,6 +256,11 @@
     connection.precedence = call.precedence;
 }
 
+void HttpClient::Private::release(Call &call)
+{
+    std::exchange(call.connection, nullptr)->call = 0;
+}
+
 bool HttpClient::Private::mayStartNormal() const
 {
     const auto occupied = std::ranges::count_if(connections, [](const Connection &item) {
--- a/Tests/Runtime/httptest.cpp
+++ b/Tests/Runtime/httptest.cpp
@@ -9,6 +9,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <optional>
 #include <thread>
 
@@ -287,6 +288,49 @@
     fixture.held.clear();
 }
 
+TEST_CASE("A call whose deadline passed while the process stood still is not sent")
+{
+    // The answer that frees or accepts the connection is handled before the expired timer.
+    constexpr Duration Timeout = std::chrono::milliseconds(100);
+    Fixture fixture;
+    std::vector<std::string> paths;
+    const auto standStill = [&] {
+        fixture.loop.post([=] { std::this_thread::sleep_for(2 * Timeout); });
+    };
+    HttpServer server(fixture.loop, {}, [&](const std::shared_ptr<HttpExchange> &exchange) {
+        paths.push_back(exchange->request().path);
+        exchange->respond({200, {}, "x"});
+        if (paths.size() == 1)
+            standStill();
+    });
+    const auto address = server.listen("127.0.0.1:0");
+    REQUIRE(address.has_value());
+    const bool isChecked = GENERATE(false, true);
+    std::optional<ConnectionCheck> check;
+    if (isChecked) {
+        check = ConnectionCheck{[] {
+                                    return HttpRequest{"GET", "/first"};
+                                },
+                                [](const HttpResponse &) { return true; }, RunLimit};
+    }
+    HttpClient client(fixture.loop, *address, 1, check);
+    if (!isChecked)
+        client.call({"GET", "/first"}, RunLimit, [](const HttpCallResult &) {});
+    std::optional<HttpCallResult> result;
+    client.call({"POST", "/call"}, Timeout,
+                [&](HttpCallResult answer) { result = std::move(answer); });
+    fixture.runUntil([&] { return result.has_value(); });
+    REQUIRE_FALSE(result->has_value());
+    CHECK_FALSE(result->error().mayHaveBeenSent);
+    CHECK(std::ranges::count(paths, "/call") == 0);
+    // The connection stays usable.
+    result.reset();
+    client.call({"POST", "/next"}, RunLimit,
+                [&](HttpCallResult answer) { result = std::move(answer); });
+    fixture.runUntil([&] { return result.has_value(); });
+    CHECK(result->has_value());
+}
+
 TEST_CASE("An urgent call goes before normal calls and does not wait for them")
 {
     Fixture fixture;
