Tests: Guard the stamp of reports that bounds the age of a start

A report without a stamp makes an order look as new as its arrival, and a stamp from the future makes it look new for ever; no test of the agent examined either. With the stamp left out of the report the test of an order that is old on arrival passes, and so it does with a stamp that is not bounded by the agent's clock.

--- a/Tests/Fleet/withdrawnstarttest.cpp
+++ b/Tests/Fleet/withdrawnstarttest.cpp
@@ -67,6 +67,34 @@
     minion.runUntil([&] { return minion.starts.size() == 1; });
 }
 
+TEST_CASE("The age of an order counts from the agent's latest report before it")
+{
+    // Unstamped reports would make every order a new one, and a stamp from the future one for ever.
+    constexpr Duration CancelTime = std::chrono::seconds(3);
+    ScriptedMinion minion;
+    const TimePoint reportedAt = minion.loop.clock().now();
+    const std::int64_t stamp = minion.report().stamp;
+    CHECK(stamp >= reportedAt.time_since_epoch().count());
+    CHECK(stamp <= minion.loop.clock().now().time_since_epoch().count());
+    minion.startStatus = 500;
+    MachineDirective directive;
+    directive.term = 1;
+    directive.life = minion.life;
+    directive.holdUntilMs = 6'000;
+    directive.reportStamp = stamp + 2 * CancelTime.count();
+    StartOrder order;
+    order.task = First;
+    order.run = 1;
+    directive.starts.push_back(order);
+    minion.task.handleDirective(directive);
+    const TimePoint orderedAt = minion.loop.clock().now();
+    minion.runUntil([&] { return minion.loop.clock().now() > orderedAt + CancelTime; });
+    const std::size_t starts = minion.starts.size();
+    CHECK(starts > 1);
+    minion.runPolls(20);
+    CHECK(minion.starts.size() == starts);
+}
+
 TEST_CASE("A start that its minion has not confirmed is not sent again once the minion drains")
 {
     ScriptedMinion minion;
