Tests: Freeze a worker in each plan of the soak

Each plan now freezes one stand-in worker for 20 to 400 calls beside the other faults. It is drawn after them, so the faults of a seed stay as they were, those of the regression seeds too. "Every plan freezes a worker" fails without it (50 of 50 plans).

It was not tried whether the checks detect a worker that runs its tasks on after the freeze.

--- a/Tests/Soak/plan.cpp
+++ b/Tests/Soak/plan.cpp
@@ -48,6 +48,21 @@
         }
     }
 
+    /** Freezes one worker beside the series, which stays as it was drawn. */
+    void drawFrozenWorker()
+    {
+        Fault fault;
+        fault.kind = FaultKind::Freeze;
+        const auto lastCall = plan_.lastCall();
+        do {
+            fault.target = numbered("worker", plan_.agents);
+            fault.begin = random_.between(plan_.gracefulCalls, lastCall);
+            fault.end = fault.begin + random_.between(20, 400);
+        } while (!isFree(fault));
+        const auto next = std::ranges::upper_bound(plan_.faults, fault.begin, {}, &Fault::begin);
+        plan_.faults.insert(next, std::move(fault));
+    }
+
 private:
     std::string numbered(const char *kind, std::size_t count)
     {
@@ -167,6 +182,7 @@
     FaultDraw draw(plan, random);
     draw.drawGraceful();
     draw.drawSeries();
+    draw.drawFrozenWorker();
     return plan;
 }
 
--- a/Tests/Soak/plantest.cpp
+++ b/Tests/Soak/plantest.cpp
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <set>
 
 using namespace Oleander::Testing;
@@ -22,6 +23,18 @@
                    && EndsWith("calls 1038 to 1181: cut-to-target agent-2>entry-1 0\n"));
 }
 
+TEST_CASE("Every plan freezes a worker")
+{
+    for (std::uint64_t seed = 1; seed <= 50; ++seed) {
+        const auto plan = makeSoakPlan(seed);
+        INFO(plan.text());
+        CHECK(std::ranges::any_of(plan.faults, [](const Fault &fault) {
+            return fault.kind == FaultKind::Freeze && fault.target.starts_with("worker-");
+        }));
+        CHECK(std::ranges::is_sorted(plan.faults, {}, &Fault::begin));
+    }
+}
+
 TEST_CASE("Every kind of fault is drawn, and faults of different targets overlap")
 {
     std::set<FaultKind> kinds;
