--- a/Source/Fleet/miniontaskpolling.cpp
+++ b/Source/Fleet/miniontaskpolling.cpp
@@ -148,6 +148,12 @@
     }
     for (const Jobs::PaceOrder &order : paceController_.update(loop_.clock().now(), runs)) {
         const auto &[task, run] = order.key;
+        logEvent(LogEvent::RunPaced, Step::Run, minion_.life.name,
+                 {{"job", task.job},
+                  {"step", task.step},
+                  {"index", task.index},
+                  {"run", run},
+                  {"percent", order.percent}});
         orderClient_->call(
             codec_.paceRequest(minion_.life.name, {task, run}, order.percent, term_), CallTimeout,
             [this, key = order.key, instance = instanceNumber_](const HttpCallResult &result) {
--- a/Source/Runtime/logevent.cpp
+++ b/Source/Runtime/logevent.cpp
@@ -51,6 +51,7 @@
     {LogEvent::JobServiceLevel, LogLevel::Info, "job.service-level"},
     {LogEvent::CapacityReserved, LogLevel::Info, "room.kept"},
     {LogEvent::RunMoved, LogLevel::Info, "run.moved"},
+    {LogEvent::RunPaced, LogLevel::Info, "run.paced"},
 
     {LogEvent::LeaderElected, LogLevel::Info, "control.leader-elected"},
     {LogEvent::LeaderSteppedDown, LogLevel::Warning, "control.leader-stood-down"},
--- a/Source/Runtime/logevent.h
+++ b/Source/Runtime/logevent.h
@@ -52,6 +52,7 @@
     JobServiceLevel = 3024,
     CapacityReserved = 3025,
     RunMoved = 3026,
+    RunPaced = 3040,
 
     LeaderElected = 4000,
     LeaderSteppedDown = 4001,
