Fleet: Count a withdrawn start as refused once its lease has expired

Cause: a withdrawn start with an unanswered call counted as refused only after an answered stop. Each call carries the end of its lease, at most 5 s ahead, after which the minion refuses it anyway.

Evidence: "A withdrawn start counts as refused once its lease has expired, even if no stop is answered" fails before: no refusal is reported within 20 s.

The agent now forgets an unanswered call of a withdrawn start once the minion's own clock has passed the end of that lease; the run counts as refused after one more poll that does not list it. Stops are sent until then as before. The leader already gives up runs by the same reasoning.

--- a/Source/Fleet/miniontaskpolling.cpp
+++ b/Source/Fleet/miniontaskpolling.cpp
@@ -106,7 +106,9 @@
     for (const Jobs::RunKey &key : present)
         undeliveredStarts_.erase(key);
     std::erase_if(unansweredStarts_, [this](const auto &item) {
-        return item.second < minionClockMs_ && !undeliveredStarts_.contains(item.first);
+        const auto start = undeliveredStarts_.find(item.first);
+        return item.second < minionClockMs_
+               && (start == undeliveredStarts_.end() || start->second.isWithdrawn);
     });
     for (auto it = refusals_.begin(); it != refusals_.end();) {
         auto &[key, refusal] = *it;
--- a/Tests/Fleet/withdrawnstarttest.cpp
+++ b/Tests/Fleet/withdrawnstarttest.cpp
@@ -26,6 +26,26 @@
     CHECK(minion.starts.size() == 1);
 }
 
+TEST_CASE(
+    "A withdrawn start counts as refused once its lease has expired, even if no stop is answered")
+{
+    // The run stayed active and its task waited until a stop was answered, up to 20 s.
+    constexpr std::uint64_t LeaseEnd = 6'000;
+    ScriptedMinion minion;
+    minion.startStatus = 0;
+    minion.answersStops = false;
+    minion.sendDirective(LeaseEnd, true);
+    minion.runUntil([&] { return minion.starts.size() == 1; });
+    minion.sendStop();
+    minion.clockMs = LeaseEnd;
+    minion.runUntil([&] { return minion.stops == 3; });
+    // The minion may still carry out the call.
+    CHECK_FALSE(minion.reportsRefusal());
+    minion.clockMs = LeaseEnd + 1;
+    minion.runUntil([&] { return minion.reportsRefusal(); });
+    CHECK(minion.starts.size() == 1);
+}
+
 TEST_CASE("A start that its minion has not confirmed is not sent again once the minion drains")
 {
     ScriptedMinion minion;
