--- a/Source/Fleet/miniontaskpolling.cpp
+++ b/Source/Fleet/miniontaskpolling.cpp
@@ -1,5 +1,6 @@
 #include "Fleet/miniontask.h"
 #include "Fleet/miniontaskprivate.h"
+#include "Fleet/runlog.h"
 #include "Runtime/log.h"
 
 #include <algorithm>
@@ -106,7 +107,9 @@
     for (const Jobs::RunKey &key : present)
         confirmStart(key, "list");
     std::erase_if(unansweredStarts_, [this](const auto &item) {
-        return item.second < minionClockMs_ && !undeliveredStarts_.contains(item.first);
+        const auto start = undeliveredStarts_.find(item.first);
+        return item.second < minionClockMs_
+               && (start == undeliveredStarts_.end() || start->second.isWithdrawn);
     });
     for (auto it = refusals_.begin(); it != refusals_.end();) {
         auto &[key, refusal] = *it;
@@ -148,6 +151,8 @@
     }
     for (const Jobs::PaceOrder &order : paceController_.update(loop_.clock().now(), runs)) {
         const auto &[task, run] = order.key;
+        logRunEvent(LogEvent::RunPaced, Step::Run, minion_.life.name, order.key,
+                    {{"percent", order.percent}});
         orderClient_->call(
             codec_.paceRequest(minion_.life.name, {task, run}, order.percent, term_), CallTimeout,
             [this, key = order.key, instance = instanceNumber_](const HttpCallResult &result) {
