Tests: Guard the connections to the minion that starts never occupy

With no connection reserved for stops, "A stop does not wait for starts that the minion leaves unanswered" passes: the stop is the next call once the starts that occupy the connections have timed out. It allows for a stall of the process, which may let the starts time out first.

--- a/Tests/Fleet/orderprecedencetest.cpp
+++ b/Tests/Fleet/orderprecedencetest.cpp
@@ -47,8 +47,34 @@
     minion.task.handleDirective(directive);
 }
 
+/** True if a stop reached the minion before the unanswered starts that were sent before it timed
+ * out; a start that times out is sent again. */
+bool isStopSentBesideStarts()
+{
+    ScriptedMinion minion;
+    minion.startStatus = 0;
+    sendStarts(minion, 2);
+    minion.runUntil([&] { return minion.starts.size() >= StartsAtOnce; });
+    minion.sendStop();
+    minion.runUntil([&] { return minion.stops > 0; });
+    minion.startStatus = 200;
+    minion.answerAll();
+    minion.runUntil([&] { return minion.report().undelivered.empty(); });
+    return minion.starts.size() == Width;
+}
+
 } // namespace
 
+TEST_CASE("Unanswered starts never occupy all connections to the minion")
+{
+    // A stall of the process may let the starts time out first.
+    constexpr int Attempts = 10;
+    bool isSentBeside = false;
+    for (int i = 0; i < Attempts && !isSentBeside; ++i)
+        isSentBeside = isStopSentBesideStarts();
+    CHECK(isSentBeside);
+}
+
 TEST_CASE("A stop does not wait for starts that the minion leaves unanswered")
 {
     ScriptedMinion minion;
