--- a/Tests/Fleet/jobstest.cpp
+++ b/Tests/Fleet/jobstest.cpp
@@ -172,10 +172,20 @@
     const std::size_t leader = fleet.leader();
     REQUIRE(leader < FleetCluster::Controls);
     const std::size_t silent = (leader + 1) % FleetCluster::Controls;
+    const auto reachesVoterCount = [&](std::size_t count) {
+        if (waitFor([&] { return fleet.voterCountAt(leader) == count; }))
+            return true;
+        UNSCOPED_INFO("leader " << leader << ", silent " << silent);
+        for (std::size_t host = 0; host <= FleetCluster::Controls; ++host) {
+            UNSCOPED_INFO("control host " << host << " wrote:\n"
+                                          << fleet.control(host).standardOutput());
+        }
+        return false;
+    };
     fleet.control(silent).freeze();
-    REQUIRE(waitFor([&] { return fleet.voterCountAt(leader) == FleetCluster::Controls; }));
+    REQUIRE(reachesVoterCount(FleetCluster::Controls));
     fleet.control(silent).resume();
-    CHECK(waitFor([&] { return fleet.voterCountAt(leader) == FleetCluster::Controls + 1; }));
+    CHECK(reachesVoterCount(FleetCluster::Controls + 1));
 }
 
 TEST_CASE("A restarted agent resumes tracking the runs of its minion")
