Agent: refuse a repeated start order only after a stop

Cause: MinionTask remembers the unanswered calls of its own process only, so after a restart it took every order for one that had never been sent and refused it without a stop. The same held for a start that the minion answered with 409, 429 or 503, for a shrunken minion and for a lease that ends.

The leader now marks the first order of a run that it placed in its own term. The agent treats any other start that it does not know as one with an unanswered call, so it is refused only after the minion has answered a stop, after which it never starts that run, or after the lease of that call.

The test "A repeated start order counts as refused only after the minion has stopped the run" failed before (no stop within 20 s, both sections), as did "A repeated start order is refused once the lease of every earlier call has expired". The orders of ScriptedMinion are first orders, as its tests took for granted; none of their checks has changed.

--- a/Source/Fleet/miniontask.h
+++ b/Source/Fleet/miniontask.h
@@ -151,8 +151,8 @@
     std::map<Jobs::RunKey, StartOrder> startOrders_;
     std::map<Jobs::RunKey, UndeliveredStart> undeliveredStarts_;
     CrashAttribution crashAttribution_;
-    /** Starts with an unanswered call, which the minion may still execute, and the time on the
-     * minion's clock after which it will not. */
+    /** Starts with an unanswered call, of this or possibly an earlier process of the agent, which
+     * the minion may still execute, and the time on the minion's clock after which it will not. */
     std::map<Jobs::RunKey, std::uint64_t> unansweredStarts_;
     std::set<Jobs::RunKey> pendingStops_;
     /** Time of the latest directive for the current instance. */
--- a/Source/Fleet/miniontaskorders.cpp
+++ b/Source/Fleet/miniontaskorders.cpp
@@ -48,17 +48,19 @@
     });
     if (isRunning || refusals_.contains(key) || pendingStops_.contains(key))
         return;
-    if (minion_.draining && !undeliveredStarts_.contains(key)) {
-        refusals_[key] = {pollNumber_, false};
-        return;
-    }
-    UndeliveredStart &start = undeliveredStarts_[key];
+    const auto [place, isNew] = undeliveredStarts_.try_emplace(key);
+    UndeliveredStart &start = place->second;
     if (start.isWithdrawn)
         return;
+    // An earlier process of the agent may have sent the start and ended before the answer.
+    if (isNew && !order.isFirst)
+        unansweredStarts_[key] = std::max(unansweredStarts_[key], holdUntilMs);
     start.order = order;
     start.orderedAt = loop_.clock().now();
     start.sendUntil = std::max(start.sendUntil, sendUntil);
     start.validUntilMs = std::max(start.validUntilMs, holdUntilMs);
+    if (isNew && minion_.draining)
+        return withdrawStart(key, "the minion drains");
     sendStart(key);
 }
 
--- a/Source/Jobs/jobscheduler.cpp
+++ b/Source/Jobs/jobscheduler.cpp
@@ -46,6 +46,7 @@
     uncommittedAcknowledgements_.clear();
     movingRuns_.clear();
     committedAcknowledgements_.clear();
+    unorderedRuns_.clear();
     lastOrderAt_.clear();
 }
 
@@ -142,6 +143,11 @@
                       [&](const RunKey &key) { return book_.activeRun(key) == nullptr; });
         std::erase_if(endingRuns_,
                       [&](const RunKey &key) { return book_.activeRun(key) == nullptr; });
+        // The starts of a batch in flight are not active yet.
+        if (!startsInFlight_) {
+            std::erase_if(unorderedRuns_,
+                          [&](const RunKey &key) { return book_.activeRun(key) == nullptr; });
+        }
         for (const auto &[id, job] : book_.jobs()) {
             if (job.hasEnded() && nowMs > job.endedAtMs + EndedJobRetentionMs)
                 taken.batch.purged.push_back(id);
@@ -187,6 +193,8 @@
     planner_.update(now, nowMs);
     TaskPlacer placer(book_, machines_, interference_, estimates_, planner_);
     batch.starts = placer.place(now, nowMs);
+    for (const RunStart &start : batch.starts)
+        unorderedRuns_.insert({start.task, start.run});
     for (RunMove &move : placer.planMoves()) {
         if (movingRuns_.insert(move.run).second)
             moves_.push_back(std::move(move));
@@ -275,7 +283,8 @@
                                         job->tasks[key.first.step][key.first.index].checkpoint,
                                         step.filling, step.targetLatencyMs, step.image,
                                         step.milliCores,
-                                        step.filling ? weightOf(key.first.job, nowMs) : 1.0});
+                                        step.filling ? weightOf(key.first.job, nowMs) : 1.0,
+                                        unorderedRuns_.erase(key) > 0});
         }
     }
     const auto stopUnlessActive = [&](const RunKey &key) {
--- a/Source/Protocol/jobmessages.h
+++ b/Source/Protocol/jobmessages.h
@@ -199,6 +199,8 @@
     std::uint32_t milliCores = 0;
     /** Weight of the job, see JobWeight; used only for a filling run. */
     double weight = 1;
+    /** True if no earlier order for the run can have reached a process of the agent. */
+    bool isFirst = false;
 };
 
 template<typename F>
@@ -213,6 +215,7 @@
     f(v.image);
     f(v.milliCores);
     f(v.weight);
+    f(v.isFirst);
 }
 
 /** Order to stop a run on a minion. */
--- a/Tests/Fleet/scriptedminion.h
+++ b/Tests/Fleet/scriptedminion.h
@@ -32,6 +32,8 @@
     Fleet::MinionTask task{loop, Platform::platformCodec(), address};
     std::uint64_t clockMs = 1'000;
     std::uint64_t acknowledgedEnd = 0;
+    /** True if the start orders of sendDirective() are the first ones of their runs. */
+    bool ordersAreFirst = true;
     /** HTTP status of the answers to starts; 0 for no answer. */
     unsigned startStatus = 200;
     bool answersStops = true;
@@ -146,6 +148,7 @@
             StartOrder order;
             order.task = First;
             order.run = run;
+            order.isFirst = ordersAreFirst;
             directive.starts.push_back(order);
         }
         task.handleDirective(directive);
--- a/Tests/Fleet/withdrawnstarttest.cpp
+++ b/Tests/Fleet/withdrawnstarttest.cpp
@@ -134,3 +134,50 @@
     minion.answersStops = true;
     minion.runUntil([&] { return minion.reportsRefusal(); });
 }
+
+TEST_CASE("A repeated start order counts as refused only after the minion has stopped the run")
+{
+    // An earlier process of the agent may have sent the start without an answer. A restarted agent
+    // reported the refusal without a stop, and the minion executed the call beside the next run.
+    ScriptedMinion minion;
+    minion.ordersAreFirst = false;
+    minion.answersStops = false;
+    const bool isDraining = GENERATE(false, true);
+    if (isDraining)
+        minion.announceInstance(minion.life, 2, 1'000, true);
+    else
+        minion.startStatus = 503;
+    minion.sendDirective(6'000, true);
+    minion.runUntil([&] { return minion.stops == 2; });
+    minion.runPolls(2);
+    CHECK_FALSE(minion.reportsRefusal());
+    minion.answersStops = true;
+    minion.runUntil([&] { return minion.reportsRefusal(); });
+    CHECK(minion.starts.size() == (isDraining ? 0 : 1));
+}
+
+TEST_CASE("The first start order of a run is refused without a stop while the minion drains")
+{
+    // No call of the start can be on its way, so the task need not wait for an answered stop.
+    ScriptedMinion minion;
+    minion.announceInstance(minion.life, 2, 1'000, true);
+    minion.sendDirective(6'000, true);
+    minion.runUntil([&] { return minion.reportsRefusal(); });
+    CHECK(minion.starts.empty());
+    CHECK(minion.stops == 0);
+}
+
+TEST_CASE("A repeated start order is refused once the lease of every earlier call has expired")
+{
+    constexpr std::uint64_t LeaseEnd = 6'000;
+    ScriptedMinion minion;
+    minion.ordersAreFirst = false;
+    minion.answersStops = false;
+    minion.announceInstance(minion.life, 2, 1'000, true);
+    minion.sendDirective(LeaseEnd, true);
+    minion.clockMs = LeaseEnd;
+    minion.runUntil([&] { return minion.stops == 2; });
+    CHECK_FALSE(minion.reportsRefusal());
+    minion.clockMs = LeaseEnd + 1;
+    minion.runUntil([&] { return minion.reportsRefusal(); });
+}
--- a/Tests/Jobs/jobschedulertest.cpp
+++ b/Tests/Jobs/jobschedulertest.cpp
@@ -336,6 +336,37 @@
     CHECK(directive.term == 4);
 }
 
+TEST_CASE("Only the first order that any leader sends for a run is marked as the first")
+{
+    // Without the mark an agent assumes that an earlier process of it may have sent the start.
+    SchedulerFixture leader;
+    registerMinion(leader, "agent-a", LifeA);
+    leader.submit("j", {step(1)});
+    REQUIRE(leader.decide().starts.size() == 1);
+    const auto sendOrder = [&](std::uint64_t clockMs) {
+        leader.report("agent-a", reportOf(LifeA, clockMs));
+        const MachineDirective directive = leader.directive("agent-a");
+        REQUIRE(directive.starts.size() == 1);
+        return directive.starts.front().isFirst;
+    };
+    CHECK(sendOrder(1'100));
+    leader.advance(500ms);
+    CHECK_FALSE(sendOrder(1'600));
+    // The record of the latest order is dropped after some seconds.
+    constexpr int Steps = 30;
+    for (int i = 0; i < Steps; ++i) {
+        leader.advance(500ms);
+        MachineReport report = reportOf(LifeA, 2'000 + 500 * static_cast<std::uint64_t>(i));
+        report.running.push_back(runningRow(First, 1));
+        leader.report("agent-a", report);
+        leader.decide();
+        leader.directive("agent-a");
+    }
+    CHECK_FALSE(sendOrder(20'000));
+    leader.scheduler.startTerm(leader.clock.now(), SchedulerFixture::FirstTerm + 1);
+    CHECK_FALSE(sendOrder(20'100));
+}
+
 TEST_CASE("A run that is not active in the book is stopped")
 {
     SchedulerFixture leader;
