Agent, leader: a run missing from an incomplete list of ends may have ended

Cause: minions list 500 ends at a time, which nothing in the product knew. A new leader ordered the unlisted runs again; the minion refused them as old, the next list did not contain them either, and the agent reported them as refused, as if they had never started. The leader then placed the tasks again. Stops had the same effect, also of runs that no longer fit a smaller minion.

Evidence: run.ordered, task.order-refused (409, old), run.start-withdrawn and run.decided for run 2 of such a task within 0.1 s, while its first end was noted by the minion after the refusal.

The codec of the platform now says whether a minion may hold more ends than it lists. The agent confirms a refusal only by a list of all ends, and the leader orders no run again that may be among the unlisted ones, except a run that it has just placed.

The stand-in minion lists 500 ends at a time like those of the platform.

--- a/Source/Fleet/fleetcodec.h
+++ b/Source/Fleet/fleetcodec.h
@@ -59,6 +59,8 @@
     std::uint64_t clockMs = 0;
     std::vector<RunStatus> running;
     std::vector<RunEnd> finished;
+    /** True if the minion may hold more ends, which it lists once these are acknowledged. */
+    bool hasMoreEnds = false;
 };
 
 /** Parameters of a poll of the runs of a minion. */
--- a/Source/Fleet/miniontask.cpp
+++ b/Source/Fleet/miniontask.cpp
@@ -152,6 +152,7 @@
     holdUntilMs_ = 0;
     acknowledgedEnd_ = 0;
     hasRunList_ = false;
+    hasMoreEnds_ = false;
     refusedPolls_ = 0;
     crashAttribution_ = {};
     highestEndNumber_ = 0;
@@ -270,6 +271,7 @@
     report.hasRunList = hasRunList_;
     report.running = running_;
     report.finished = finished_;
+    report.hasMoreEnds = hasMoreEnds_;
     report.fillingPercent = paceController_.fillingPercent();
     for (const auto &[key, start] : undeliveredStarts_)
         report.undelivered.push_back(makeRunEnd(key, RunEndKind::Lost));
--- a/Source/Fleet/miniontask.h
+++ b/Source/Fleet/miniontask.h
@@ -65,7 +65,8 @@
         unsigned attempts = 0;
     };
     /** A run that the minion refused, or that was stopped before it started. It certainly never
-     * started if a poll begun afterwards does not list it; the refusal is then confirmed. */
+     * started if a poll begun afterwards lists all ends and not the run; the refusal is then
+     * confirmed. */
     struct Refusal
     {
         std::uint64_t afterPoll = 0;
@@ -146,6 +147,8 @@
     unsigned refusedPolls_ = 0;
     std::vector<RunStatus> running_;
     std::vector<RunEnd> finished_;
+    /** True if the minion may hold more ends than finished_. */
+    bool hasMoreEnds_ = false;
     std::uint64_t highestEndNumber_ = 0;
     /** Start orders of the runs that may be active. */
     std::map<Jobs::RunKey, StartOrder> startOrders_;
--- a/Source/Fleet/miniontaskpolling.cpp
+++ b/Source/Fleet/miniontaskpolling.cpp
@@ -96,6 +96,7 @@
     }
     running_ = std::move(lists.running);
     finished_ = std::move(lists.finished);
+    hasMoreEnds_ = lists.hasMoreEnds;
     hasRunList_ = true;
     std::set<Jobs::RunKey> present;
     for (const RunStatus &status : running_)
@@ -117,7 +118,8 @@
             it = refusals_.erase(it);
             continue;
         }
-        if (!refusal.isConfirmed && number > refusal.afterPoll) {
+        // A run that is missing from an incomplete list may have ended.
+        if (!refusal.isConfirmed && number > refusal.afterPoll && !hasMoreEnds_) {
             refusal.isConfirmed = true;
             latestEventReport_ = NotYetReported;
             hasChanges = true;
--- a/Source/Jobs/jobscheduler.cpp
+++ b/Source/Jobs/jobscheduler.cpp
@@ -258,6 +258,8 @@
         const bool isOrderKnown = view != machine.running.end() && view->second.isOrderKnown;
         if (machine.finishing.contains(key))
             continue;
+        const bool mayHaveEnded =
+            machine.hasMoreEnds && view == machine.running.end() && !unorderedRuns_.contains(key);
         // Another run of the task may start as soon as the end is committed.
         if (endingRuns_.contains(key))
             continue;
@@ -267,15 +269,15 @@
                 directive.stops.push_back({key.first, key.second});
         } else if (view == machine.running.end() && exceedsCapacity()) {
             // The minion has shrunk since the start was decided. A run that the latest report could
-            // not list may be at work and is not stopped.
-            if (machine.listedAt != machine.reportedAt)
+            // not list may be at work, or have ended, and is not stopped.
+            if (machine.listedAt != machine.reportedAt || mayHaveEnded)
                 continue;
             claim->remove(stepOf(key));
             if (recordOrderIfDue(now, key, OrderKind::Stop))
                 directive.stops.push_back({key.first, key.second});
         } else if (machine.undelivered.contains(key)) {
             directive.renewals.push_back({key.first, key.second});
-        } else if (machine.leaseUntilMs > 0 && !isOrderKnown
+        } else if (machine.leaseUntilMs > 0 && !isOrderKnown && !mayHaveEnded
                    && recordOrderIfDue(now, key, OrderKind::Start)) {
             const Job *job = book_.find(key.first.job);
             const StepSpec &step = job->steps[key.first.step];
--- a/Source/Jobs/machinetable.cpp
+++ b/Source/Jobs/machinetable.cpp
@@ -144,6 +144,7 @@
     machine.reportedAt = now;
     machine.reportStamp = report.stamp;
     machine.fillingPercent = report.fillingPercent;
+    machine.hasMoreEnds = report.hasMoreEnds;
     machine.clockMs = std::max(machine.clockMs, report.minionClockMs);
     updateRuns(now, machine, report, book);
     for (const auto *list : {&report.finished, &report.refused}) {
--- a/Source/Jobs/machinetable.h
+++ b/Source/Jobs/machinetable.h
@@ -76,6 +76,8 @@
     std::uint32_t fillingPercent = 100;
     std::set<RunKey> undelivered;
     std::set<RunKey> finishing;
+    /** MachineReport::hasMoreEnds of the latest report. */
+    bool hasMoreEnds = false;
     MinionHealth health;
     /** Time since which the filling runs have used almost no processor time. */
     std::optional<TimePoint> fillingIdleSince;
--- a/Source/Protocol/jobmessages.h
+++ b/Source/Protocol/jobmessages.h
@@ -154,7 +154,7 @@
     /** True if \a running is the complete list of the minion's runs. */
     bool hasRunList = false;
     std::vector<RunStatus> running;
-    /** Ended runs that the minion reports and that are not yet acknowledged. */
+    /** Ended runs that the minion lists and that are not yet acknowledged; see hasMoreEnds. */
     std::vector<RunEnd> finished;
     /** Start orders that the agent is still trying to deliver to the minion. */
     std::vector<RunEnd> undelivered;
@@ -166,6 +166,9 @@
     std::vector<MinionCrash> crashes;
     /** Time of the report on the agent's clock, in microseconds; only the agent interprets it. */
     std::int64_t stamp = 0;
+    /** True if the minion may hold more ends than it lists at a time. A run that it does not list
+     * may then have ended. */
+    bool hasMoreEnds = false;
 };
 
 template<typename F>
@@ -184,6 +187,7 @@
     f(v.fillingPercent);
     f(v.crashes);
     f(v.stamp);
+    f(v.hasMoreEnds);
 }
 
 /** Order to start a run on a minion, with the data that its agent needs for throttling. */
--- a/Tests/Fleet/fleetcluster.cpp
+++ b/Tests/Fleet/fleetcluster.cpp
@@ -253,6 +253,14 @@
     return all;
 }
 
+bool FleetCluster::finishRuns()
+{
+    return std::ranges::all_of(machines_, [](const Machine &machine) {
+        return httpCall(machine.minionAddress, {"POST", "/standin/finish", {}, {}}, CallLimit)
+            .has_value();
+    });
+}
+
 std::size_t FleetCluster::leader()
 {
     for (std::size_t i = 0; i < Controls; ++i) {
--- a/Tests/Fleet/fleetcluster.h
+++ b/Tests/Fleet/fleetcluster.h
@@ -59,6 +59,9 @@
     bool reachesState(const std::string &id, const std::string &expectedState);
     /** Returns the starts made by the currently running minions, as lines "TASK RUN". */
     std::vector<std::string> starts();
+    /** Finishes all runs of the currently running minions; returns false if a minion did not
+     * answer. */
+    bool finishRuns();
     /** Returns the index of the leading control host, or Controls if there is none. */
     std::size_t leader();
     /** Returns the metrics of every process in the text exposition format. */
--- a/Tests/Fleet/jobstest.cpp
+++ b/Tests/Fleet/jobstest.cpp
@@ -127,6 +127,23 @@
     CHECK(std::set<std::string>(starts.begin(), starts.end()).size() == 100);
 }
 
+TEST_CASE("No task starts again when more ends wait at a minion than it lists at a time")
+{
+    // The unlisted runs were taken for runs that had never started.
+    constexpr std::size_t Tasks = 3'000;
+    const std::string wide = R"({"spec":"work","steps":[{"count":)" + std::to_string(Tasks)
+                             + R"(,"cpu":1,"memMb":1,"estimateMs":100}]})";
+    FleetCluster fleet;
+    REQUIRE(fleet.start());
+    for (std::size_t i = 0; i < FleetCluster::Machines; ++i)
+        fleet.startMinion(i, 600'000);
+    REQUIRE(fleet.submit(0, FirstId, wide) == 200);
+    REQUIRE(waitFor([&] { return fleet.starts().size() == Tasks; }));
+    REQUIRE(fleet.finishRuns());
+    CHECK(fleet.reachesState(FirstId, "completed"));
+    CHECK(fleet.starts().size() == Tasks);
+}
+
 TEST_CASE("Accepted jobs and configurations survive when every control host is killed")
 {
     FleetCluster fleet;
--- a/Tests/Fleet/miniontasktest.cpp
+++ b/Tests/Fleet/miniontasktest.cpp
@@ -200,3 +200,45 @@
     minion.task.handleDirective(directive);
     CHECK(minion.report().ended.empty());
 }
+
+TEST_CASE("A run is not reported as refused while more ends wait than the minion lists")
+{
+    // Its own end may be one of them. Tasks that had ended were started again.
+    ScriptedMinion minion;
+    minion.addEnds(Testing::MaxListedEnds);
+    minion.ends.push_back(
+        Json::array({Testing::MaxListedEnds + 1, First.job + ".0.0.0", 1, "done", ""}));
+    const bool isStopped = GENERATE(false, true);
+    if (isStopped) {
+        minion.sendStop();
+        minion.runUntil([&] { return minion.stops == 1; });
+    } else {
+        minion.startStatus = 409;
+        minion.sendDirective(6'000, true);
+        minion.runUntil([&] { return minion.starts.size() == 1; });
+    }
+    minion.runPolls(3);
+    CHECK_FALSE(minion.reportsRefusal());
+    CHECK(minion.report().hasMoreEnds);
+    minion.acknowledgedEnd = Testing::MaxListedEnds;
+    minion.sendDirective(6'000, false);
+    minion.runUntil([&] { return !minion.report().hasMoreEnds; });
+    minion.runPolls(2);
+    CHECK_FALSE(minion.reportsRefusal());
+    REQUIRE(minion.report().finished.size() == 1);
+    CHECK(minion.report().finished.front().task == First);
+}
+
+TEST_CASE("A run that never started is reported as refused once the minion lists all its ends")
+{
+    ScriptedMinion minion;
+    minion.addEnds(Testing::MaxListedEnds + 1);
+    minion.startStatus = 409;
+    minion.sendDirective(6'000, true);
+    minion.runUntil([&] { return minion.starts.size() == 1; });
+    minion.runPolls(3);
+    CHECK_FALSE(minion.reportsRefusal());
+    minion.acknowledgedEnd = 2;
+    minion.sendDirective(6'000, false);
+    minion.runUntil([&] { return minion.reportsRefusal(); });
+}
--- a/Tests/Fleet/scriptedminion.h
+++ b/Tests/Fleet/scriptedminion.h
@@ -19,6 +19,8 @@
 using Json = nlohmann::json;
 
 constexpr std::uint64_t FirstBirth = 100;
+/** Limit of the ends that a minion of the platform lists at a time. */
+constexpr std::size_t MaxListedEnds = 500;
 inline const TaskRef First{"5c0e7a21d94b36f8", 0, 0};
 
 /** A scripted minion and the MinionTask that tracks it. */
@@ -41,6 +43,9 @@
     std::size_t unansweredStops = 0;
     std::vector<Json> starts;
     std::vector<Json> polls;
+    /** Ended runs, as rows of the list "finished"; a poll returns those after its ackCursor, at
+     * most MaxListedEnds at a time. */
+    std::vector<Json> ends;
     std::size_t stops = 0;
     /** Number of starts received before the latest stop. */
     std::size_t startsBeforeStop = 0;
@@ -112,7 +117,7 @@
             polls.push_back(Json::parse(exchange->request().body));
             body["born"] = life.bornMs;
             body["running"] = Json::array();
-            body["finished"] = Json::array();
+            body["finished"] = listedEnds(polls.back().at("ackCursor"));
             return exchange->respond({200, {}, body.dump()});
         }
         if (path.ends_with("run-stop")) {
@@ -130,6 +135,27 @@
         unansweredRequests.push_back(exchange);
     }
 
+    /** Returns the rows that a poll lists after the acknowledged end \a cursor. */
+    Json listedEnds(std::uint64_t cursor) const
+    {
+        Json rows = Json::array();
+        for (const Json &row : ends) {
+            if (row.at(0) > cursor && rows.size() < MaxListedEnds)
+                rows.push_back(row);
+        }
+        return rows;
+    }
+
+    /** Adds \a count ended runs of other tasks. */
+    void addEnds(std::size_t count)
+    {
+        for (std::size_t i = 0; i < count; ++i) {
+            const std::uint64_t number = ends.size() + 1;
+            ends.push_back(
+                Json::array({number, First.job + ".0.1." + std::to_string(i), 1, "done", ""}));
+        }
+    }
+
     /** Answers the unanswered requests. */
     void answerAll()
     {
--- a/Tests/Jobs/jobschedulertest.cpp
+++ b/Tests/Jobs/jobschedulertest.cpp
@@ -367,6 +367,41 @@
     CHECK_FALSE(sendOrder(20'100));
 }
 
+TEST_CASE("A run whose end the minion may not have listed yet is not ordered again")
+{
+    SchedulerFixture leader;
+    registerMinion(leader, "agent-a", LifeA);
+    leader.submit("j", {step(1)});
+    REQUIRE(leader.decide().starts.size() == 1);
+    MachineReport report = reportOf(LifeA, 1'100);
+    report.hasMoreEnds = true;
+    // No order has reached the minion, so the run cannot have ended there.
+    leader.report("agent-a", report);
+    CHECK(leader.directive("agent-a").starts.size() == 1);
+    const bool isNewTerm = GENERATE(false, true);
+    if (isNewTerm)
+        leader.scheduler.startTerm(leader.clock.now(), SchedulerFixture::FirstTerm + 1);
+    leader.advance(500ms);
+    leader.report("agent-a", report);
+    CHECK(leader.directive("agent-a").starts.empty());
+    report.hasMoreEnds = false;
+    leader.report("agent-a", report);
+    CHECK(leader.directive("agent-a").starts.size() == 1);
+}
+
+TEST_CASE("A run whose end the minion may not have listed yet is stopped with its job")
+{
+    SchedulerFixture leader;
+    registerMinion(leader, "agent-a", LifeA);
+    leader.submit("j", {step(1)});
+    REQUIRE(leader.decide().starts.size() == 1);
+    leader.cancel("j");
+    MachineReport report = reportOf(LifeA, 1'100);
+    report.hasMoreEnds = true;
+    leader.report("agent-a", report);
+    CHECK(leader.directive("agent-a").stops.size() == 1);
+}
+
 TEST_CASE("A run that is not active in the book is stopped")
 {
     SchedulerFixture leader;
--- a/Tests/Platform/platformcodectest.cpp
+++ b/Tests/Platform/platformcodectest.cpp
@@ -3,6 +3,7 @@
 #include "jobformat.h"
 
 #include <catch2/catch.hpp>
+#include <fmt/format.h>
 
 #include <filesystem>
 #include <fstream>
@@ -289,6 +290,29 @@
     CHECK_FALSE(codec.decodeRunLists({503, {}, "{}"}).has_value());
 }
 
+TEST_CASE("A list of as many ends as the platform lists at a time may not be the list of all ends")
+{
+    constexpr std::size_t MaxListedEnds = 500;
+    const auto hasMoreEnds = [](std::size_t ends) {
+        std::string rows;
+        for (std::size_t i = 1; i <= ends; ++i) {
+            rows += fmt::format(R"({}[{},"5c0e7a21d94b36f8.0.1.{}",1,"done",""])",
+                                i == 1 ? "" : ",", i, i);
+        }
+        const auto lists = codec.decodeRunLists(
+            {200,
+             {},
+             fmt::format(R"({{"clockMs":9,"born":5,"running":[],"finished":[{}]}})", rows)});
+        REQUIRE(lists.has_value());
+        CHECK(lists->finished.size() == ends);
+        return lists->hasMoreEnds;
+    };
+    CHECK_FALSE(hasMoreEnds(0));
+    CHECK_FALSE(hasMoreEnds(MaxListedEnds - 1));
+    CHECK(hasMoreEnds(MaxListedEnds));
+    CHECK(hasMoreEnds(MaxListedEnds + 1));
+}
+
 TEST_CASE("Every kind of answer has the HTTP status that the platform's callers expect")
 {
     const auto status = [](JobAnswerKind kind) {
--- a/Tests/Standins/jobminion.cpp
+++ b/Tests/Standins/jobminion.cpp
@@ -1,6 +1,7 @@
 // Stand-in for a minion of the users' platform: announces itself to the agent on its host, starts
 // and stops runs on request, and finishes each run after --run_ms milliseconds. Runs of a task
-// whose spec begins with "fail" fail. GET /standin/starts returns a line "TASK RUN" for each start.
+// whose spec begins with "fail" fail. GET /standin/starts returns a line "TASK RUN" for each start,
+// and POST /standin/finish finishes all runs at the same moment.
 
 #include "Runtime/eventloop.h"
 #include "Runtime/httpclient.h"
@@ -32,6 +33,8 @@
 constexpr Duration RunTimerInterval = std::chrono::milliseconds(5);
 constexpr Duration CallTimeout = std::chrono::seconds(1);
 constexpr std::uint64_t MemoryMb = 32'000;
+/** Limit of the ends in one answer; the platform's minions list the earliest ones. */
+constexpr std::size_t MaxListedEnds = 500;
 
 class JobMinion
 {
@@ -126,10 +129,13 @@
         Json running = Json::array();
         for (const Run &run : running_)
             running.push_back(Json::array({run.task, run.run, "", 50, 0}));
+        Json finished = Json::array();
+        for (std::size_t i = 0; i < std::min(finished_.size(), MaxListedEnds); ++i)
+            finished.push_back(finished_[i]);
         return {{"clockMs", clockMs()},
                 {"born", incarnation_},
                 {"running", running},
-                {"finished", finished_}};
+                {"finished", finished}};
     }
 
     HttpResponse answer(unsigned status, Json body) const
@@ -143,6 +149,11 @@
         const std::string &path = exchange->request().path;
         if (path == "/standin/starts")
             return exchange->respond({200, {}, startLog_});
+        if (path == "/standin/finish") {
+            for (Run &run : running_)
+                run.endsAt = loop_.clock().now();
+            return exchange->respond({200, {}, {}});
+        }
         const Json body = Json::parse(exchange->request().body, nullptr, false);
         if (!body.is_object())
             return exchange->respond(answer(400, Json::object()));
