Leader: route a submission again if its queue is no longer in force

Cause: the leader looks the queue up when the call arrives, but the entry of the log names the queue and is applied later. A configuration that is applied in between erases the queue, as no stored job needs it, and the job was stored for a queue that did not exist; the placement skips such a job. A stored job of the same queue hid the fault: the new job then ran with settings that were no longer in force.

Evidence: a lost job was received for the queue r-10-1 at 37.439 s, version 13 without it came into force at 37.447 s, and no later line names the job.

A submission now carries the version of the configuration that routed it. If another one is in force and has no such queue, the job is not stored, and the leader looks its queue up once more: the job is accepted by the queue that serves its path, or answered 404 without effect. Entries without a version are applied as before.

--- a/Source/Fleet/jobservice.cpp
+++ b/Source/Fleet/jobservice.cpp
@@ -139,8 +139,8 @@
                                  "The path has more segments than the path of a job."));
     logEvent(LogEvent::JobReceived, Step::Accept, {},
              {{"job", call.job.id}, {"queue", queue->name}, {"steps", stepsText(call.job.steps)}});
-    callBatch_.submissions.push_back({queue->name, call.job});
-    waiters_.push_back({std::move(callback), answerOf(JobAnswerKind::Accepted)});
+    callBatch_.submissions.push_back({queue->name, call.job, book().configuration().version});
+    waiters_.push_back({std::move(callback), answerOf(JobAnswerKind::Accepted), call});
     processSoon();
 }
 
@@ -176,7 +176,7 @@
         return callback(answerOf(JobAnswerKind::Accepted));
     logEvent(LogEvent::JobCancelled, Step::Accept, {}, {{"job", id}, {"queue", queue->name}});
     callBatch_.cancellations.push_back(id);
-    waiters_.push_back({std::move(callback), answerOf(JobAnswerKind::Accepted)});
+    waiters_.push_back({std::move(callback), answerOf(JobAnswerKind::Accepted), std::nullopt});
     processSoon();
 }
 
@@ -235,19 +235,36 @@
         return;
     callBatch_.atMs = nowMs();
     ++pendingCommits_;
-    commit(std::exchange(callBatch_, {}),
-           [this, waiters = std::exchange(waiters_, {})](Result<Jobs::JobOutcome> outcome) {
-               --pendingCommits_;
-               for (const Waiter &waiter : waiters) {
-                   if (outcome)
-                       waiter.callback(waiter.answer);
-                   else if (outcome.error().code == Failure::Unknown)
-                       waiter.callback(answerOf(JobAnswerKind::Unknown));
-                   else
-                       waiter.callback(answerOf(JobAnswerKind::NotLeader));
-               }
-               processSoon();
-           });
+    commit(std::exchange(callBatch_, {}), [this, waiters = std::exchange(waiters_, {})](
+                                              const Result<Jobs::JobOutcome> &outcome) mutable {
+        --pendingCommits_;
+        answerWaiters(std::move(waiters), outcome);
+        processSoon();
+    });
+}
+
+void JobService::answerWaiters(std::vector<Waiter> waiters, const Result<Jobs::JobOutcome> &outcome)
+{
+    std::size_t submission = 0;
+    for (const Waiter &waiter : waiters) {
+        if (!outcome) {
+            const bool isUnknown = outcome.error().code == Failure::Unknown;
+            waiter.callback(
+                answerOf(isUnknown ? JobAnswerKind::Unknown : JobAnswerKind::NotLeader));
+        } else if (waiter.submission && !outcome->accepted.at(submission++)) {
+            routeAgain(*waiter.submission, waiter.callback);
+        } else {
+            waiter.callback(waiter.answer);
+        }
+    }
+}
+
+void JobService::routeAgain(const SubmitCall &call, const Callback &callback)
+{
+    logEvent(LogEvent::JobRerouted, Step::Accept, {},
+             {{"job", call.job.id}, {"configuration", book().configuration().version}});
+    if (!serve(call, callback))
+        callback(answerOf(JobAnswerKind::NotLeader));
 }
 
 void JobService::commitEnds()
--- a/Source/Fleet/jobservice.h
+++ b/Source/Fleet/jobservice.h
@@ -7,6 +7,7 @@
 #include "State/controlstate.h"
 
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -42,6 +43,8 @@
     {
         Callback callback;
         JobAnswer answer;
+        /** The call, if it submits a job. */
+        std::optional<SubmitCall> submission;
     };
 
     void answer(const SubmitCall &call, Callback callback);
@@ -56,6 +59,10 @@
     void processSoon();
     void process();
     void commitCalls();
+    /** Answers \a waiters, whose calls were committed with \a outcome. */
+    void answerWaiters(std::vector<Waiter> waiters, const Result<Jobs::JobOutcome> &outcome);
+    /** Serves \a call again after a configuration without its queue came into force. */
+    void routeAgain(const SubmitCall &call, const Callback &callback);
     void commitEnds();
     void commitStarts();
     void sendDirectives();
--- a/Source/Jobs/jobbook.cpp
+++ b/Source/Jobs/jobbook.cpp
@@ -88,13 +88,13 @@
 
 JobOutcome JobBook::execute(const JobBatch &command)
 {
+    JobOutcome outcome;
     for (const Submission &submission : command.submissions)
-        submit(submission, command.atMs);
+        outcome.accepted.push_back(submit(submission, command.atMs));
     for (const std::string &id : command.cancellations)
         cancel(id, command.atMs);
     for (const MinionRunEnd &runEnd : command.ends)
         end(runEnd, command.atMs);
-    JobOutcome outcome;
     for (const RunStart &decision : command.starts)
         outcome.started.push_back(start(decision, command.atMs));
     for (const std::string &id : command.purged) {
@@ -105,11 +105,16 @@
     return outcome;
 }
 
-void JobBook::submit(const Submission &submission, std::int64_t atMs)
+bool JobBook::submit(const Submission &submission, std::int64_t atMs)
 {
-    const auto [place, added] = jobs_.try_emplace(submission.job.id);
-    if (!added)
-        return;
+    if (jobs_.contains(submission.job.id))
+        return true;
+    // The queue was looked up before the commands that were committed in the meantime.
+    const bool mayBeOutdated = submission.configurationVersion != 0
+                               && submission.configurationVersion != configuration_.version;
+    if (mayBeOutdated && !isQueueInForce(submission.queue))
+        return false;
+    const auto place = jobs_.try_emplace(submission.job.id).first;
     Job &job = place->second;
     job.queue = submission.queue;
     job.spec = submission.job.spec;
@@ -120,6 +125,7 @@
     for (const StepSpec &step : job.steps)
         job.tasks.emplace_back(step.count);
     openJobs_.insert(place->first);
+    return true;
 }
 
 void JobBook::cancel(const std::string &id, std::int64_t atMs)
--- a/Source/Jobs/jobbook.h
+++ b/Source/Jobs/jobbook.h
@@ -146,7 +146,8 @@
 private:
     JobOutcome execute(const Configure &command);
     JobOutcome execute(const JobBatch &command);
-    void submit(const Submission &submission, std::int64_t atMs);
+    /** Returns false if the job is not accepted because its queue is not in force. */
+    bool submit(const Submission &submission, std::int64_t atMs);
     void cancel(const std::string &id, std::int64_t atMs);
     void end(const MinionRunEnd &runEnd, std::int64_t atMs);
     void countCrash(const MinionRunEnd &runEnd, Task &task);
--- a/Source/Jobs/jobcommand.h
+++ b/Source/Jobs/jobcommand.h
@@ -26,6 +26,9 @@
 {
     std::string queue;
     JobSubmission job;
+    /** Version of the configuration that routed the job to the queue. 0 in entries of logs without
+     * the field; their jobs are accepted whether the queue is in force or not. */
+    std::uint64_t configurationVersion = 0;
 };
 
 template<typename F>
@@ -33,6 +36,7 @@
 {
     f(v.queue);
     f(v.job);
+    f(v.configurationVersion);
 }
 
 /** The end of a run on one life of a minion. */
@@ -115,11 +119,14 @@
     Conflict,
 };
 
-/** Outcome of a command: the result of a Configure, or which starts of a batch were applied. */
+/** Outcome of a command: the result of a Configure, or which starts and submissions of a batch were
+ * applied. */
 struct JobOutcome
 {
     ConfigureResult configure = ConfigureResult::InForce;
     std::vector<bool> started;
+    /** For each submission, false if its queue is not in force; the job is then not stored. */
+    std::vector<bool> accepted;
 };
 
 template<typename F>
@@ -127,6 +134,7 @@
 {
     f(v.configure);
     f(v.started);
+    f(v.accepted);
 }
 
 } // namespace Oleander::Jobs
--- a/Source/Runtime/logevent.cpp
+++ b/Source/Runtime/logevent.cpp
@@ -56,6 +56,7 @@
     {LogEvent::RunStartWithdrawn, LogLevel::Info, "run.start-withdrawn"},
     {LogEvent::RunStopCalled, LogLevel::Info, "run.stop-called"},
     {LogEvent::RunStartHeld, LogLevel::Warning, "run.start-held"},
+    {LogEvent::JobRerouted, LogLevel::Info, "job.rerouted"},
     {LogEvent::RunPaced, LogLevel::Info, "run.paced"},
 
     {LogEvent::LeaderElected, LogLevel::Info, "control.leader-elected"},
--- a/Source/Runtime/logevent.h
+++ b/Source/Runtime/logevent.h
@@ -57,6 +57,7 @@
     RunStartWithdrawn = 3029,
     RunStopCalled = 3030,
     RunStartHeld = 3031,
+    JobRerouted = 3032,
     RunPaced = 3040,
 
     LeaderElected = 4000,
--- a/Tests/Jobs/jobbooktest.cpp
+++ b/Tests/Jobs/jobbooktest.cpp
@@ -209,6 +209,40 @@
     CHECK(book.book.queue("other") != nullptr);
 }
 
+TEST_CASE("A job is not accepted by a queue that the configuration has removed since its routing")
+{
+    BookFixture book;
+    const bool hasStoredJob = GENERATE(false, true);
+    if (hasStoredJob)
+        book.submit("stored", {step(1)});
+    QueueConfiguration other = oneQueue(2);
+    other.queues.front().name = "other";
+    book.book.apply(Configure{other});
+    const auto submit = [&](const std::string &queue, std::uint64_t configurationVersion) {
+        JobBatch batch;
+        batch.submissions.push_back({queue, {"j", "work", {step(1)}}, configurationVersion});
+        return book.apply(std::move(batch)).accepted;
+    };
+    CHECK(submit("press", 1) == std::vector<bool>{false});
+    CHECK(book.book.find("j") == nullptr);
+    CHECK(submit("other", 1) == std::vector<bool>{true});
+    REQUIRE(book.book.find("j") != nullptr);
+    // The job is stored; its call is only repeated.
+    CHECK(submit("press", 1) == std::vector<bool>{true});
+    CHECK(book.book.find("j")->queue == "other");
+}
+
+TEST_CASE("A log entry without the version of the configuration keeps its job")
+{
+    // Its job has been acknowledged by an earlier version of the program.
+    BookFixture book;
+    QueueConfiguration other = oneQueue(2);
+    other.queues.front().name = "other";
+    book.book.apply(Configure{other});
+    book.submit("j", {step(1)});
+    CHECK(book.book.find("j") != nullptr);
+}
+
 TEST_CASE("A restored book has the state and the behaviour of the original")
 {
     BookFixture book;
