Agent: stop a refused attempt before it counts as failed

An earlier call without an answer, of this agent process or of the one before it, could still be executed, so that two attempts would run.

The refused attempt is now stopped, and reported as failed once the worker has confirmed the stop; if it did run, it is reported as stopped. A worker never starts an attempt that it has been told to stop.

"A start that the worker refuses counts as failed only after a confirmed stop" and "An attempt that runs although its start was refused is reported as stopped" failed before.

--- a/Source/Placement/taskexecutor.cpp
+++ b/Source/Placement/taskexecutor.cpp
@@ -168,8 +168,10 @@
     Entry &entry = found->second;
     entry.isRemoved = true;
     entry.removedStamp = lastStamp();
-    if (!hasEnded(entry.state))
-        entry.state = AttemptState::Stopped;
+    if (!hasEnded(entry.state)) {
+        const bool hasNeverRun = entry.isStartRefused && !entry.wasListed;
+        entry.state = hasNeverRun ? AttemptState::Failed : AttemptState::Stopped;
+    }
 }
 
 void TaskExecutor::handleCallFailure(const WorkerCall &call, const std::string &reason)
@@ -179,8 +181,12 @@
         return;
     Entry &entry = found->second;
     entry.reason = reason;
-    if (call.action == TaskAction::Start && !hasEnded(entry.state))
-        entry.state = AttemptState::Failed;
+    if (call.action != TaskAction::Start || hasEnded(entry.state))
+        return;
+    // The worker may still execute an earlier call of this or an earlier agent process. It never
+    // starts an attempt that it has been told to stop.
+    entry.isStartRefused = true;
+    entry.mustStop = true;
 }
 
 std::vector<WorkerCall> TaskExecutor::dueCalls(TimePoint now)
--- a/Source/Placement/taskexecutor.h
+++ b/Source/Placement/taskexecutor.h
@@ -103,6 +103,8 @@
         std::uint32_t throttlePercent = 100;
         std::uint32_t appliedThrottlePercent = 100;
         TimePoint lastCall{};
+        /** True once the worker has refused to start the attempt. */
+        bool isStartRefused = false;
         /** True once the worker has been called to stop the attempt. */
         bool isStopCalled = false;
         /** True once the worker listed the attempt. */
--- a/Tests/Placement/taskexecutortest.cpp
+++ b/Tests/Placement/taskexecutortest.cpp
@@ -38,6 +38,15 @@
         return executor.handleOrder(order, now);
     }
 
+    /** Starts attempt 1, whose start the worker refuses with \a reason. */
+    void startAndRefuse(const std::string &reason)
+    {
+        CHECK(start(1).empty());
+        const auto starts = executor.dueCalls(now);
+        REQUIRE(starts.size() == 1);
+        executor.handleCallFailure(starts.front(), reason);
+    }
+
     /** Sends heartbeats up to stamp \a last, each answered by the leader. */
     void exchangeHeartbeatsUntil(std::uint64_t last)
     {
@@ -116,6 +125,33 @@
     CHECK(fixture.executor.dueCalls(fixture.now).empty());
 }
 
+TEST_CASE("A start that the worker refuses counts as failed only after a confirmed stop")
+{
+    // The worker may still execute an earlier call without an answer, of this or an earlier agent
+    // process, while the next attempt runs elsewhere.
+    ExecutorFixture fixture;
+    fixture.startAndRefuse("No room.");
+    CHECK(fixture.executor.reports().at(0).state == AttemptState::Stopping);
+    const auto stops = fixture.executor.dueCalls(fixture.now);
+    REQUIRE(stops.size() == 1);
+    CHECK(stops.front().action == TaskAction::Stop);
+    fixture.executor.handleRemoval("t", 1);
+    CHECK(fixture.executor.reports().at(0).state == AttemptState::Failed);
+    CHECK(fixture.executor.reports().at(0).reason == "No room.");
+    CHECK_FALSE(fixture.start(1).empty());
+}
+
+TEST_CASE("An attempt that runs although its start was refused is reported as stopped")
+{
+    ExecutorFixture fixture;
+    fixture.startAndRefuse("No room.");
+    fixture.executor.handleListing({{"t", 1, 4, AttemptState::Running, "", 3}}, fixture.now);
+    CHECK(fixture.executor.reports().at(0).state == AttemptState::Stopping);
+    fixture.executor.handleRemoval("t", 1);
+    CHECK(fixture.executor.reports().at(0).state == AttemptState::Stopped);
+    CHECK(fixture.executor.reports().at(0).checkpoint == 3);
+}
+
 TEST_CASE("A restarted agent adopts attempts of its session and stops those of an earlier one")
 {
     TaskExecutor executor{ExecutorSettings{}};
