Jobs: plainer names for first orders

StartOrder::isFirstOrder says what is the first of its kind, and neverOrderedRuns_ cannot be taken for an unordered container. The comment on runs that may have ended stands where the value is worked out. No change of behaviour.

--- a/Source/Fleet/miniontaskorders.cpp
+++ b/Source/Fleet/miniontaskorders.cpp
@@ -53,7 +53,7 @@
     if (start.isWithdrawn)
         return;
     // An earlier process of the agent may have sent the start and ended before the answer.
-    if (isNew && !order.isFirst)
+    if (isNew && !order.isFirstOrder)
         unansweredStarts_[key] = std::max(unansweredStarts_[key], holdUntilMs);
     start.order = order;
     start.orderedAt = loop_.clock().now();
--- a/Source/Jobs/jobscheduler.cpp
+++ b/Source/Jobs/jobscheduler.cpp
@@ -46,7 +46,7 @@
     uncommittedAcknowledgements_.clear();
     movingRuns_.clear();
     committedAcknowledgements_.clear();
-    unorderedRuns_.clear();
+    neverOrderedRuns_.clear();
     lastOrderAt_.clear();
 }
 
@@ -145,7 +145,7 @@
                       [&](const RunKey &key) { return book_.activeRun(key) == nullptr; });
         // The starts of a batch in flight are not active yet.
         if (!startsInFlight_) {
-            std::erase_if(unorderedRuns_,
+            std::erase_if(neverOrderedRuns_,
                           [&](const RunKey &key) { return book_.activeRun(key) == nullptr; });
         }
         for (const auto &[id, job] : book_.jobs()) {
@@ -194,7 +194,7 @@
     TaskPlacer placer(book_, machines_, interference_, estimates_, planner_);
     batch.starts = placer.place(now, nowMs);
     for (const RunStart &start : batch.starts)
-        unorderedRuns_.insert({start.task, start.run});
+        neverOrderedRuns_.insert({start.task, start.run});
     for (RunMove &move : placer.planMoves()) {
         if (movingRuns_.insert(move.run).second)
             moves_.push_back(std::move(move));
@@ -258,11 +258,12 @@
         const bool isOrderKnown = view != machine.running.end() && view->second.isOrderKnown;
         if (machine.finishing.contains(key))
             continue;
-        const bool mayHaveEnded =
-            machine.hasMoreEnds && view == machine.running.end() && !unorderedRuns_.contains(key);
         // Another run of the task may start as soon as the end is committed.
         if (endingRuns_.contains(key))
             continue;
+        // The end of a run that the minion does not list may be one that it has yet to list.
+        const bool mayHaveEnded = machine.hasMoreEnds && view == machine.running.end()
+                                  && !neverOrderedRuns_.contains(key);
         if (mustStop(key) || mustEvacuate(now, machine, key) || planner_.evicts(key)
             || movingRuns_.contains(key)) {
             if (recordOrderIfDue(now, key, OrderKind::Stop))
@@ -286,7 +287,7 @@
                                         step.filling, step.targetLatencyMs, step.image,
                                         step.milliCores,
                                         step.filling ? weightOf(key.first.job, nowMs) : 1.0,
-                                        unorderedRuns_.erase(key) > 0});
+                                        neverOrderedRuns_.erase(key) > 0});
         }
     }
     const auto stopUnlessActive = [&](const RunKey &key) {
--- a/Source/Jobs/jobscheduler.h
+++ b/Source/Jobs/jobscheduler.h
@@ -125,7 +125,7 @@
     std::map<Reporter, Acknowledgement> uncommittedAcknowledgements_;
     std::map<Reporter, Acknowledgement> committedAcknowledgements_;
     /** Runs that were placed in this term and have not yet been ordered to start. */
-    std::set<RunKey> unorderedRuns_;
+    std::set<RunKey> neverOrderedRuns_;
     /** Time at which each run was last ordered to start, or to stop. */
     std::map<std::pair<RunKey, OrderKind>, TimePoint> lastOrderAt_;
     /** Filling runs that are being stopped in order to continue on another minion. */
--- a/Source/Protocol/jobmessages.h
+++ b/Source/Protocol/jobmessages.h
@@ -204,7 +204,7 @@
     /** Weight of the job, see JobWeight; used only for a filling run. */
     double weight = 1;
     /** True if no earlier order for the run can have reached a process of the agent. */
-    bool isFirst = false;
+    bool isFirstOrder = false;
 };
 
 template<typename F>
@@ -219,7 +219,7 @@
     f(v.image);
     f(v.milliCores);
     f(v.weight);
-    f(v.isFirst);
+    f(v.isFirstOrder);
 }
 
 /** Order to stop a run on a minion. */
--- a/Tests/Fleet/scriptedminion.h
+++ b/Tests/Fleet/scriptedminion.h
@@ -174,7 +174,7 @@
             StartOrder order;
             order.task = First;
             order.run = run;
-            order.isFirst = ordersAreFirst;
+            order.isFirstOrder = ordersAreFirst;
             directive.starts.push_back(order);
         }
         task.handleDirective(directive);
--- a/Tests/Jobs/jobschedulertest.cpp
+++ b/Tests/Jobs/jobschedulertest.cpp
@@ -347,7 +347,7 @@
         leader.report("agent-a", reportOf(LifeA, clockMs));
         const MachineDirective directive = leader.directive("agent-a");
         REQUIRE(directive.starts.size() == 1);
-        return directive.starts.front().isFirst;
+        return directive.starts.front().isFirstOrder;
     };
     CHECK(sendOrder(1'100));
     leader.advance(500ms);
