--- a/Source/Fleet/jobservice.cpp
+++ b/Source/Fleet/jobservice.cpp
@@ -235,15 +235,16 @@
         return;
     callBatch_.atMs = nowMs();
     ++pendingCommits_;
-    commit(std::exchange(callBatch_, {}), [this, waiters = std::exchange(waiters_, {})](
-                                              const Result<Jobs::JobOutcome> &outcome) mutable {
-        --pendingCommits_;
-        answerWaiters(std::move(waiters), outcome);
-        processSoon();
-    });
+    commit(std::exchange(callBatch_, {}),
+           [this, waiters = std::exchange(waiters_, {})](const Result<Jobs::JobOutcome> &outcome) {
+               --pendingCommits_;
+               answerWaiters(waiters, outcome);
+               processSoon();
+           });
 }
 
-void JobService::answerWaiters(std::vector<Waiter> waiters, const Result<Jobs::JobOutcome> &outcome)
+void JobService::answerWaiters(const std::vector<Waiter> &waiters,
+                               const Result<Jobs::JobOutcome> &outcome)
 {
     std::size_t submission = 0;
     for (const Waiter &waiter : waiters) {
--- a/Source/Fleet/jobservice.h
+++ b/Source/Fleet/jobservice.h
@@ -60,7 +60,7 @@
     void process();
     void commitCalls();
     /** Answers \a waiters, whose calls were committed with \a outcome. */
-    void answerWaiters(std::vector<Waiter> waiters, const Result<Jobs::JobOutcome> &outcome);
+    void answerWaiters(const std::vector<Waiter> &waiters, const Result<Jobs::JobOutcome> &outcome);
     /** Serves \a call again after a configuration without its queue came into force. */
     void routeAgain(const SubmitCall &call, const Callback &callback);
     void commitEnds();
