Jobs: let the test of stops beside unlisted ends fail

"A run whose end the minion may not have listed yet is stopped with its job" cancelled a run that had never been ordered, which counts as not ended in any case. With the stops skipped for runs that may have ended (a trial), it passed all the same. The run is now ordered first; nothing else changed. In the same trial "A log entry without the version of the configuration keeps its job" failed without its rule, as it should.

--- a/Tests/Jobs/jobschedulertest.cpp
+++ b/Tests/Jobs/jobschedulertest.cpp
@@ -395,6 +395,8 @@
     registerMinion(leader, "agent-a", LifeA);
     leader.submit("j", {step(1)});
     REQUIRE(leader.decide().starts.size() == 1);
+    // A run that was never ordered cannot have ended.
+    REQUIRE(leader.directive("agent-a").starts.size() == 1);
     leader.cancel("j");
     MachineReport report = reportOf(LifeA, 1'100);
     report.hasMoreEnds = true;
