Leader: log the ends of finished runs that it ignores

A run whose lease has expired is ended as lost. What its minion lists about it afterwards was dropped without a line, so the logs could not tell a run that was lost from one that had finished behind a cut. The event run.end-ignored names each such end once, if its task is not done.

--- a/Source/Fleet/jobservice.cpp
+++ b/Source/Fleet/jobservice.cpp
@@ -271,6 +271,7 @@
 void JobService::commitEnds()
 {
     Jobs::JobScheduler::EndBatch endBatch = scheduler_.takeEnds(loop_.clock().now(), nowMs());
+    logIgnoredEnds();
     if (endBatch.batch.empty())
         return;
     for (const Jobs::MinionRunEnd &runEnd : endBatch.firstEnds) {
@@ -409,6 +410,14 @@
     }
 }
 
+void JobService::logIgnoredEnds()
+{
+    for (const Jobs::MinionRunEnd &runEnd : scheduler_.takeIgnoredEnds()) {
+        logRunEvent(LogEvent::RunEndIgnored, Step::Report, runEnd.minion.name,
+                    {runEnd.end.task, runEnd.end.run});
+    }
+}
+
 void JobService::reportServiceLevels() const
 {
     if (!isLeading_)
--- a/Source/Fleet/jobservice.h
+++ b/Source/Fleet/jobservice.h
@@ -73,6 +73,7 @@
     void logOrders(const MachineDirective &directive) const;
     void logReservations();
     void logMoves();
+    void logIgnoredEnds();
     /** Logs the long-running jobs that miss their service level, and sets the gauges. */
     void reportServiceLevels() const;
     void commit(Jobs::JobCommand command, std::function<void(Result<Jobs::JobOutcome>)> callback);
--- a/Source/Jobs/jobbook.cpp
+++ b/Source/Jobs/jobbook.cpp
@@ -3,6 +3,7 @@
 #include "Protocol/codec.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace Oleander::Jobs {
 
@@ -143,7 +144,7 @@
     std::erase_if(crashSuspects_, [&](const TaskRef &ref) { return ref.job == id; });
 }
 
-Task *JobBook::findTask(const TaskRef &ref)
+const Task *JobBook::findTask(const TaskRef &ref) const
 {
     const auto found = jobs_.find(ref.job);
     if (found == jobs_.end() || ref.step >= found->second.tasks.size()
@@ -152,6 +153,11 @@
     return &found->second.tasks[ref.step][ref.index];
 }
 
+Task *JobBook::findTask(const TaskRef &ref)
+{
+    return const_cast<Task *>(std::as_const(*this).findTask(ref));
+}
+
 void JobBook::countCrash(const MinionRunEnd &runEnd, Task &task)
 {
     if (runEnd.crashSuspects > 0) {
@@ -276,13 +282,11 @@
 
 const ActiveRun *JobBook::activeRun(const RunKey &key) const
 {
-    const Job *job = find(key.first.job);
-    if (job == nullptr || key.first.step >= job->tasks.size()
-        || key.first.index >= job->tasks[key.first.step].size())
+    const Task *task = findTask(key.first);
+    if (task == nullptr)
         return nullptr;
-    const auto &active = job->tasks[key.first.step][key.first.index].active;
-    const auto run = std::ranges::find(active, key.second, &ActiveRun::run);
-    return run == active.end() ? nullptr : &*run;
+    const auto run = std::ranges::find(task->active, key.second, &ActiveRun::run);
+    return run == task->active.end() ? nullptr : &*run;
 }
 
 std::string JobBook::snapshot() const
--- a/Source/Jobs/jobbook.h
+++ b/Source/Jobs/jobbook.h
@@ -134,6 +134,8 @@
     /** Returns the step of the task \a ref, or null if the job or the step does not exist. Agents
      * forward the tasks that a minion lists without validating them. */
     const StepSpec *findStep(const TaskRef &ref) const;
+    /** Returns the task \a ref, or null if it does not exist. */
+    const Task *findTask(const TaskRef &ref) const;
     /** Jobs that have not ended. */
     const std::set<std::string> &openJobs() const { return openJobs_; }
     /** Tasks of open jobs that may have crashed a minion. */
--- a/Source/Jobs/jobscheduler.cpp
+++ b/Source/Jobs/jobscheduler.cpp
@@ -48,6 +48,8 @@
     committedAcknowledgements_.clear();
     neverOrderedRuns_.clear();
     lastOrderAt_.clear();
+    ignoredEnds_.clear();
+    ignoredRuns_.clear();
 }
 
 void JobScheduler::report(TimePoint now, std::int64_t nowMs, const std::string &agent,
@@ -55,6 +57,7 @@
 {
     for (MinionRunEnd &runEnd : machines_.report(now, agent, report, book_))
         pendingEnds_.push_back(std::move(runEnd));
+    findIgnoredEnds(report);
     if (report.hasMinion && report.hasRunList) {
         learnInterference(now, report);
         learnDurations(nowMs, report);
@@ -66,6 +69,18 @@
         waiting.report = std::max(waiting.report, report.sequence);
 }
 
+void JobScheduler::findIgnoredEnds(const MachineReport &report)
+{
+    for (const RunEnd &end : report.finished) {
+        const RunKey key{end.task, end.run};
+        const Task *task = book_.findTask(end.task);
+        if (end.kind == RunEndKind::Done && task != nullptr && !task->done
+            && book_.activeRun(key) == nullptr && !book_.find(end.task.job)->hasEnded()
+            && ignoredRuns_.insert(key).second)
+            ignoredEnds_.push_back({report.minion.life, end});
+    }
+}
+
 void JobScheduler::learnInterference(TimePoint now, const MachineReport &report)
 {
     constexpr double MilliCoresPerCore = 1000;
@@ -148,6 +163,10 @@
             std::erase_if(neverOrderedRuns_,
                           [&](const RunKey &key) { return book_.activeRun(key) == nullptr; });
         }
+        std::erase_if(ignoredRuns_, [&](const RunKey &key) {
+            const Task *task = book_.findTask(key.first);
+            return task == nullptr || task->done;
+        });
         for (const auto &[id, job] : book_.jobs()) {
             if (job.hasEnded() && nowMs > job.endedAtMs + EndedJobRetentionMs)
                 taken.batch.purged.push_back(id);
--- a/Source/Jobs/jobscheduler.h
+++ b/Source/Jobs/jobscheduler.h
@@ -78,6 +78,10 @@
     /** Returns the runs to move that were chosen since the last call. */
     std::vector<RunMove> takeMoves() { return std::exchange(moves_, {}); }
 
+    /** Returns the ends of finished runs that were ignored since the last call although their task
+     * is not done. */
+    std::vector<MinionRunEnd> takeIgnoredEnds() { return std::exchange(ignoredEnds_, {}); }
+
     /** Number of open jobs of \a queue of which no minion is known to have started a task. */
     std::uint64_t pendingJobs(const std::string &queue) const;
 
@@ -108,6 +112,8 @@
     bool mustEvacuate(TimePoint now, const Machine &machine, const RunKey &key) const;
     /** Returns true and records \a now if an order \a kind for the run \a key may be sent. */
     bool recordOrderIfDue(TimePoint now, const RunKey &key, OrderKind kind);
+    /** Records the ends of \a report that takeIgnoredEnds() returns. */
+    void findIgnoredEnds(const MachineReport &report);
     void learnInterference(TimePoint now, const MachineReport &report);
     /** Updates the estimated durations with the runs that \a report lists or ends. */
     void learnDurations(std::int64_t nowMs, const MachineReport &report);
@@ -131,6 +137,9 @@
     /** Filling runs that are being stopped in order to continue on another minion. */
     std::set<RunKey> movingRuns_;
     std::vector<RunMove> moves_;
+    std::vector<MinionRunEnd> ignoredEnds_;
+    /** Runs whose end was ignored; agents repeat an end until it is acknowledged. */
+    std::set<RunKey> ignoredRuns_;
     /** Weights of jobs at weightsAtMs_. */
     std::map<std::string, double> weights_;
     std::int64_t weightsAtMs_ = 0;
--- a/Source/Runtime/logevent.cpp
+++ b/Source/Runtime/logevent.cpp
@@ -57,6 +57,7 @@
     {LogEvent::RunStopCalled, LogLevel::Info, "run.stop-called"},
     {LogEvent::RunStartHeld, LogLevel::Warning, "run.start-held"},
     {LogEvent::JobRerouted, LogLevel::Info, "job.rerouted"},
+    {LogEvent::RunEndIgnored, LogLevel::Warning, "run.end-ignored"},
     {LogEvent::RunPaced, LogLevel::Info, "run.paced"},
 
     {LogEvent::LeaderElected, LogLevel::Info, "control.leader-elected"},
--- a/Source/Runtime/logevent.h
+++ b/Source/Runtime/logevent.h
@@ -58,6 +58,7 @@
     RunStopCalled = 3030,
     RunStartHeld = 3031,
     JobRerouted = 3032,
+    RunEndIgnored = 3033,
     RunPaced = 3040,
 
     LeaderElected = 4000,
