Jobs: apply the real end of a run that was called lost

Cause: the expiry of a lease says that a run can't be active any more, and the leader ended the run as lost. That presumption was final. The minion went on behind the cut, finished the run and listed it as done as soon as it was reached again; the leader acknowledged that end and dropped it, since the run was no longer active in the book. So the task was run again, in its turn, one task of a wide job after the other.

The book now stores the latest lost runs of a task (bounded, appended to the state, empty for older state). An end that a minion lists for one of them is applied once: done completes the task, whatever has started since is stopped, and a checkpoint is kept unless a later run has started. A minion that is back under its id may have carried out the start of its former life, so done counts from any life; a run number is given once. A failure is not counted as an attempt: the run has already ended once, and the users' rules don't count it after a lapse.

"The late end of a run that is no longer active is ignored" stated the fault for done; in its place stand cases that require the end to count once, from the minion of the run unless that run is lost, and never as a failed attempt.

--- a/Source/Jobs/jobbook.cpp
+++ b/Source/Jobs/jobbook.cpp
@@ -14,6 +14,8 @@
 /** Crashed minions after which a task is given up in any case; the platform forbids a third start
  * after three. */
 constexpr std::uint32_t MaxCrashes = 4;
+/** Lost runs of a task that are stored; bounds the state of a task that is lost again and again. */
+constexpr std::size_t MaxLostRuns = 8;
 
 /** True unless the minion certainly started the run. */
 bool mayNotHaveStarted(const MinionRunEnd &runEnd)
@@ -175,6 +177,39 @@
     }
 }
 
+void JobBook::completeTask(const TaskRef &ref, Task &task, std::int64_t atMs)
+{
+    Job &job = jobs_.find(ref.job)->second;
+    task.done = true;
+    task.checkpoint.clear();
+    task.lost.clear();
+    crashSuspects_.erase(ref);
+    ++job.doneCounts[ref.step];
+    bool allDone = true;
+    for (std::uint32_t i = 0; i < job.steps.size(); ++i)
+        allDone = allDone && job.isStepDone(i);
+    if (allDone)
+        finish(ref.job, job, JobState::Completed, atMs);
+}
+
+void JobBook::endLost(const MinionRunEnd &runEnd, Task &task, std::int64_t atMs)
+{
+    const RunEnd &end = runEnd.end;
+    if (end.kind == RunEndKind::Lost || !expectsEnd(runEnd.minion, end))
+        return;
+    std::erase_if(task.lost, [&](const ActiveRun &run) { return run.run == end.run; });
+    Job &job = jobs_.find(end.task.job)->second;
+    if (end.kind != RunEndKind::Refused) {
+        job.hasBegun = true;
+        job.state = JobState::Running;
+    }
+    // A failure is not counted as an attempt, since the run has already ended as lost.
+    if (end.kind == RunEndKind::Done)
+        completeTask(end.task, task, atMs);
+    else if (!end.checkpoint.empty() && end.run == task.lastRun)
+        task.checkpoint = end.checkpoint;
+}
+
 void JobBook::end(const MinionRunEnd &runEnd, std::int64_t atMs)
 {
     Task *task = findTask(runEnd.end.task);
@@ -183,9 +218,9 @@
     const auto active = std::ranges::find_if(task->active, [&](const ActiveRun &run) {
         return run.run == runEnd.end.run && run.minion == runEnd.minion;
     });
-    // Ignores the end of a run that is no longer active; the task may already have another run.
     if (active == task->active.end())
-        return;
+        return endLost(runEnd, *task, atMs);
+    const ActiveRun ended = *active;
     task->active.erase(active);
     const auto index = activeRuns_.find(runEnd.minion);
     index->second.erase({runEnd.end.task, runEnd.end.run});
@@ -200,10 +235,15 @@
     job.hasBegun = job.hasBegun || !mayNotHaveStarted(runEnd);
     if (!job.hasBegun && !job.hasActiveRuns())
         job.state = JobState::Queued;
+    const StepSpec &step = job.steps[runEnd.end.task.step];
+    if (runEnd.end.kind == RunEndKind::Lost && !step.longRunning) {
+        if (task->lost.size() == MaxLostRuns)
+            task->lost.erase(task->lost.begin());
+        task->lost.push_back(ended);
+    }
     countCrash(runEnd, *task);
     if (task->isGivenUp() && task->active.empty())
         return finish(runEnd.end.task.job, job, JobState::Failed, atMs);
-    const StepSpec &step = job.steps[runEnd.end.task.step];
     if (runEnd.end.kind == RunEndKind::Failed && !step.longRunning) {
         ++task->failures;
         const QueueSpec *spec = queue(job.queue);
@@ -211,14 +251,7 @@
         if (attemptsExhausted && task->active.empty())
             finish(runEnd.end.task.job, job, JobState::Failed, atMs);
     } else if (runEnd.end.kind == RunEndKind::Done && !step.longRunning) {
-        task->done = true;
-        task->checkpoint.clear();
-        ++job.doneCounts[runEnd.end.task.step];
-        bool allDone = true;
-        for (std::uint32_t i = 0; i < job.steps.size(); ++i)
-            allDone = allDone && job.isStepDone(i);
-        if (allDone)
-            finish(runEnd.end.task.job, job, JobState::Completed, atMs);
+        completeTask(runEnd.end.task, *task, atMs);
     }
 }
 
@@ -289,6 +322,23 @@
     return run == task->active.end() ? nullptr : &*run;
 }
 
+bool JobBook::expectsEnd(const MinionLife &life, const RunEnd &end) const
+{
+    const Task *task = findTask(end.task);
+    if (task == nullptr)
+        return false;
+    const auto isRun = [&](const ActiveRun &run) {
+        return run.run == end.run && run.minion == life;
+    };
+    if (std::ranges::any_of(task->active, isRun))
+        return true;
+    if (task->done || find(end.task.job)->hasEnded())
+        return false;
+    return std::ranges::any_of(task->lost, [&](const ActiveRun &run) {
+        return isRun(run) || (run.run == end.run && end.kind == RunEndKind::Done);
+    });
+}
+
 std::string JobBook::snapshot() const
 {
     return encode(SnapshotContent{configuration_, queues_, jobs_});
--- a/Source/Jobs/jobbook.h
+++ b/Source/Jobs/jobbook.h
@@ -38,6 +38,9 @@
     bool done = false;
     std::string checkpoint;
     std::vector<ActiveRun> active;
+    /** The latest runs that ended as lost, oldest first. Their minions may still list how they
+     * really ended. */
+    std::vector<ActiveRun> lost;
     /** Consecutive runs that may have crashed their minion. */
     std::uint32_t suspectedCrashes = 0;
     /** Those of them that the minion certainly started. */
@@ -60,6 +63,7 @@
     f(v.suspectedCrashes);
     f(v.crashes);
     f(v.certainCrashes);
+    f(v.lost);
 }
 
 struct Job
@@ -144,6 +148,10 @@
     const std::map<MinionLife, std::set<RunKey>> &activeRuns() const { return activeRuns_; }
     /** Returns the active run \a key, or null. */
     const ActiveRun *activeRun(const RunKey &key) const;
+    /** True if \a end, listed by \a life, would change the state: the run is active there, or it
+     * was lost there, or it was lost elsewhere and \a life has finished it. A minion may carry out
+     * a start that was meant for its former life. */
+    bool expectsEnd(const MinionLife &life, const RunEnd &end) const;
 
 private:
     JobOutcome execute(const Configure &command);
@@ -152,6 +160,9 @@
     bool submit(const Submission &submission, std::int64_t atMs);
     void cancel(const std::string &id, std::int64_t atMs);
     void end(const MinionRunEnd &runEnd, std::int64_t atMs);
+    /** Applies the end of a run of \a task that is no longer active. */
+    void endLost(const MinionRunEnd &runEnd, Task &task, std::int64_t atMs);
+    void completeTask(const TaskRef &ref, Task &task, std::int64_t atMs);
     void countCrash(const MinionRunEnd &runEnd, Task &task);
     bool start(const RunStart &start, std::int64_t atMs);
     void finish(const std::string &id, Job &job, JobState state, std::int64_t atMs);
--- a/Source/Jobs/jobscheduler.cpp
+++ b/Source/Jobs/jobscheduler.cpp
@@ -75,7 +75,7 @@
         const RunKey key{end.task, end.run};
         const Task *task = book_.findTask(end.task);
         if (end.kind == RunEndKind::Done && task != nullptr && !task->done
-            && book_.activeRun(key) == nullptr && !book_.find(end.task.job)->hasEnded()
+            && !book_.expectsEnd(report.minion.life, end) && !book_.find(end.task.job)->hasEnded()
             && ignoredRuns_.insert(key).second)
             ignoredEnds_.push_back({report.minion.life, end});
     }
@@ -175,8 +175,7 @@
     taken.batch.atMs = nowMs;
     taken.batch.ends = std::exchange(pendingEnds_, {});
     std::erase_if(taken.batch.ends, [&](const MinionRunEnd &runEnd) {
-        const ActiveRun *active = book_.activeRun({runEnd.end.task, runEnd.end.run});
-        return active == nullptr || active->minion != runEnd.minion;
+        return !book_.expectsEnd(runEnd.minion, runEnd.end);
     });
     for (const MinionRunEnd &runEnd : taken.batch.ends) {
         if (endingRuns_.insert({runEnd.end.task, runEnd.end.run}).second)
--- a/Source/Jobs/machinetable.cpp
+++ b/Source/Jobs/machinetable.cpp
@@ -48,6 +48,16 @@
     runEnd.hasStarted = runEnd.hasStarted || suspect->hasStarted;
 }
 
+/** Adds to \a runEnds those of \a ends, listed by \a life, that change the state of \a book. */
+void addExpectedEnds(const MinionLife &life, const std::vector<RunEnd> &ends, const JobBook &book,
+                     std::vector<MinionRunEnd> &runEnds)
+{
+    for (const RunEnd &end : ends) {
+        if (book.expectsEnd(life, end))
+            runEnds.push_back({life, end});
+    }
+}
+
 } // namespace
 
 std::optional<double> RunView::durationMs() const
@@ -147,14 +157,8 @@
     machine.hasMoreEnds = report.hasMoreEnds;
     machine.clockMs = std::max(machine.clockMs, report.minionClockMs);
     updateRuns(now, machine, report, book);
-    for (const auto *list : {&report.finished, &report.refused}) {
-        for (const RunEnd &end : *list) {
-            const ActiveRun *active = book.activeRun({end.task, end.run});
-            if (active == nullptr || active->minion != life)
-                continue;
-            runEnds.push_back({life, end});
-        }
-    }
+    addExpectedEnds(life, report.finished, book, runEnds);
+    addExpectedEnds(life, report.refused, book, runEnds);
     return runEnds;
 }
 
--- a/Tests/Jobs/jobbooktest.cpp
+++ b/Tests/Jobs/jobbooktest.cpp
@@ -74,18 +74,115 @@
     CHECK(book.book.find("j")->tasks.at(0).at(0).checkpoint == "half");
 }
 
-TEST_CASE("The late end of a run that is no longer active is ignored")
+TEST_CASE("A task whose lost run had finished is done and not repeated")
 {
     BookFixture book;
-    book.submit("j", {step(1)});
+    book.submit("j", {step(1), step(1, 1000, {0})});
+    const TaskRef second{"j", 1, 0};
     REQUIRE(book.start(First, 1, LifeA));
-    book.end(First, 1, LifeA, RunEndKind::Lost);
-    REQUIRE(book.start(First, 2, LifeB));
+    book.end(First, 1, LifeA, RunEndKind::Lost, "half");
+    SECTION("before the next run") {}
+    SECTION("while the next run is active")
+    {
+        REQUIRE(book.start(First, 2, LifeB));
+    }
+    SECTION("after the state was restored")
+    {
+        JobBook restored;
+        REQUIRE(restored.restore(book.book.snapshot()));
+        book.book = restored;
+    }
     book.end(First, 1, LifeA, RunEndKind::Done);
+    CHECK(book.book.find("j")->isStepDone(0));
+    CHECK_FALSE(book.start(First, 2, LifeB));
+    CHECK_FALSE(book.start(First, 3, LifeB));
+    book.end(First, 2, LifeB, RunEndKind::Failed);
+    CHECK(book.book.find("j")->doneCounts.at(0) == 1);
+    REQUIRE(book.start(second, 1, LifeA));
+    book.end(second, 1, LifeA, RunEndKind::Done);
+    CHECK(book.state("j") == JobState::Completed);
+}
+
+TEST_CASE("The end of a run counts once, and unless it is lost only from the minion of the run")
+{
+    BookFixture book;
+    book.submit("j", {step(1)});
+    REQUIRE(book.start(First, 1, LifeA));
+    book.end(First, 1, LifeB, RunEndKind::Done);
     CHECK(book.state("j") == JobState::Running);
+    book.end(First, 1, LifeA, RunEndKind::Lost, "half");
+    book.end(First, 1, LifeB, RunEndKind::Lapsed, "most");
+    CHECK(book.state("j") == JobState::Queued);
+    CHECK(book.book.find("j")->tasks.at(0).at(0).checkpoint == "half");
+    REQUIRE(book.start(First, 2, LifeB));
     book.end(First, 2, LifeA, RunEndKind::Done);
     CHECK(book.state("j") == JobState::Running);
+    book.end(First, 1, LifeA, RunEndKind::Stopped);
+    book.end(First, 1, LifeA, RunEndKind::Done);
+    CHECK(book.state("j") == JobState::Running);
+    book.end(First, 2, LifeB, RunEndKind::Failed);
     book.end(First, 2, LifeB, RunEndKind::Done);
+    CHECK(book.state("j") == JobState::Running);
+    REQUIRE(book.start(First, 3, LifeB));
+    book.end(First, 3, LifeB, RunEndKind::Done);
+    CHECK(book.state("j") == JobState::Completed);
+}
+
+TEST_CASE("A lost run that had failed is not a failed attempt")
+{
+    BookFixture book;
+    book.submit("j", {step(1)});
+    for (std::uint32_t run = 1; run <= 4; ++run) {
+        REQUIRE(book.start(First, run, LifeA));
+        book.end(First, run, LifeA, RunEndKind::Lost);
+        book.end(First, run, LifeA, RunEndKind::Failed);
+        CHECK(book.state("j") == JobState::Running);
+    }
+}
+
+TEST_CASE("The checkpoint that a lost run had saved is kept unless a later run has started")
+{
+    BookFixture book;
+    book.submit("j", {step(1)});
+    const auto checkpoint = [&] { return book.book.find("j")->tasks.at(0).at(0).checkpoint; };
+    REQUIRE(book.start(First, 1, LifeA));
+    book.end(First, 1, LifeA, RunEndKind::Lost, "half");
+    book.end(First, 1, LifeA, RunEndKind::Lapsed, "most");
+    CHECK(checkpoint() == "most");
+    CHECK(book.state("j") == JobState::Running);
+    REQUIRE(book.start(First, 2, LifeA));
+    book.end(First, 2, LifeA, RunEndKind::Lost);
+    REQUIRE(book.start(First, 3, LifeB));
+    book.end(First, 2, LifeA, RunEndKind::Lapsed, "older");
+    CHECK(checkpoint() == "most");
+}
+
+TEST_CASE("A long-running task goes on although a lost run of it had finished")
+{
+    BookFixture book;
+    StepSpec longRunningStep = step(1);
+    longRunningStep.longRunning = true;
+    book.submit("j", {longRunningStep});
+    REQUIRE(book.start(First, 1, LifeA));
+    book.end(First, 1, LifeA, RunEndKind::Lost);
+    book.end(First, 1, LifeA, RunEndKind::Done);
+    CHECK(book.state("j") == JobState::Queued);
+    CHECK(book.start(First, 2, LifeB));
+}
+
+TEST_CASE("A task that is lost again and again stores a bounded number of runs")
+{
+    BookFixture book;
+    book.submit("j", {step(1)});
+    std::size_t stored = 0;
+    for (std::uint32_t run = 1; run <= 100; ++run) {
+        REQUIRE(book.start(First, run, LifeA));
+        book.end(First, run, LifeA, RunEndKind::Lost);
+        const std::size_t before =
+            std::exchange(stored, book.book.find("j")->tasks.at(0).at(0).lost.size());
+        CHECK((run <= 50 || stored == before));
+    }
+    book.end(First, 100, LifeA, RunEndKind::Done);
     CHECK(book.state("j") == JobState::Completed);
 }
 
--- a/Tests/Jobs/lostminiontest.cpp
+++ b/Tests/Jobs/lostminiontest.cpp
@@ -120,3 +120,57 @@
     leader.decide();
     CHECK_FALSE(leader.book.activeRuns().contains(LifeA));
 }
+
+TEST_CASE(
+    "Work that a minion finished while it was cut off for longer than its lease is not repeated")
+{
+    SchedulerFixture leader;
+    leader.submit("j", {step(1)});
+    registerMinion(leader, "agent-a", LifeA);
+    REQUIRE(leader.decide().starts.size() == 1);
+    const LeaseOptions lease;
+    leader.advance(2 * lease.length);
+    REQUIRE(leader.decide().ends.size() == 1);
+    REQUIRE(leader.book.activeRuns().empty());
+    const bool hasNextRun = GENERATE(false, true);
+    if (hasNextRun) {
+        registerMinion(leader, "agent-b", LifeB);
+        REQUIRE(leader.decide().starts.size() == 1);
+    }
+    MachineReport healed = reportOf(LifeA, 20'000);
+    healed.finished.push_back({7, First, 1, RunEndKind::Done, {}});
+    leader.report("agent-a", healed);
+    CHECK(leader.decide().ends.size() == 1);
+    CHECK(leader.state("j") == JobState::Completed);
+    CHECK(leader.scheduler.takeIgnoredEnds().empty());
+    for (AddressedDirective &addressed :
+         leader.scheduler.takeDirectives(leader.clock.now(), leader.nowMs)) {
+        if (addressed.agent == "agent-a")
+            CHECK(addressed.directive.acknowledgedEnd == 7);
+        else
+            CHECK(addressed.directive.stops.size() == 1);
+    }
+    // The agent repeats the end until its acknowledgement arrives.
+    leader.report("agent-a", healed);
+    CHECK(leader.decide().empty());
+}
+
+TEST_CASE(
+    "The end of a finished run is applied although it is reported while its loss is committed")
+{
+    SchedulerFixture leader;
+    leader.submit("j", {step(1)});
+    registerMinion(leader, "agent-a", LifeA);
+    REQUIRE(leader.decide().starts.size() == 1);
+    const LeaseOptions lease;
+    leader.advance(2 * lease.length);
+    const auto lost = leader.scheduler.takeEnds(leader.clock.now(), leader.nowMs);
+    REQUIRE(lost.batch.ends.size() == 1);
+    MachineReport healed = reportOf(LifeA, 20'000);
+    healed.finished.push_back({7, First, 1, RunEndKind::Done, {}});
+    leader.report("agent-a", healed);
+    const auto done = leader.scheduler.takeEnds(leader.clock.now(), leader.nowMs);
+    leader.apply(lost.batch);
+    leader.apply(done.batch);
+    CHECK(leader.state("j") == JobState::Completed);
+}
