Agent: report the ends that a crashed minion had listed

Cause: an agent polls its minion during a cut too and knows the ends that it lists. When the instance ended before the agent had reached a leader, the agent forgot them together with the instance, and the leader ended all its runs as lost. The crash says nothing about runs that had ended before.

The agent now keeps the last list of each ended instance, up to 1,000 ends, and reports it with the end of the instance until that is committed.

Tests, on what a crash leaves: Jobs.Work that a minion had finished before it crashed is not repeated; Fleet.The ends that a minion had listed are reported after its crash until they are committed; Fleet.A minion that starts again and again without a leader leaves a bounded report.

--- a/Source/Fleet/miniontask.cpp
+++ b/Source/Fleet/miniontask.cpp
@@ -18,6 +18,9 @@
 constexpr ConnectionLimits PollConnections{1, 0};
 /** Starts never occupy the connections that are reserved for stops. */
 constexpr ConnectionLimits OrderConnections{4, 4};
+/** Ends of ended instances that are reported; bounds the reports of an agent that finds no leader
+ * while its minion starts again and again. */
+constexpr std::size_t MaxLastEnds = 1'000;
 /** Share of the cancel time for which a start may be sent after the report that the leader's order
  * is based on. The rest covers the wait of the call and the start of the task. */
 constexpr int StartValidityPercent = 66;
@@ -134,10 +137,14 @@
             [&](const Jobs::RunKey &key) { return !undeliveredStarts_.contains(key); });
         crashes_.push_back(crash);
     }
+    const std::size_t listedEnds = finished_.size();
+    const std::size_t droppedEnds = keepLastEnds();
     logEvent(LogEvent::MinionLapsed, Step::Leave, minion_.life.name,
              {{"born_ms", minion_.life.bornMs},
               {"why", why},
               {"runs", running_.size()},
+              {"ends", listedEnds},
+              {"ends_dropped", droppedEnds},
               {"crash", isCrash ? 1 : 0},
               {"suspects", crash.suspects.size()},
               {"immediate", crash.isImmediate ? 1 : 0}});
@@ -168,6 +175,19 @@
     reportNeeded.emit();
 }
 
+std::size_t MinionTask::keepLastEnds()
+{
+    std::erase_if(finished_, [this](const RunEnd &end) { return end.number <= acknowledgedEnd_; });
+    std::size_t room = MaxLastEnds;
+    for (const ListedEnds &listed : lastEnds_)
+        room -= listed.ends.size();
+    const std::size_t dropped = finished_.size() - std::min(finished_.size(), room);
+    finished_.resize(finished_.size() - dropped);
+    if (!finished_.empty())
+        lastEnds_.push_back({minion_.life, finished_});
+    return dropped;
+}
+
 void MinionTask::handleDeparture(const MinionDeparture &departure)
 {
     verifier_.forget(departure.name);
@@ -190,6 +210,7 @@
     if (directive.acknowledgedReport > 0 && directive.acknowledgedReport >= latestEventReport_) {
         endedInstances_.clear();
         crashes_.clear();
+        lastEnds_.clear();
         std::erase_if(refusals_, [](const auto &item) { return item.second.isConfirmed; });
     }
     if (!hasMinion_ || directive.life != minion_.life)
@@ -261,6 +282,7 @@
     report.stamp = loop_.clock().now().time_since_epoch().count();
     report.ended = endedInstances_;
     report.crashes = crashes_;
+    report.lastEnds = lastEnds_;
     report.hasMinion = hasMinion_;
     if (!hasMinion_)
         latestEventReport_ = endedInstances_.empty() ? latestEventReport_ : sequence;
--- a/Source/Fleet/miniontask.h
+++ b/Source/Fleet/miniontask.h
@@ -82,6 +82,9 @@
     /** True if \a response comes from the current instance; ends it if another one answered. */
     bool isFromInstance(const HttpResponse &response);
     void endInstance(const char *why);
+    /** Keeps the listed ends of the current instance, which ends, for the leader; returns the
+     * number of ends that exceed the limit and are dropped. */
+    std::size_t keepLastEnds();
     void tick();
     void pollRuns();
     void onPollAnswer(std::uint64_t number, const HttpCallResult &result);
@@ -134,6 +137,8 @@
     std::vector<MinionLife> endedInstances_;
     /** Those of the ended instances that ended without notice. */
     std::vector<MinionCrash> crashes_;
+    /** The last list of ends of each of the ended instances. */
+    std::vector<ListedEnds> lastEnds_;
 
     std::uint64_t term_ = 0;
     std::uint64_t holdUntilMs_ = 0;
--- a/Source/Jobs/machinetable.cpp
+++ b/Source/Jobs/machinetable.cpp
@@ -133,6 +133,9 @@
                                                const MachineReport &report, const JobBook &book)
 {
     std::vector<MinionRunEnd> runEnds;
+    // An end that is known comes before the end of all runs of its instance as lost.
+    for (const auto &[life, ends] : report.lastEnds)
+        addExpectedEnds(life, ends, book, runEnds);
     for (const MinionLife &life : report.ended) {
         const auto crash = std::ranges::find(report.crashes, life, &MinionCrash::life);
         endLife(life, crash == report.crashes.end() ? nullptr : &*crash, book, runEnds);
--- a/Source/Protocol/jobmessages.h
+++ b/Source/Protocol/jobmessages.h
@@ -139,6 +139,20 @@
     f(v.isImmediate);
 }
 
+/** The ends of runs that an ended instance of a minion had listed. */
+struct ListedEnds
+{
+    MinionLife life;
+    std::vector<RunEnd> ends;
+};
+
+template<typename F>
+void visitFields(F &&f, Fields<ListedEnds> auto &&v)
+{
+    f(v.life);
+    f(v.ends);
+}
+
 /** Agent to leader: the state of the minion on the agent's machine and of its runs. */
 struct MachineReport
 {
@@ -169,6 +183,8 @@
     /** True if the minion may hold more ends than it lists at a time. A run that it does not list
      * may then have ended. */
     bool hasMoreEnds = false;
+    /** The last list of ends of each instance in \a ended, if it listed any. */
+    std::vector<ListedEnds> lastEnds;
 };
 
 template<typename F>
@@ -188,6 +204,7 @@
     f(v.crashes);
     f(v.stamp);
     f(v.hasMoreEnds);
+    f(v.lastEnds);
 }
 
 /** Order to start a run on a minion, with the data that its agent needs for throttling. */
--- a/Tests/Fleet/minionidentitytest.cpp
+++ b/Tests/Fleet/minionidentitytest.cpp
@@ -122,3 +122,48 @@
     CHECK(minion.report().ended.size() == 1);
     CHECK(minion.report().crashes.empty());
 }
+
+TEST_CASE("The ends that a minion had listed are reported after its crash until they are committed")
+{
+    ScriptedMinion minion;
+    minion.addEnds(3);
+    minion.runUntil([&] { return minion.report().finished.size() == 3; });
+    const MinionLife earlier = minion.life;
+    minion.ends.clear();
+    minion.restart();
+    minion.runUntil([&] {
+        minion.announce();
+        return minion.isTracked();
+    });
+    const MachineReport report = minion.report();
+    CHECK(report.finished.empty());
+    REQUIRE(report.lastEnds.size() == 1);
+    CHECK(report.lastEnds.front().life == earlier);
+    CHECK(report.lastEnds.front().ends.size() == 3);
+    MachineDirective directive;
+    directive.term = 1;
+    directive.acknowledgedReport = minion.reports;
+    minion.task.handleDirective(directive);
+    CHECK(minion.report().lastEnds.empty());
+}
+
+TEST_CASE("A minion that starts again and again without a leader leaves a bounded report")
+{
+    ScriptedMinion minion;
+    std::size_t reported = 0;
+    for (int restarts = 0; restarts < 5; ++restarts) {
+        minion.addEnds(Oleander::Testing::MaxListedEnds);
+        minion.runUntil([&] { return !minion.report().finished.empty(); });
+        minion.ends.clear();
+        minion.restart();
+        minion.runUntil([&] {
+            minion.announce();
+            return minion.isTracked();
+        });
+        const MachineReport report = minion.report();
+        reported = 0;
+        for (const ListedEnds &listed : report.lastEnds)
+            reported += listed.ends.size();
+    }
+    CHECK(reported == 2 * Oleander::Testing::MaxListedEnds);
+}
--- a/Tests/Jobs/lostminiontest.cpp
+++ b/Tests/Jobs/lostminiontest.cpp
@@ -174,3 +174,29 @@
     leader.apply(done.batch);
     CHECK(leader.state("j") == JobState::Completed);
 }
+
+TEST_CASE("Work that a minion had finished before it crashed is not repeated")
+{
+    SchedulerFixture leader;
+    leader.submit("j", {step(2)});
+    registerMinion(leader, "agent-a", LifeA);
+    REQUIRE(leader.decide().starts.size() == 2);
+    const bool isLeaseExpired = GENERATE(false, true);
+    if (isLeaseExpired) {
+        leader.advance(2 * LeaseOptions{}.length);
+        REQUIRE(leader.decide().ends.size() == 2);
+    }
+    MachineReport crashed;
+    crashed.sequence = 9;
+    crashed.ended.push_back(LifeA);
+    crashed.lastEnds.push_back({LifeA, {{7, First, 1, RunEndKind::Done, {}}}});
+    leader.report("agent-a", crashed);
+    leader.decide();
+    const Job &job = *leader.book.find("j");
+    CHECK(job.doneCounts.at(0) == 1);
+    CHECK(job.tasks.at(0).at(0).done);
+    CHECK(leader.book.activeRuns().empty());
+    CHECK(leader.directive("agent-a").acknowledgedReport == crashed.sequence);
+    leader.report("agent-a", crashed);
+    CHECK(leader.decide().empty());
+}
