Leader: count runs that only a minion knows as at work

A minion that starts again under its id may carry out a start that was meant for its former life. The leader ordered the stop of such a run, but placed tasks as if it were not there: the ledger of active runs does not hold it.

What callers saw: the task was started as its next run, on another or the same minion, beside the run that was being stopped (two runs of one task at a time), and tasks were placed on a minion beyond its capacity.

A run that a minion lists although it is not active there now claims its resources, and its task does not start again, until the minion no longer lists it or the lease of the minion has certainly expired. Evictions and reservations are planned from the ledger as before, since the run that is being stopped frees its resources by itself.

--- a/Source/Jobs/machinetable.cpp
+++ b/Source/Jobs/machinetable.cpp
@@ -95,6 +95,27 @@
            && (machine->second.running.contains(key) || machine->second.finishing.contains(key));
 }
 
+std::vector<RunKey> MachineTable::unbookedRuns(TimePoint now, const MinionLife &life,
+                                               const Machine &machine, const JobBook &book) const
+{
+    std::vector<RunKey> runs;
+    // A hung minion is reported on with its last lists, but its lease is not renewed.
+    const bool hasLease = machine.leaseUntilMs > 0;
+    if (now >= (hasLease ? machine.leaseEnd : machine.reportedAt + longestLease()))
+        return runs;
+    for (const auto &[key, view] : machine.running) {
+        const ActiveRun *active = book.activeRun(key);
+        if (active == nullptr || active->minion != life)
+            runs.push_back(key);
+    }
+    return runs;
+}
+
+Duration MachineTable::longestLease() const
+{
+    return options_.length * (Hundred + SlowClockPercent) / Hundred + options_.margin;
+}
+
 MinionRunEnd MachineTable::lostRunEnd(const MinionLife &life, const RunKey &key) const
 {
     MinionRunEnd runEnd{life, {0, key.first, key.second, RunEndKind::Lost, {}}};
@@ -206,8 +227,7 @@
                && !book.activeRuns().contains(item.first);
     });
     std::erase_if(earlierLeaseEnds_, [&](const auto &item) { return now >= item.second; });
-    const Duration full =
-        options_.length * (Hundred + SlowClockPercent) / Hundred + options_.margin;
+    const Duration full = longestLease();
     for (const auto &[life, runs] : book.activeRuns()) {
         const auto machine = machines_.find(life);
         // The previous leader may have granted a lease until this term started.
@@ -235,8 +255,7 @@
         return false;
     machine.leaseUntilMs = until;
     machine.leaseGrantedAt = now;
-    machine.leaseEnd = machine.reportedAt + options_.length * (Hundred + SlowClockPercent) / Hundred
-                       + options_.margin;
+    machine.leaseEnd = machine.reportedAt + longestLease();
     return true;
 }
 
--- a/Source/Jobs/machinetable.h
+++ b/Source/Jobs/machinetable.h
@@ -127,6 +127,11 @@
     const RunView *findRun(const MinionLife &life, const RunKey &key) const;
     /** True if \a life has listed the run \a key as running or ended. */
     bool hasListed(const MinionLife &life, const RunKey &key) const;
+    /** Returns the runs that \a machine, of \a life, listed last and may still execute although
+     * they are not active there in \a book. A minion may carry out a start that was meant for an
+     * earlier life. */
+    std::vector<RunKey> unbookedRuns(TimePoint now, const MinionLife &life, const Machine &machine,
+                                     const JobBook &book) const;
     const LeaseOptions &options() const { return options_; }
 
 private:
@@ -135,6 +140,8 @@
                  std::vector<MinionRunEnd> &runEnds);
     void updateRuns(TimePoint now, Machine &machine, const MachineReport &report,
                     const JobBook &book);
+    /** Time after a report at which every lease granted on it has expired for certain. */
+    Duration longestLease() const;
     MinionRunEnd lostRunEnd(const MinionLife &life, const RunKey &key) const;
 
     LeaseOptions options_;
--- a/Source/Jobs/taskplacer.cpp
+++ b/Source/Jobs/taskplacer.cpp
@@ -85,8 +85,12 @@
     unobservedPairs_.reset();
     nowMs_ = nowMs;
     now_ = now;
+    lingering_.clear();
     const auto use = computeMinionUse(book_);
     for (const auto &[life, machine] : machines_.machines()) {
+        const std::vector<RunKey> unbooked = machines_.unbookedRuns(now, life, machine, book_);
+        for (const RunKey &key : unbooked)
+            lingering_.insert(key.first);
         if (!machines_.acceptsLongRunningTasks(now, machine))
             continue;
         const auto used = use.find(life);
@@ -96,6 +100,10 @@
         candidate.isSuspended = !machines_.acceptsTasks(now, machine);
         if (used != use.end())
             candidate.use = used->second;
+        for (const RunKey &key : unbooked) {
+            if (const StepSpec *step = book_.findStep(key.first))
+                candidate.use.add(*step);
+        }
     }
     starts_.clear();
     started_.clear();
@@ -166,8 +174,8 @@
     const QueueSpec *queue = book_.queue(ranked.job->queue);
     const Task &task = ranked.job->tasks[ref.step][ref.index];
     const StepSpec &step = ranked.job->steps[ref.step];
-    if (queue == nullptr || task.done || !task.active.empty() || !ranked.job->isStepReady(ref.step)
-        || !mayIsolateAnother(queue->service))
+    if (queue == nullptr || task.done || !task.active.empty() || lingering_.contains(ref)
+        || !ranked.job->isStepReady(ref.step) || !mayIsolateAnother(queue->service))
         return;
     const auto spread = spreadOf(ranked, ref.step);
     const bool reserved = releaseReservation(ref, step);
@@ -313,7 +321,7 @@
     for (std::uint32_t index = 0; index < tasks.size(); ++index) {
         const Task &task = tasks[index];
         const TaskRef ref{ranked.id, step, index};
-        if (task.done || !task.active.empty() || started_.contains(ref)
+        if (task.done || !task.active.empty() || started_.contains(ref) || lingering_.contains(ref)
             || task.suspectedCrashes > 0)
             continue;
         if (pass == Pass::Prioritized && !planner_.isPrioritized(ref, spec, task)
--- a/Source/Jobs/taskplacer.h
+++ b/Source/Jobs/taskplacer.h
@@ -150,6 +150,8 @@
     std::map<std::string, double> weights_;
     std::vector<RunStart> starts_;
     std::set<TaskRef> started_;
+    /** Tasks with a run that a minion executes although it is not active there. */
+    std::set<TaskRef> lingering_;
     TimePoint now_{};
     std::int64_t nowMs_ = 0;
 };
