Agent: let the fence tell the instances of a minion apart

A minion may start again under its id, and a call to its former instance may be carried out seconds later. The check of a connection covers the instance at that moment, not the time that a call waits where it is received. The calls of one term all had the same fence, so the next instance carried out each of them.

- a poll acknowledged ends that nobody had read.
The run was in neither list, its start was refused as old, and the leader started the task again;
- a poll or a start extended the lease, by the clock of the former instance;
- a start ran a run that was lost and perhaps under way elsewhere;
- a stop or a pace order named a run that the instance does not have.

The fence is now the term and, within it, a number that rises with each instance. A minion does nothing for a lower fence than it has seen, and the check of the first connection shows it the new one before any start, so no end can be acknowledged unread. Verifications keep the number before, since they may reach the former instance. A restarted agent does not know the number: when the minion refuses its fence, it raises it within the term until it is accepted (minion.fence-raised). Refusals of a fence that is no longer the current one do not count.

Not covered: calls carried out before the first poll of the new instance, and a restart of agent and minion within the same seconds of one term.

--- a/Source/Fleet/fleetcodec.h
+++ b/Source/Fleet/fleetcodec.h
@@ -97,8 +97,8 @@
     virtual Result<MinionCall> decodeMinionCall(const HttpRequest &request) const = 0;
     virtual HttpResponse encodeMinionAnswer() const = 0;
     /**
-     * Requests to the minion named \a minion. \a fence is the fencing token, the term of the
-     * leader; a start is valid until \a deadlineMs on the clock of the minion.
+     * Requests to the minion named \a minion. \a fence is the fencing token, see
+     * MinionTask::fence(); a start is valid until \a deadlineMs on the clock of the minion.
      */
     virtual HttpRequest startRequest(const std::string &minion, const StartOrder &order,
                                      std::uint64_t fence, std::uint64_t deadlineMs) const = 0;
@@ -109,6 +109,8 @@
     virtual HttpRequest pollRequest(const std::string &minion, const PollOrder &order,
                                     std::uint64_t fence) const = 0;
     virtual OrderResult decodeOrderResult(const HttpResponse &response) const = 0;
+    /** True if the minion did nothing because it has seen a higher fencing token. */
+    virtual bool isFenceRefusal(const HttpResponse &response) const = 0;
     virtual Result<RunLists> decodeRunLists(const HttpResponse &response) const = 0;
 };
 
--- a/Source/Fleet/instanceverifier.cpp
+++ b/Source/Fleet/instanceverifier.cpp
@@ -74,6 +74,8 @@
             return confirmed.emit(announcement);
         }
         isOther = lists.has_value();
+        if (codec_.isFenceRefusal(*result))
+            fenceRefused.emit();
     }
     if (isOther || loop_.clock().now() > candidate.announcedAt + VerificationTime) {
         logEvent(LogEvent::MinionUnconfirmed, Step::Join, life.name,
--- a/Source/Fleet/instanceverifier.h
+++ b/Source/Fleet/instanceverifier.h
@@ -36,6 +36,8 @@
 
     /** Emitted with the latest announcement of the instance that has answered. */
     sigc::signal<void(const MinionAnnouncement &)> confirmed;
+    /** Emitted when the process at the address has seen a higher fencing token. */
+    sigc::signal<void()> fenceRefused;
 
 private:
     struct Candidate
--- a/Source/Fleet/miniontask.cpp
+++ b/Source/Fleet/miniontask.cpp
@@ -22,6 +22,9 @@
  * is based on. The rest covers the wait of the call and the start of the task. */
 constexpr int StartValidityPercent = 66;
 constexpr int Hundred = 100;
+/** Fences in one term, far more than instances start at one address. With any realistic term, the
+ * fence stays within the integers that JSON carries exactly. */
+constexpr std::uint64_t FencesPerTerm = 1024;
 
 RunEnd makeRunEnd(const Jobs::RunKey &key, RunEndKind kind)
 {
@@ -36,13 +39,12 @@
     , codec_(codec)
     , address_(address)
     , startValidity_(cancelTime * StartValidityPercent / Hundred)
-    , verifier_(
-          loop, codec, address,
-          [this](const std::string &name) { return codec_.pollRequest(name, PollOrder{}, term_); })
+    , verifier_(loop, codec, address, [this](const std::string &name) { return makeProbe(name); })
     , tickTimer_(loop, [this] { tick(); })
 {
     verifier_.confirmed.connect(
         [this](const MinionAnnouncement &announcement) { replaceInstance(announcement); });
+    verifier_.fenceRefused.connect([this] { raiseFence(probeFence_); });
     tickTimer_.startEvery(TickInterval);
 }
 
@@ -89,6 +91,8 @@
 void MinionTask::startInstance(const MinionAnnouncement &announcement)
 {
     ++instanceNumber_;
+    // Verifications keep the previous fence, since they may reach the previous instance.
+    instanceFence_ = std::min(instanceFence_ + 1, FencesPerTerm - 1);
     hasMinion_ = true;
     minion_ = announcement.minion;
     announcementSequence_ = announcement.sequence;
@@ -106,7 +110,7 @@
     ConnectionCheck check;
     check.timeout = CheckTimeout;
     // The lease and the acknowledged ends are valid for one instance only.
-    check.request = [this] { return codec_.pollRequest(minion_.life.name, PollOrder{}, term_); };
+    check.request = [this] { return makeProbe(minion_.life.name); };
     check.accepts = [this, instance = instanceNumber_](const HttpResponse &response) {
         return isCurrentInstance(instance) && isFromInstance(response);
     };
@@ -119,9 +123,33 @@
     const bool isCurrent = lists && lists->bornMs == minion_.life.bornMs;
     if (lists && !isCurrent)
         endInstance("another instance answered at its address");
+    if (codec_.isFenceRefusal(response))
+        raiseFence(probeFence_);
     return isCurrent;
 }
 
+std::uint64_t MinionTask::fence() const
+{
+    return term_ * FencesPerTerm + instanceFence_;
+}
+
+HttpRequest MinionTask::makeProbe(const std::string &name)
+{
+    probeFence_ = fence();
+    return codec_.pollRequest(name, PollOrder{}, probeFence_);
+}
+
+void MinionTask::raiseFence(std::uint64_t refused)
+{
+    // A call of an earlier term or instance may be refused. Otherwise an earlier process of the
+    // agent has used a higher fence; without a term, nothing is known of the leader's fences.
+    if (refused != fence() || term_ == 0 || instanceFence_ + 1 == FencesPerTerm)
+        return;
+    instanceFence_ = std::min(2 * instanceFence_ + 1, FencesPerTerm - 1);
+    logEvent(LogEvent::MinionFenceRaised, Step::Join, minion_.life.name,
+             {{"term", term_}, {"fence", fence()}});
+}
+
 void MinionTask::endInstance(const char *why)
 {
     if (!hasMinion_)
@@ -186,6 +214,8 @@
     // Directives of a replaced leader are ignored.
     if (directive.term < term_)
         return;
+    if (directive.term > term_)
+        instanceFence_ = 0;
     term_ = directive.term;
     if (directive.acknowledgedReport > 0 && directive.acknowledgedReport >= latestEventReport_) {
         endedInstances_.clear();
--- a/Source/Fleet/miniontask.h
+++ b/Source/Fleet/miniontask.h
@@ -82,6 +82,14 @@
     /** True if \a response comes from the current instance; ends it if another one answered. */
     bool isFromInstance(const HttpResponse &response);
     void endInstance(const char *why);
+    /** Fencing token of the calls to the current instance. It rises with the term and, within a
+     * term, with each instance, so that an instance does nothing for a call to an earlier one that
+     * has the same id. */
+    std::uint64_t fence() const;
+    /** Raises the fence within the term after the minion has refused \a refused. */
+    void raiseFence(std::uint64_t refused);
+    /** Makes a poll of the instance with the given name that changes nothing. */
+    HttpRequest makeProbe(const std::string &name);
     void tick();
     void pollRuns();
     void onPollAnswer(std::uint64_t number, const HttpCallResult &result);
@@ -136,6 +144,10 @@
     std::vector<MinionCrash> crashes_;
 
     std::uint64_t term_ = 0;
+    /** Part of the fence that rises with each instance; starts anew in each term. */
+    std::uint64_t instanceFence_ = 0;
+    /** Fence of the latest poll that verified an instance or a connection. */
+    std::uint64_t probeFence_ = 0;
     std::uint64_t holdUntilMs_ = 0;
     std::uint64_t acknowledgedEnd_ = 0;
 
--- a/Source/Fleet/miniontaskorders.cpp
+++ b/Source/Fleet/miniontaskorders.cpp
@@ -78,8 +78,8 @@
     ++start.attempts;
     crashAttribution_.startSent(start.sentAt, key);
     start.call = orderClient_->call(
-        codec_.startRequest(minion_.life.name, start.order, term_, start.validUntilMs), CallTimeout,
-        [this, key, instance = instanceNumber_](const HttpCallResult &result) {
+        codec_.startRequest(minion_.life.name, start.order, fence(), start.validUntilMs),
+        CallTimeout, [this, key, instance = instanceNumber_](const HttpCallResult &result) {
             onStartAnswer(key, instance, result);
         });
 }
@@ -190,7 +190,7 @@
     stopRetries_.erase(key);
     const StopOrder order{key.first, key.second};
     orderClient_->call(
-        codec_.stopRequest(minion_.life.name, order, term_), CallTimeout,
+        codec_.stopRequest(minion_.life.name, order, fence()), CallTimeout,
         [this, key, instance = instanceNumber_,
          calledAt = loop_.clock().now()](const HttpCallResult &result) {
             if (isCurrentInstance(instance))
--- a/Source/Fleet/miniontaskpolling.cpp
+++ b/Source/Fleet/miniontaskpolling.cpp
@@ -36,13 +36,16 @@
     order.holdUntilMs = holdUntilMs_;
     order.wait = hasRunList_ ? PollWait : Duration{};
     const std::uint64_t number = ++pollNumber_;
-    pollClient_->call(codec_.pollRequest(minion_.life.name, order, term_), order.wait + CallTimeout,
-                      [this, number, instance = instanceNumber_](const HttpCallResult &result) {
-                          if (!isCurrentInstance(instance))
-                              return;
-                          isPolling_ = false;
-                          onPollAnswer(number, result);
-                      });
+    pollClient_->call(
+        codec_.pollRequest(minion_.life.name, order, fence()), order.wait + CallTimeout,
+        [this, number, fence = fence(), instance = instanceNumber_](const HttpCallResult &result) {
+            if (!isCurrentInstance(instance))
+                return;
+            isPolling_ = false;
+            if (result && codec_.isFenceRefusal(*result))
+                raiseFence(fence);
+            onPollAnswer(number, result);
+        });
 }
 
 void MinionTask::onPollAnswer(std::uint64_t number, const HttpCallResult &result)
@@ -156,7 +159,7 @@
         logRunEvent(LogEvent::RunPaced, Step::Run, minion_.life.name, order.key,
                     {{"percent", order.percent}});
         orderClient_->call(
-            codec_.paceRequest(minion_.life.name, {task, run}, order.percent, term_), CallTimeout,
+            codec_.paceRequest(minion_.life.name, {task, run}, order.percent, fence()), CallTimeout,
             [this, key = order.key, instance = instanceNumber_](const HttpCallResult &result) {
                 if (isCurrentInstance(instance) && (!result || result->status >= 300))
                     paceController_.orderFailed(key);
--- a/Source/Runtime/logevent.cpp
+++ b/Source/Runtime/logevent.cpp
@@ -35,6 +35,7 @@
     {LogEvent::MinionEjected, LogLevel::Warning, "minion.ejected"},
     {LogEvent::MinionRestored, LogLevel::Info, "minion.restored"},
     {LogEvent::MinionUnconfirmed, LogLevel::Warning, "minion.unconfirmed"},
+    {LogEvent::MinionFenceRaised, LogLevel::Info, "minion.fence-raised"},
 
     {LogEvent::TaskPlaced, LogLevel::Info, "task.placed"},
     {LogEvent::TaskOrderRefused, LogLevel::Warning, "task.order-refused"},
--- a/Source/Runtime/logevent.h
+++ b/Source/Runtime/logevent.h
@@ -36,6 +36,7 @@
     MinionEjected = 2013,
     MinionRestored = 2014,
     MinionUnconfirmed = 2015,
+    MinionFenceRaised = 2016,
 
     TaskPlaced = 3000,
     TaskOrderRefused = 3001,
--- a/Tests/Fleet/scriptedminion.h
+++ b/Tests/Fleet/scriptedminion.h
@@ -34,6 +34,10 @@
     Fleet::MinionTask task{loop, Platform::platformCodec(), address};
     std::uint64_t clockMs = 1'000;
     std::uint64_t acknowledgedEnd = 0;
+    /** Highest fencing token that the process has seen; calls with a lower one do nothing. */
+    std::uint64_t fence = 0;
+    /** Calls that the process has received, with their fencing tokens. */
+    std::vector<Json> calls;
     /** True if the start orders of sendDirective() are the first ones of their runs. */
     bool ordersAreFirst = true;
     /** HTTP status of the answers to starts; 0 for no answer. */
@@ -98,6 +102,8 @@
         crash();
         life = next;
         clockMs = 1;
+        fence = 0;
+        calls.clear();
         starts.clear();
         polls.clear();
         listen();
@@ -109,10 +115,17 @@
     void handle(const std::shared_ptr<HttpExchange> &exchange)
     {
         constexpr unsigned MisdirectedRequest = 421;
+        constexpr unsigned Conflict = 409;
         const std::string &path = exchange->request().path;
         Json body = {{"clockMs", clockMs}};
         if (exchange->request().header("Oleanderusher-Expected-Instance") != life.name)
             return exchange->respond({MisdirectedRequest, {}, body.dump()});
+        calls.push_back(Json::parse(exchange->request().body));
+        if (isOutdated(calls.back())) {
+            body["reason"] = "fence";
+            return exchange->respond({Conflict, {}, body.dump()});
+        }
+        fence = calls.back().at("fence");
         if (path.ends_with("hold")) {
             polls.push_back(Json::parse(exchange->request().body));
             body["born"] = life.bornMs;
@@ -135,6 +148,9 @@
         unansweredRequests.push_back(exchange);
     }
 
+    /** True if the process does nothing for \a call because of its fencing token. */
+    bool isOutdated(const Json &call) const { return call.at("fence") < fence; }
+
     /** Returns the rows that a poll lists after the acknowledged end \a cursor. */
     Json listedEnds(std::uint64_t cursor) const
     {
--- a/Tests/Platform/platformcodectest.cpp
+++ b/Tests/Platform/platformcodectest.cpp
@@ -313,6 +313,15 @@
     CHECK(hasMoreEnds(MaxListedEnds + 1));
 }
 
+TEST_CASE("A minion that has seen a higher fence is told from one that refuses for another reason")
+{
+    CHECK(codec.isFenceRefusal({409, {}, R"({"clockMs":1,"reason":"fence"})"}));
+    CHECK_FALSE(codec.isFenceRefusal({409, {}, R"({"clockMs":1,"reason":"old"})"}));
+    CHECK_FALSE(codec.isFenceRefusal({409, {}, R"({"clockMs":1})"}));
+    CHECK_FALSE(codec.isFenceRefusal({409, {}, "reason"}));
+    CHECK_FALSE(codec.isFenceRefusal({200, {}, R"({"reason":"fence"})"}));
+}
+
 TEST_CASE("Every kind of answer has the HTTP status that the platform's callers expect")
 {
     const auto status = [](JobAnswerKind kind) {
