Fleet: show what ends a confirmed run that its minion no longer knows

If the end of a run was acknowledged unread, the run is in neither list of its minion. The leader then orders the start again, not as the first order, and whatever the minion answers (400, 409, 429, 503, or nothing until the lease ends), the agent has the run stopped and reports it as refused after the next list. This was so before; no test showed it. How the run ended, no process can tell.

--- a/Tests/Fleet/miniontasktest.cpp
+++ b/Tests/Fleet/miniontasktest.cpp
@@ -242,3 +242,23 @@
     minion.sendDirective(6'000, false);
     minion.runUntil([&] { return minion.reportsRefusal(); });
 }
+
+TEST_CASE("A confirmed run that its minion lists neither as running nor as ended is refused")
+{
+    // Its end was acknowledged unread. The leader orders the start again until the run ends.
+    ScriptedMinion minion;
+    minion.sendDirective(6'000, true);
+    minion.runUntil([&] { return !minion.starts.empty(); });
+    minion.runUntil([&] { return minion.report().undelivered.empty(); });
+    minion.runPolls(2);
+    CHECK_FALSE(minion.reportsRefusal());
+    minion.startStatus = GENERATE(0U, 400U, 409U, 429U, 503U);
+    minion.ordersAreFirst = false;
+    minion.sendDirective(6'000, true);
+    if (minion.startStatus == 0) {
+        minion.runUntil([&] { return minion.starts.size() > 1; });
+        minion.clockMs = 6'000;
+    }
+    minion.runUntil([&] { return minion.reportsRefusal(); });
+    CHECK(minion.stops == 1);
+}
