Agent: stop the runs that outlive the lease that the leader granted

A lease that a minion has taken from a call to its former instance counts on another clock, so it may last up to the platform's maximum, and it is never shortened. No process can read it. The leader gives up the runs of a silent agent by the lease that it granted, so such a run went on beside its successor: two runs of one task, when the agent was cut off from the leader.

The agent knows every lease that the leader has granted through it. Once a list is later, on the minion's clock, than all of these, the agent stops what the list still shows (run.outlived-lease). On a minion with the granted lease nothing is left to stop by then.

Not covered: a restarted agent that has heard no leader yet, and the time until the stop, a poll and stopMs. The leader's margin is about half a second, so this bounds the overlap and does not always prevent it.

--- a/Source/Fleet/miniontask.h
+++ b/Source/Fleet/miniontask.h
@@ -95,6 +95,9 @@
     void onPollAnswer(std::uint64_t number, const HttpCallResult &result);
     void applyRunLists(std::uint64_t number, RunLists lists);
     void onPollFailure(const HttpCallError &error);
+    /** Stops the runs that the minion lists at \a clockMs although every lease that the leader has
+     * granted has expired. A call to an earlier instance may have extended the lease. */
+    void enforceLease(std::uint64_t clockMs);
     void updatePace();
     /** Returns the time until which starts may be sent that \a directive orders or renews. */
     TimePoint startExpiry(const MachineDirective &directive) const;
--- a/Source/Fleet/miniontaskpolling.cpp
+++ b/Source/Fleet/miniontaskpolling.cpp
@@ -134,6 +134,7 @@
     });
     for (RunStatus &status : running_)
         status.hasStartOrder = startOrders_.contains({status.task, status.run});
+    enforceLease(lists.clockMs);
     updatePace();
     const bool hasWaited = now - pollStartedAt_ > PollPause;
     nextPollAt_ = hasChanges || hasWaited ? now : now + PollPause;
@@ -142,6 +143,21 @@
     tick();
 }
 
+void MinionTask::enforceLease(std::uint64_t clockMs)
+{
+    // Without a directive, the lease that an earlier process of the agent passed on is unknown.
+    if (holdUntilMs_ == 0 || clockMs <= holdUntilMs_)
+        return;
+    for (const RunStatus &status : running_) {
+        const Jobs::RunKey key{status.task, status.run};
+        if (pendingStops_.contains(key))
+            continue;
+        logRunEvent(LogEvent::RunOutlivedLease, Step::Stop, minion_.life.name, key,
+                    {{"term", term_}, {"past_ms", clockMs - holdUntilMs_}});
+        sendStop(key);
+    }
+}
+
 void MinionTask::updatePace()
 {
     std::vector<Jobs::PacedRun> runs;
--- a/Source/Runtime/logevent.cpp
+++ b/Source/Runtime/logevent.cpp
@@ -58,6 +58,7 @@
     {LogEvent::RunStopCalled, LogLevel::Info, "run.stop-called"},
     {LogEvent::RunStartHeld, LogLevel::Warning, "run.start-held"},
     {LogEvent::JobRerouted, LogLevel::Info, "job.rerouted"},
+    {LogEvent::RunOutlivedLease, LogLevel::Warning, "run.outlived-lease"},
     {LogEvent::RunPaced, LogLevel::Info, "run.paced"},
 
     {LogEvent::LeaderElected, LogLevel::Info, "control.leader-elected"},
--- a/Source/Runtime/logevent.h
+++ b/Source/Runtime/logevent.h
@@ -59,6 +59,7 @@
     RunStopCalled = 3030,
     RunStartHeld = 3031,
     JobRerouted = 3032,
+    RunOutlivedLease = 3033,
     RunPaced = 3040,
 
     LeaderElected = 4000,
--- a/Tests/Fleet/miniontasktest.cpp
+++ b/Tests/Fleet/miniontasktest.cpp
@@ -262,3 +262,17 @@
     minion.runUntil([&] { return minion.reportsRefusal(); });
     CHECK(minion.stops == 1);
 }
+
+TEST_CASE("Runs that outlive the lease that the leader granted are stopped")
+{
+    // A call to the former instance may have extended the lease, in the time of another clock.
+    constexpr std::uint64_t LeaseEnd = 6'000;
+    ScriptedMinion minion;
+    minion.sendDirective(LeaseEnd, false);
+    minion.running.push_back(Json::array({First.job + ".0.0.0", 1, "", 50, 0}));
+    minion.clockMs = LeaseEnd;
+    minion.runPolls(3);
+    CHECK(minion.stops == 0);
+    minion.clockMs = LeaseEnd + 1;
+    minion.runUntil([&] { return minion.stops > 0; });
+}
--- a/Tests/Fleet/scriptedminion.h
+++ b/Tests/Fleet/scriptedminion.h
@@ -47,6 +47,8 @@
     std::size_t unansweredStops = 0;
     std::vector<Json> starts;
     std::vector<Json> polls;
+    /** Active runs, as rows of the list "running". */
+    std::vector<Json> running;
     /** Ended runs, as rows of the list "finished"; a poll returns those after its ackCursor, at
      * most MaxListedEnds at a time. */
     std::vector<Json> ends;
@@ -104,6 +106,7 @@
         clockMs = 1;
         fence = 0;
         calls.clear();
+        running.clear();
         starts.clear();
         polls.clear();
         listen();
@@ -129,7 +132,7 @@
         if (path.ends_with("hold")) {
             polls.push_back(Json::parse(exchange->request().body));
             body["born"] = life.bornMs;
-            body["running"] = Json::array();
+            body["running"] = running;
             body["finished"] = listedEnds(polls.back().at("ackCursor"));
             return exchange->respond({200, {}, body.dump()});
         }
