Jobs: a test that fails: late starts that end as done start again

A minion that carries out a start meant for its former life may also finish the run. The end is acknowledged, so the platform counts it, but the book does not hold the run as active there and drops the end. The task is held while the run is listed, and starts again afterwards (TWICE).

--- a/Tests/Jobs/unbookedruntest.cpp
+++ b/Tests/Jobs/unbookedruntest.cpp
@@ -98,3 +98,18 @@
     CHECK(waited > lease.length);
     CHECK(waited < 2 * lease.length);
 }
+
+TEST_CASE(
+    "A task whose late start ends as done in the next life of its minion does not start again")
+{
+    // The platform counts that end once it is acknowledged.
+    SchedulerFixture leader;
+    MachineReport report = carryOutLateStart(leader);
+    REQUIRE(leader.decide().ends.size() == 1);
+    leader.directive("agent-a");
+    report.running.clear();
+    report.finished = {{1, First, 1, RunEndKind::Done, {}}};
+    leader.report("agent-a", report);
+    CHECK(decideStarts(leader).empty());
+    CHECK(leader.state("j") == JobState::Completed);
+}
