--- a/Source/Fleet/miniontask.h
+++ b/Source/Fleet/miniontask.h
@@ -85,11 +85,22 @@
     /** Keeps the listed ends of the current instance, which ends, for the leader; returns the
      * number of ends that exceed the limit and are dropped. */
     std::size_t keepLastEnds();
+    /** Fencing token of the calls to the current instance. It rises with the term and, within a
+     * term, with each instance, so that an instance does nothing for a call to an earlier one that
+     * has the same id. */
+    std::uint64_t fence() const;
+    /** Raises the fence within the term after the minion has refused \a refused. */
+    void raiseFence(std::uint64_t refused);
+    /** Makes a poll of the instance with the given name that changes nothing. */
+    HttpRequest makeProbe(const std::string &name);
     void tick();
     void pollRuns();
     void onPollAnswer(std::uint64_t number, const HttpCallResult &result);
     void applyRunLists(std::uint64_t number, RunLists lists);
     void onPollFailure(const HttpCallError &error);
+    /** Stops the runs that the minion lists at \a clockMs although every lease that the leader has
+     * granted has expired. A call to an earlier instance may have extended the lease. */
+    void enforceLease(std::uint64_t clockMs);
     void updatePace();
     /** Returns the time until which starts may be sent that \a directive orders or renews. */
     TimePoint startExpiry(const MachineDirective &directive) const;
@@ -141,6 +152,10 @@
     std::vector<ListedEnds> lastEnds_;
 
     std::uint64_t term_ = 0;
+    /** Part of the fence that rises with each instance; starts anew in each term. */
+    std::uint64_t instanceFence_ = 0;
+    /** Fence of the latest poll that verified an instance or a connection. */
+    std::uint64_t probeFence_ = 0;
     std::uint64_t holdUntilMs_ = 0;
     std::uint64_t acknowledgedEnd_ = 0;
 
--- a/Source/Fleet/miniontaskpolling.cpp
+++ b/Source/Fleet/miniontaskpolling.cpp
@@ -36,13 +36,16 @@
     order.holdUntilMs = holdUntilMs_;
     order.wait = hasRunList_ ? PollWait : Duration{};
     const std::uint64_t number = ++pollNumber_;
-    pollClient_->call(codec_.pollRequest(minion_.life.name, order, term_), order.wait + CallTimeout,
-                      [this, number, instance = instanceNumber_](const HttpCallResult &result) {
-                          if (!isCurrentInstance(instance))
-                              return;
-                          isPolling_ = false;
-                          onPollAnswer(number, result);
-                      });
+    pollClient_->call(
+        codec_.pollRequest(minion_.life.name, order, fence()), order.wait + CallTimeout,
+        [this, number, fence = fence(), instance = instanceNumber_](const HttpCallResult &result) {
+            if (!isCurrentInstance(instance))
+                return;
+            isPolling_ = false;
+            if (result && codec_.isFenceRefusal(*result))
+                raiseFence(fence);
+            onPollAnswer(number, result);
+        });
 }
 
 void MinionTask::onPollAnswer(std::uint64_t number, const HttpCallResult &result)
@@ -131,6 +134,7 @@
     });
     for (RunStatus &status : running_)
         status.hasStartOrder = startOrders_.contains({status.task, status.run});
+    enforceLease(lists.clockMs);
     updatePace();
     const bool hasWaited = now - pollStartedAt_ > PollPause;
     nextPollAt_ = hasChanges || hasWaited ? now : now + PollPause;
@@ -139,6 +143,21 @@
     tick();
 }
 
+void MinionTask::enforceLease(std::uint64_t clockMs)
+{
+    // Without a directive, the lease that an earlier process of the agent passed on is unknown.
+    if (holdUntilMs_ == 0 || clockMs <= holdUntilMs_)
+        return;
+    for (const RunStatus &status : running_) {
+        const Jobs::RunKey key{status.task, status.run};
+        if (pendingStops_.contains(key))
+            continue;
+        logRunEvent(LogEvent::RunOutlivedLease, Step::Stop, minion_.life.name, key,
+                    {{"term", term_}, {"past_ms", clockMs - holdUntilMs_}});
+        sendStop(key);
+    }
+}
+
 void MinionTask::updatePace()
 {
     std::vector<Jobs::PacedRun> runs;
@@ -156,7 +175,7 @@
         logRunEvent(LogEvent::RunPaced, Step::Run, minion_.life.name, order.key,
                     {{"percent", order.percent}});
         orderClient_->call(
-            codec_.paceRequest(minion_.life.name, {task, run}, order.percent, term_), CallTimeout,
+            codec_.paceRequest(minion_.life.name, {task, run}, order.percent, fence()), CallTimeout,
             [this, key = order.key, instance = instanceNumber_](const HttpCallResult &result) {
                 if (isCurrentInstance(instance) && (!result || result->status >= 300))
                     paceController_.orderFailed(key);
--- a/Source/Runtime/logevent.h
+++ b/Source/Runtime/logevent.h
@@ -36,6 +36,7 @@
     MinionEjected = 2013,
     MinionRestored = 2014,
     MinionUnconfirmed = 2015,
+    MinionFenceRaised = 2016,
 
     TaskPlaced = 3000,
     TaskOrderRefused = 3001,
@@ -59,6 +60,7 @@
     RunStartHeld = 3031,
     JobRerouted = 3032,
     RunEndIgnored = 3033,
+    RunOutlivedLease = 3034,
     RunPaced = 3040,
 
     LeaderElected = 4000,
