Jobs: Do not take a start without an answer for a certain crash

Cause: the only suspect of a crash counted as certain, whether or not the minion had confirmed its start. An order that had waited seconds for an answer when all minions of the service went away, and one crash among ten suspects, gave the job up. The class of the fault: a missing answer is taken as a fact about the task.

An unconfirmed start now supports a certain crash and never replaces one. Tasks that crash their minions stay within three crashes once they start apart. The count is a new last field of a task; stored counts are read as before.

Failed before: "A job is not given up for an order without an answer and a crash of many suspects", "A task that no minion has certainly started is never given up". "A task that crashes every minion crashes at most three once it starts apart" and "Crash counts stored by earlier versions are read as before" guard what must not change, and passed before too.

--- a/Source/Jobs/jobbook.cpp
+++ b/Source/Jobs/jobbook.cpp
@@ -1,5 +1,6 @@
 #include "Jobs/jobbook.h"
 
+#include "Jobs/crashevidence.h"
 #include "Protocol/codec.h"
 
 #include <algorithm>
@@ -8,12 +9,6 @@
 
 namespace {
 
-/** Crashed minions after which a task is given up if one of the crashes is certainly its own. */
-constexpr std::uint32_t CrashesUntilGivenUp = 2;
-/** Crashed minions after which a task is given up in any case; the platform forbids a third start
- * after three. */
-constexpr std::uint32_t MaxCrashes = 4;
-
 /** True unless the minion certainly started the run. */
 bool mayNotHaveStarted(const MinionRunEnd &runEnd)
 {
@@ -41,7 +36,8 @@
 
 bool Task::isGivenUp() const
 {
-    return crashes >= MaxCrashes || (crashes >= CrashesUntilGivenUp && certainCrashes > 0);
+    const CrashCounts counts{suspectedCrashes, crashes, certainCrashes, unconfirmedCrashes};
+    return counts.isConclusive();
 }
 
 bool Job::isLongRunning() const
@@ -155,16 +151,18 @@
 void JobBook::countCrash(const MinionRunEnd &runEnd, Task &task)
 {
     if (runEnd.crashSuspects > 0) {
-        const bool isOnlySuspect = runEnd.crashSuspects == 1;
-        ++task.suspectedCrashes;
-        task.crashes += isOnlySuspect || runEnd.hasStarted ? 1 : 0;
-        task.certainCrashes += isOnlySuspect ? 1 : 0;
+        const CrashCounts counts = evidenceOf(runEnd);
+        task.suspectedCrashes += counts.suspected;
+        task.crashes += counts.started;
+        task.certainCrashes += counts.certain;
+        task.unconfirmedCrashes += counts.unconfirmed;
         crashSuspects_.insert(runEnd.end.task);
     } else if (!mayNotHaveStarted(runEnd)) {
         // The minion has executed the run and survived.
         task.suspectedCrashes = 0;
         task.crashes = 0;
         task.certainCrashes = 0;
+        task.unconfirmedCrashes = 0;
         crashSuspects_.erase(runEnd.end.task);
     }
 }
--- a/Source/Jobs/jobbook.h
+++ b/Source/Jobs/jobbook.h
@@ -42,8 +42,12 @@
     std::uint32_t suspectedCrashes = 0;
     /** Those of them that the minion certainly started. */
     std::uint32_t crashes = 0;
-    /** Those of them without another run that may have caused the crash. */
+    /** Those of them without another run that may have caused the crash. Counts stored by earlier
+     * versions include unconfirmedCrashes here and in crashes. */
     std::uint32_t certainCrashes = 0;
+    /** Suspected crashes without another possible cause whose start the minion has not confirmed.
+     */
+    std::uint32_t unconfirmedCrashes = 0;
 
     /** True if the task has crashed so many minions that it must not start again. */
     bool isGivenUp() const;
@@ -60,6 +64,7 @@
     f(v.suspectedCrashes);
     f(v.crashes);
     f(v.certainCrashes);
+    f(v.unconfirmedCrashes);
 }
 
 struct Job
