Jobs: a late done counts for its task by the number of the run

A run is active on one life of a minion, and the next life carries out its late start: if one report ends the former life and lists the run as done, or brings the last list of a second crashed life, the end was checked against the list of lost runs before the loss was applied, and was dropped and acknowledged. And a run that had ended as stopped or refused in one life was not among the lost runs.

A run number is given once, so a listed end as done is true of its task, whatever life lists it and whatever the book holds. The list of lost runs leaves the replicated state. Ends carry countsWhenLate instead: entries of earlier versions lack it, and their late ends are ignored as they were when they were committed, so each log gives one state in every replica of this version.

--- a/Source/Jobs/jobbook.cpp
+++ b/Source/Jobs/jobbook.cpp
@@ -10,9 +10,6 @@
 
 namespace {
 
-/** Lost runs of a task that are stored; bounds the state of a task that is lost again and again. */
-constexpr std::size_t MaxLostRuns = 8;
-
 /** True unless the minion certainly started the run. */
 bool mayNotHaveStarted(const MinionRunEnd &runEnd)
 {
@@ -181,7 +178,6 @@
     Job &job = jobs_.find(ref.job)->second;
     task.done = true;
     task.checkpoint.clear();
-    task.lost.clear();
     crashSuspects_.erase(ref);
     ++job.doneCounts[ref.step];
     bool allDone = true;
@@ -191,21 +187,17 @@
         finish(ref.job, job, JobState::Completed, atMs);
 }
 
-void JobBook::endLost(const MinionRunEnd &runEnd, Task &task, std::int64_t atMs)
+void JobBook::endLate(const RunEnd &end, Task &task, std::int64_t atMs)
 {
-    const RunEnd &end = runEnd.end;
-    if (end.kind == RunEndKind::Lost || !expectsEnd(runEnd.minion, end))
+    if (!expectsLateEnd(end))
         return;
-    std::erase_if(task.lost, [&](const ActiveRun &run) { return run.run == end.run; });
     Job &job = jobs_.find(end.task.job)->second;
-    if (end.kind != RunEndKind::Refused) {
-        job.hasBegun = true;
-        job.state = JobState::Running;
-    }
-    // A failure is not counted as an attempt, since the run has already ended as lost.
+    job.hasBegun = true;
+    job.state = JobState::Running;
+    job.changedAtMs = atMs;
     if (end.kind == RunEndKind::Done)
         completeTask(end.task, task, atMs);
-    else if (!end.checkpoint.empty() && end.run == task.lastRun)
+    else
         task.checkpoint = end.checkpoint;
 }
 
@@ -217,9 +209,11 @@
     const auto active = std::ranges::find_if(task->active, [&](const ActiveRun &run) {
         return run.run == runEnd.end.run && run.minion == runEnd.minion;
     });
-    if (active == task->active.end())
-        return endLost(runEnd, *task, atMs);
-    const ActiveRun ended = *active;
+    if (active == task->active.end()) {
+        if (runEnd.countsWhenLate)
+            endLate(runEnd.end, *task, atMs);
+        return;
+    }
     task->active.erase(active);
     const auto index = activeRuns_.find(runEnd.minion);
     index->second.erase({runEnd.end.task, runEnd.end.run});
@@ -234,15 +228,10 @@
     job.hasBegun = job.hasBegun || !mayNotHaveStarted(runEnd);
     if (!job.hasBegun && !job.hasActiveRuns())
         job.state = JobState::Queued;
-    const StepSpec &step = job.steps[runEnd.end.task.step];
-    if (runEnd.end.kind == RunEndKind::Lost && !step.longRunning) {
-        if (task->lost.size() == MaxLostRuns)
-            task->lost.erase(task->lost.begin());
-        task->lost.push_back(ended);
-    }
     countCrash(runEnd, *task);
     if (task->isGivenUp() && task->active.empty())
         return finish(runEnd.end.task.job, job, JobState::Failed, atMs);
+    const StepSpec &step = job.steps[runEnd.end.task.step];
     if (runEnd.end.kind == RunEndKind::Failed && !step.longRunning) {
         ++task->failures;
         const QueueSpec *spec = queue(job.queue);
@@ -322,20 +311,25 @@
 }
 
 bool JobBook::expectsEnd(const MinionLife &life, const RunEnd &end) const
+{
+    const ActiveRun *active = activeRun({end.task, end.run});
+    return (active != nullptr && active->minion == life) || expectsLateEnd(end);
+}
+
+bool JobBook::expectsLateEnd(const RunEnd &end) const
 {
     const Task *task = findTask(end.task);
-    if (task == nullptr)
+    if (task == nullptr || task->done || end.run == 0 || end.run > task->lastRun)
         return false;
-    const auto isRun = [&](const ActiveRun &run) {
-        return run.run == end.run && run.minion == life;
-    };
-    if (std::ranges::any_of(task->active, isRun))
-        return true;
-    if (task->done || find(end.task.job)->hasEnded())
+    const Job &job = *find(end.task.job);
+    if (job.hasEnded() || job.steps[end.task.step].longRunning)
         return false;
-    return std::ranges::any_of(task->lost, [&](const ActiveRun &run) {
-        return isRun(run) || (run.run == end.run && end.kind == RunEndKind::Done);
-    });
+    // A run number is given once, so done is true of the task whichever life of a minion lists it.
+    // A failure does not count: the run has ended already, and an attempt must not count twice.
+    if (end.kind == RunEndKind::Done)
+        return true;
+    return end.run == task->lastRun && task->active.empty() && !end.checkpoint.empty()
+           && end.checkpoint != task->checkpoint;
 }
 
 std::string JobBook::snapshot() const
--- a/Source/Jobs/jobbook.h
+++ b/Source/Jobs/jobbook.h
@@ -38,9 +38,6 @@
     bool done = false;
     std::string checkpoint;
     std::vector<ActiveRun> active;
-    /** The latest runs that ended as lost, oldest first. Their minions may still list how they
-     * really ended. */
-    std::vector<ActiveRun> lost;
     /** Consecutive runs that may have crashed their minion. */
     std::uint32_t suspectedCrashes = 0;
     /** Those of them that the minion certainly started. */
@@ -67,7 +64,6 @@
     f(v.suspectedCrashes);
     f(v.crashes);
     f(v.certainCrashes);
-    f(v.lost);
     f(v.unconfirmedCrashes);
 }
 
@@ -153,9 +149,8 @@
     const std::map<MinionLife, std::set<RunKey>> &activeRuns() const { return activeRuns_; }
     /** Returns the active run \a key, or null. */
     const ActiveRun *activeRun(const RunKey &key) const;
-    /** True if \a end, listed by \a life, would change the state: the run is active there, or it
-     * was lost there, or it was lost elsewhere and \a life has finished it. A minion may carry out
-     * a start that was meant for its former life. */
+    /** True if the run of \a end is active on \a life, or if its late end would change the state.
+     */
     bool expectsEnd(const MinionLife &life, const RunEnd &end) const;
 
 private:
@@ -165,8 +160,11 @@
     bool submit(const Submission &submission, std::int64_t atMs);
     void cancel(const std::string &id, std::int64_t atMs);
     void end(const MinionRunEnd &runEnd, std::int64_t atMs);
-    /** Applies the end of a run of \a task that is no longer active. */
-    void endLost(const MinionRunEnd &runEnd, Task &task, std::int64_t atMs);
+    /** Applies the end of a run that is not active on the minion that lists it. The lease of the
+     * run may have expired before its end was known, or the minion has carried out a start that was
+     * meant for its former life. */
+    void endLate(const RunEnd &end, Task &task, std::int64_t atMs);
+    bool expectsLateEnd(const RunEnd &end) const;
     void completeTask(const TaskRef &ref, Task &task, std::int64_t atMs);
     void countCrash(const MinionRunEnd &runEnd, Task &task);
     bool start(const RunStart &start, std::int64_t atMs);
--- a/Source/Jobs/jobcommand.h
+++ b/Source/Jobs/jobcommand.h
@@ -48,6 +48,9 @@
     std::uint32_t crashSuspects = 0;
     /** True if the minion certainly started the run; only set for a lost run. */
     bool hasStarted = false;
+    /** True if the end counts although the run is no longer active. Entries of earlier versions
+     * lack the field; such ends of theirs are ignored, as when they were committed. */
+    bool countsWhenLate = false;
 };
 
 template<typename F>
@@ -57,6 +60,7 @@
     f(v.end);
     f(v.crashSuspects);
     f(v.hasStarted);
+    f(v.countsWhenLate);
 }
 
 /** The decision to start a run on one life of a minion. */
--- a/Source/Jobs/machinetable.cpp
+++ b/Source/Jobs/machinetable.cpp
@@ -53,8 +53,10 @@
                      std::vector<MinionRunEnd> &runEnds)
 {
     for (const RunEnd &end : ends) {
-        if (book.expectsEnd(life, end))
-            runEnds.push_back({life, end});
+        if (!book.expectsEnd(life, end))
+            continue;
+        runEnds.push_back({life, end});
+        runEnds.back().countsWhenLate = true;
     }
 }
 
--- a/Tests/Jobs/jobfixture.h
+++ b/Tests/Jobs/jobfixture.h
@@ -76,6 +76,15 @@
         batch.ends.push_back({life, {1, task, run, kind, std::move(checkpoint)}});
         apply(std::move(batch));
     }
+    /** Ends a run as end() does; the end counts although the run is no longer active. */
+    void endLate(const TaskRef &task, std::uint32_t run, const MinionLife &life, RunEndKind kind,
+                 std::string checkpoint = {})
+    {
+        JobBatch batch;
+        batch.ends.push_back({life, {1, task, run, kind, std::move(checkpoint)}});
+        batch.ends.back().countsWhenLate = true;
+        apply(std::move(batch));
+    }
     JobState state(const std::string &id) const { return book.find(id)->state; }
 };
 
--- a/Tests/Jobs/unbookedruntest.cpp
+++ b/Tests/Jobs/unbookedruntest.cpp
@@ -113,3 +113,31 @@
     CHECK(decideStarts(leader).empty());
     CHECK(leader.state("j") == JobState::Completed);
 }
+
+TEST_CASE("A finished late start counts although the report that lists it ends the former life")
+{
+    SchedulerFixture leader;
+    leader.submit("j", {step(1)});
+    leader.report("agent-a", reportOf(LifeA, 1'000));
+    REQUIRE(leader.directive("agent-a").holdUntilMs > 0);
+    REQUIRE(leader.decide().starts.size() == 1);
+    const MinionLife next{LifeA.name, LifeA.bornMs + 1};
+    MachineReport report = reportOf(next, 10);
+    report.ended = {LifeA};
+    SECTION("the next life lists it")
+    {
+        report.finished = {{1, First, 1, RunEndKind::Done, {}}};
+    }
+    SECTION("the next life had listed it before it crashed")
+    {
+        report = MachineReport{};
+        report.sequence = 5;
+        report.ended = {LifeA, next};
+        report.lastEnds = {{next, {{1, First, 1, RunEndKind::Done, {}}}}};
+    }
+    leader.report("agent-a", report);
+    CHECK(leader.decide().ends.size() == 2);
+    CHECK(leader.decide().starts.empty());
+    CHECK(leader.state("j") == JobState::Completed);
+    CHECK(leader.book.activeRuns().empty());
+}
