Leader: don't report the repeated ends of long-running runs as ignored

A long-running task is never done, and agents repeat an end until it is acknowledged. Each repeat of an end as done that was already committed was logged as run.end-ignored.

--- a/Source/Jobs/crashevidence.cpp
+++ b/Source/Jobs/crashevidence.cpp
@@ -6,8 +6,8 @@
 
 /** Crashed minions after which a task is given up if one of the crashes is certainly its own. */
 constexpr std::uint32_t CrashesUntilGivenUp = 2;
-/** The same if the start on one of the minions was not confirmed; the platform forbids a third
- * start after three. */
+/** The same if the start on one of the minions was not confirmed. The platform counts a violation
+ * if a task starts again after three crashes. */
 constexpr std::uint32_t CrashesUntilGivenUpUnconfirmed = 3;
 /** Crashed minions after which a task is given up in any case. */
 constexpr std::uint32_t MaxCrashes = 4;
--- a/Source/Jobs/jobscheduler.cpp
+++ b/Source/Jobs/jobscheduler.cpp
@@ -74,9 +74,10 @@
     for (const RunEnd &end : report.finished) {
         const RunKey key{end.task, end.run};
         const Task *task = book_.findTask(end.task);
+        // A long-running task is never done, and its ends are repeated until their acknowledgement.
         if (end.kind == RunEndKind::Done && task != nullptr && !task->done
-            && !book_.expectsEnd(report.minion.life, end) && !book_.find(end.task.job)->hasEnded()
-            && ignoredRuns_.insert(key).second)
+            && !book_.findStep(end.task)->longRunning && !book_.expectsEnd(report.minion.life, end)
+            && !book_.find(end.task.job)->hasEnded() && ignoredRuns_.insert(key).second)
             ignoredEnds_.push_back({report.minion.life, end});
     }
 }
--- a/Tests/Jobs/lostminiontest.cpp
+++ b/Tests/Jobs/lostminiontest.cpp
@@ -200,3 +200,18 @@
     leader.report("agent-a", crashed);
     CHECK(leader.decide().empty());
 }
+
+TEST_CASE("The repeated end of a long-running run is not taken for finished work that is ignored")
+{
+    SchedulerFixture leader;
+    leader.submit("j", {longRunningStep()});
+    registerMinion(leader, "agent-a", LifeA);
+    REQUIRE(leader.decide().starts.size() == 1);
+    MachineReport report = reportOf(LifeA, 2'000);
+    report.finished.push_back({7, First, 1, RunEndKind::Done, {}});
+    for (int repeats = 0; repeats < 2; ++repeats) {
+        leader.report("agent-a", report);
+        leader.decide();
+        CHECK(leader.scheduler.takeIgnoredEnds().empty());
+    }
+}
--- a/Tests/Jobs/unbookedruntest.cpp
+++ b/Tests/Jobs/unbookedruntest.cpp
@@ -141,3 +141,18 @@
     CHECK(leader.state("j") == JobState::Completed);
     CHECK(leader.book.activeRuns().empty());
 }
+
+TEST_CASE("A late start that ends as failed in the next life of its minion counts as an attempt")
+{
+    // The platform counts that end once it is acknowledged.
+    SchedulerFixture leader;
+    leader.book.apply(Configure{oneQueue(2, 1)});
+    MachineReport report = carryOutLateStart(leader);
+    REQUIRE(leader.decide().ends.size() == 1);
+    leader.directive("agent-a");
+    report.running.clear();
+    report.finished = {{1, First, 1, RunEndKind::Failed, {}}};
+    leader.report("agent-a", report);
+    CHECK(decideStarts(leader).empty());
+    CHECK(leader.state("j") == JobState::Failed);
+}
