Tests, log: share the setups of cut-off runs; call a late end late

Cause: two tests of ends that arrive after the lease repeated their setup, and two of the last ends of a minion their restart. One of them checked directives in a loop that passes without any directive. The field was_lost of run.ended was set for each run that is no longer active, also one that had been stopped.

The setups are functions, the directives are looked up by agent, and the field is named late. No decision changes.

--- a/Source/Fleet/jobservice.cpp
+++ b/Source/Fleet/jobservice.cpp
@@ -276,11 +276,11 @@
         return;
     for (const Jobs::MinionRunEnd &runEnd : endBatch.firstEnds) {
         const Jobs::RunKey key{runEnd.end.task, runEnd.end.run};
-        const bool wasLost = book().activeRun(key) == nullptr;
+        const bool isLate = book().activeRun(key) == nullptr;
         logRunEvent(LogEvent::RunEnded, Step::Report, runEnd.minion.name, key,
                     {{"how", static_cast<unsigned>(runEnd.end.kind)},
                      {"crash_suspects", runEnd.crashSuspects},
-                     {"was_lost", wasLost ? 1 : 0}});
+                     {"late", isLate ? 1 : 0}});
         processMetrics()
             .counter("oleander_runs_ended_total", "Ends of runs by how, as in run.ended.",
                      {{"how", std::to_string(static_cast<unsigned>(runEnd.end.kind))}})
--- a/Tests/Fleet/minionidentitytest.cpp
+++ b/Tests/Fleet/minionidentitytest.cpp
@@ -10,6 +10,17 @@
 
 const MinionLife Foreign{"i-other", FirstBirth + 1'000};
 
+/** Restarts the minion, whose next instance has ended no run, until its agent tracks it. */
+void restartWithoutEnds(ScriptedMinion &minion)
+{
+    minion.ends.clear();
+    minion.restart();
+    minion.runUntil([&] {
+        minion.announce();
+        return minion.isTracked();
+    });
+}
+
 } // namespace
 
 TEST_CASE("An announcement of another writer does not end the minion that runs")
@@ -129,12 +140,7 @@
     minion.addEnds(3);
     minion.runUntil([&] { return minion.report().finished.size() == 3; });
     const MinionLife earlier = minion.life;
-    minion.ends.clear();
-    minion.restart();
-    minion.runUntil([&] {
-        minion.announce();
-        return minion.isTracked();
-    });
+    restartWithoutEnds(minion);
     const MachineReport report = minion.report();
     CHECK(report.finished.empty());
     REQUIRE(report.lastEnds.size() == 1);
@@ -154,12 +160,7 @@
     for (int restarts = 0; restarts < 5; ++restarts) {
         minion.addEnds(Oleander::Testing::MaxListedEnds);
         minion.runUntil([&] { return !minion.report().finished.empty(); });
-        minion.ends.clear();
-        minion.restart();
-        minion.runUntil([&] {
-            minion.announce();
-            return minion.isTracked();
-        });
+        restartWithoutEnds(minion);
         const MachineReport report = minion.report();
         reported = 0;
         for (const ListedEnds &listed : report.lastEnds)
--- a/Tests/Jobs/lostminiontest.cpp
+++ b/Tests/Jobs/lostminiontest.cpp
@@ -1,5 +1,8 @@
 #include "jobfixture.h"
 
+#include <map>
+#include <string>
+
 using namespace Oleander;
 using namespace Oleander::Testing;
 
@@ -21,6 +24,23 @@
     REQUIRE(fixture.directive(agent).holdUntilMs > 0);
 }
 
+/** Places the only task of "j" on LifeA, which then stays silent until its lease has expired. */
+void cutOffWithRun(SchedulerFixture &leader)
+{
+    leader.submit("j", {step(1)});
+    registerMinion(leader, "agent-a", LifeA);
+    REQUIRE(leader.decide().starts.size() == 1);
+    leader.advance(2 * LeaseOptions{}.length);
+}
+
+/** Report of LifeA that lists the run of cutOffWithRun() as done. */
+MachineReport reportDone()
+{
+    MachineReport report = reportOf(LifeA, 20'000);
+    report.finished.push_back({7, First, 1, RunEndKind::Done, {}});
+    return report;
+}
+
 } // namespace
 
 TEST_CASE("Runs of a minion that returns with an earlier birth start again once its lease expired")
@@ -125,11 +145,7 @@
     "Work that a minion finished while it was cut off for longer than its lease is not repeated")
 {
     SchedulerFixture leader;
-    leader.submit("j", {step(1)});
-    registerMinion(leader, "agent-a", LifeA);
-    REQUIRE(leader.decide().starts.size() == 1);
-    const LeaseOptions lease;
-    leader.advance(2 * lease.length);
+    cutOffWithRun(leader);
     REQUIRE(leader.decide().ends.size() == 1);
     REQUIRE(leader.book.activeRuns().empty());
     const bool hasNextRun = GENERATE(false, true);
@@ -137,21 +153,18 @@
         registerMinion(leader, "agent-b", LifeB);
         REQUIRE(leader.decide().starts.size() == 1);
     }
-    MachineReport healed = reportOf(LifeA, 20'000);
-    healed.finished.push_back({7, First, 1, RunEndKind::Done, {}});
-    leader.report("agent-a", healed);
+    leader.report("agent-a", reportDone());
     CHECK(leader.decide().ends.size() == 1);
     CHECK(leader.state("j") == JobState::Completed);
     CHECK(leader.scheduler.takeIgnoredEnds().empty());
+    std::map<std::string, MachineDirective> directives;
     for (AddressedDirective &addressed :
-         leader.scheduler.takeDirectives(leader.clock.now(), leader.nowMs)) {
-        if (addressed.agent == "agent-a")
-            CHECK(addressed.directive.acknowledgedEnd == 7);
-        else
-            CHECK(addressed.directive.stops.size() == 1);
-    }
+         leader.scheduler.takeDirectives(leader.clock.now(), leader.nowMs))
+        directives[addressed.agent] = addressed.directive;
+    CHECK(directives["agent-a"].acknowledgedEnd == 7);
+    CHECK(directives["agent-b"].stops.size() == (hasNextRun ? 1 : 0));
     // The agent repeats the end until its acknowledgement arrives.
-    leader.report("agent-a", healed);
+    leader.report("agent-a", reportDone());
     CHECK(leader.decide().empty());
 }
 
@@ -159,16 +172,10 @@
     "The end of a finished run is applied although it is reported while its loss is committed")
 {
     SchedulerFixture leader;
-    leader.submit("j", {step(1)});
-    registerMinion(leader, "agent-a", LifeA);
-    REQUIRE(leader.decide().starts.size() == 1);
-    const LeaseOptions lease;
-    leader.advance(2 * lease.length);
+    cutOffWithRun(leader);
     const auto lost = leader.scheduler.takeEnds(leader.clock.now(), leader.nowMs);
     REQUIRE(lost.batch.ends.size() == 1);
-    MachineReport healed = reportOf(LifeA, 20'000);
-    healed.finished.push_back({7, First, 1, RunEndKind::Done, {}});
-    leader.report("agent-a", healed);
+    leader.report("agent-a", reportDone());
     const auto done = leader.scheduler.takeEnds(leader.clock.now(), leader.nowMs);
     leader.apply(lost.batch);
     leader.apply(done.batch);
