Jobs: Keep evacuations of failure domains in the job book

Operators ask that nothing more be sent to the minions of a failure domain. A change names the revision that it replaces, because a message that a link delays would otherwise revert a later change. Nothing proposes the command or reads the state yet.

Ruled out: a timestamp of the operator (the platform's call carries none) and the order of arrival alone (a delayed call would win).

--- a/Source/Jobs/jobbook.cpp
+++ b/Source/Jobs/jobbook.cpp
@@ -23,6 +23,7 @@
     QueueConfiguration configuration;
     std::map<std::string, QueueSpec> queues;
     std::map<std::string, Job> jobs;
+    std::map<std::string, Evacuation> evacuations;
 };
 
 template<typename F>
@@ -31,6 +32,7 @@
     f(v.configuration);
     f(v.queues);
     f(v.jobs);
+    f(v.evacuations);
 }
 
 } // namespace
@@ -102,6 +104,30 @@
     return outcome;
 }
 
+JobOutcome JobBook::execute(const ChangeEvacuation &command)
+{
+    JobOutcome outcome;
+    const auto found = evacuations_.find(command.failureDomain);
+    const Evacuation current = found == evacuations_.end() ? Evacuation{} : found->second;
+    outcome.evacuationRevision = current.revision;
+    if (current.requested == command.requested) {
+        outcome.evacuation = EvacuationResult::Unchanged;
+    } else if (current.revision != command.expectedRevision) {
+        outcome.evacuation = EvacuationResult::Outdated;
+    } else {
+        outcome.evacuationRevision = current.revision + 1;
+        evacuations_[command.failureDomain] = {command.requested, outcome.evacuationRevision,
+                                               command.atMs};
+    }
+    return outcome;
+}
+
+bool JobBook::isEvacuated(const std::string &failureDomain) const
+{
+    const auto found = evacuations_.find(failureDomain);
+    return found != evacuations_.end() && found->second.requested;
+}
+
 bool JobBook::submit(const Submission &submission, std::int64_t atMs)
 {
     if (jobs_.contains(submission.job.id))
@@ -334,7 +360,7 @@
 
 std::string JobBook::snapshot() const
 {
-    return encode(SnapshotContent{configuration_, queues_, jobs_});
+    return encode(SnapshotContent{configuration_, queues_, jobs_, evacuations_});
 }
 
 Result<void> JobBook::restore(std::string_view bytes)
@@ -345,6 +371,7 @@
     configuration_ = std::move(content->configuration);
     queues_ = std::move(content->queues);
     jobs_ = std::move(content->jobs);
+    evacuations_ = std::move(content->evacuations);
     rebuildIndexes();
     return {};
 }
--- a/Source/Jobs/jobbook.h
+++ b/Source/Jobs/jobbook.h
@@ -108,6 +108,25 @@
     f(v.hasBegun);
 }
 
+/** The latest request of an operator to evacuate a failure domain. */
+struct Evacuation
+{
+    /** False after the request was withdrawn. */
+    bool requested = false;
+    /** Number of changes so far. */
+    std::uint64_t revision = 0;
+    /** Calendar time of the latest change in milliseconds. */
+    std::int64_t changedAtMs = 0;
+};
+
+template<typename F>
+void visitFields(F &&f, Fields<Evacuation> auto &&v)
+{
+    f(v.requested);
+    f(v.revision);
+    f(v.changedAtMs);
+}
+
 /** Key of a run: its task and its run number. */
 using RunKey = std::pair<TaskRef, std::uint32_t>;
 
@@ -153,9 +172,15 @@
      */
     bool expectsEnd(const MinionLife &life, const RunEnd &end) const;
 
+    /** Evacuation requests by failure domain, including withdrawn ones. */
+    const std::map<std::string, Evacuation> &evacuations() const { return evacuations_; }
+    /** True if no task may start on the minions of \a failureDomain. */
+    bool isEvacuated(const std::string &failureDomain) const;
+
 private:
     JobOutcome execute(const Configure &command);
     JobOutcome execute(const JobBatch &command);
+    JobOutcome execute(const ChangeEvacuation &command);
     /** Returns false if the job is not accepted because its queue is not in force. */
     bool submit(const Submission &submission, std::int64_t atMs);
     void cancel(const std::string &id, std::int64_t atMs);
@@ -180,6 +205,7 @@
     std::set<std::string> openJobs_;
     std::set<TaskRef> crashSuspects_;
     std::map<MinionLife, std::set<RunKey>> activeRuns_;
+    std::map<std::string, Evacuation> evacuations_;
 };
 
 } // namespace Oleander::Jobs
--- a/Source/Jobs/jobcommand.h
+++ b/Source/Jobs/jobcommand.h
@@ -110,8 +110,29 @@
     f(v.purged);
 }
 
+/** Requests the evacuation of a failure domain, or withdraws the request. */
+struct ChangeEvacuation
+{
+    std::string failureDomain;
+    bool requested = false;
+    /** Evacuation::revision that the change replaces; 0 if the failure domain has none. A change
+     * that a link delayed could otherwise revert a later one. */
+    std::uint64_t expectedRevision = 0;
+    /** Calendar time of the leader in milliseconds. */
+    std::int64_t atMs = 0;
+};
+
+template<typename F>
+void visitFields(F &&f, Fields<ChangeEvacuation> auto &&v)
+{
+    f(v.failureDomain);
+    f(v.requested);
+    f(v.expectedRevision);
+    f(v.atMs);
+}
+
 /** All commands of the job book; new alternatives are appended at the end. */
-using JobCommand = std::variant<Configure, JobBatch>;
+using JobCommand = std::variant<Configure, JobBatch, ChangeEvacuation>;
 
 /** Result of a Configure command. */
 enum class ConfigureResult {
@@ -123,14 +144,26 @@
     Conflict,
 };
 
-/** Outcome of a command: the result of a Configure, or which starts and submissions of a batch were
- * applied. */
+/** Result of a ChangeEvacuation command. */
+enum class EvacuationResult {
+    Changed,
+    /** The requested state was already in force. */
+    Unchanged,
+    /** The request was changed after the expected revision; nothing changed. */
+    Outdated,
+};
+
+/** Outcome of a command: the result of a Configure or ChangeEvacuation, or which starts and
+ * submissions of a batch were applied. */
 struct JobOutcome
 {
     ConfigureResult configure = ConfigureResult::InForce;
     std::vector<bool> started;
     /** For each submission, false if its queue is not in force; the job is then not stored. */
     std::vector<bool> accepted;
+    EvacuationResult evacuation = EvacuationResult::Changed;
+    /** Revision of the evacuation after the command. */
+    std::uint64_t evacuationRevision = 0;
 };
 
 template<typename F>
@@ -139,6 +172,8 @@
     f(v.configure);
     f(v.started);
     f(v.accepted);
+    f(v.evacuation);
+    f(v.evacuationRevision);
 }
 
 } // namespace Oleander::Jobs
--- a/Tests/Jobs/jobbooktest.cpp
+++ b/Tests/Jobs/jobbooktest.cpp
@@ -369,3 +369,35 @@
     CHECK(book.book.find("open") != nullptr);
     CHECK(book.book.find("ended") == nullptr);
 }
+
+TEST_CASE("A delayed evacuation request does not revert a later withdrawal")
+{
+    BookFixture fixture;
+    const auto change = [&](bool requested, std::uint64_t expectedRevision) {
+        return fixture.book.apply(
+            ChangeEvacuation{"west", requested, expectedRevision, fixture.nowMs});
+    };
+    CHECK(change(true, 0).evacuation == EvacuationResult::Changed);
+    CHECK(fixture.book.isEvacuated("west"));
+    CHECK_FALSE(fixture.book.isEvacuated("east"));
+    CHECK(change(true, 0).evacuation == EvacuationResult::Unchanged);
+    CHECK(change(false, 1).evacuation == EvacuationResult::Changed);
+    const JobOutcome delayed = change(true, 0);
+    CHECK(delayed.evacuation == EvacuationResult::Outdated);
+    CHECK(delayed.evacuationRevision == 2);
+    CHECK_FALSE(fixture.book.isEvacuated("west"));
+}
+
+TEST_CASE("A snapshot keeps evacuations with their revisions")
+{
+    BookFixture fixture;
+    fixture.book.apply(ChangeEvacuation{"west", true, 0, 5});
+    fixture.book.apply(ChangeEvacuation{"east", true, 0, 6});
+    fixture.book.apply(ChangeEvacuation{"east", false, 1, 7});
+    JobBook restored;
+    REQUIRE(restored.restore(fixture.book.snapshot()));
+    CHECK(restored.isEvacuated("west"));
+    CHECK_FALSE(restored.isEvacuated("east"));
+    CHECK(restored.evacuations().at("east").revision == 2);
+    CHECK(restored.evacuations().at("east").changedAtMs == 7);
+}
