Leader client: A call that was only refused has not run

Cause: an entry answered a submission with 504 once it had been sent to any process, also if that process had answered that it is not the leader. The client then could not retry with another entry, and waited until its time ran out.

The client counts the sends of each call that were not refused. A refused call is sent to a new leader before its time counts as over, and an overdue call is not sent again.

Ruled out: forgetting that a call was sent when its receiver refuses it. A call that was sent twice may have been refused once and executed once.

--- a/Source/Fleet/leaderclient.cpp
+++ b/Source/Fleet/leaderclient.cpp
@@ -175,23 +175,28 @@
 void LeaderClient::trySend(std::uint64_t id)
 {
     PendingCall &pending = pending_.at(id);
-    if (localService_ && localService_(pending.body, [this, id](JobAnswer answer) {
+    if (localService_) {
+        // The service may answer before it returns.
+        ++pending.unrefusedSends;
+        const bool isServed = localService_(pending.body, [this, id](JobAnswer answer) {
             answer.id = id;
             onAnswer(std::move(answer));
-        })) {
-        const auto found = pending_.find(id);
-        if (found != pending_.end()) {
-            found->second.wasSent = true;
-            found->second.sentTo = messenger_.name();
-            found->second.sentAt = loop_.clock().now();
+        });
+        if (isServed) {
+            const auto found = pending_.find(id);
+            if (found != pending_.end()) {
+                found->second.sentTo = messenger_.name();
+                found->second.sentAt = loop_.clock().now();
+            }
+            return;
         }
-        return;
+        --pending.unrefusedSends;
     }
     if (leader_.empty() || leader_ == messenger_.name())
         return;
     if (!messenger_.send(leader_, JobCall{id, pending.body}))
         return;
-    pending.wasSent = true;
+    ++pending.unrefusedSends;
     pending.sentTo = leader_;
     pending.sentAt = loop_.clock().now();
 }
@@ -201,6 +206,8 @@
     const TimePoint now = loop_.clock().now();
     std::vector<std::uint64_t> toSend;
     for (const auto &[id, pending] : pending_) {
+        if (now >= pending.deadline)
+            continue;
         if (pending.sentTo.empty() || (!leader_.empty() && pending.sentTo != leader_)
             || now > pending.sentAt + ResendTimeout)
             toSend.push_back(id);
@@ -218,12 +225,13 @@
         return;
     if (answer.kind == JobAnswerKind::NotLeader) {
         found->second.sentTo.clear();
+        if (found->second.unrefusedSends > 0)
+            --found->second.unrefusedSends;
         return;
     }
     // The call is idempotent: sending it again shows whether it took effect.
     if (answer.kind == JobAnswerKind::Unknown) {
         found->second.sentTo.clear();
-        found->second.wasSent = true;
         return;
     }
     leaderConfirmedAt_ = loop_.clock().now();
@@ -241,18 +249,21 @@
 void LeaderClient::tick()
 {
     const TimePoint now = loop_.clock().now();
+    // A call that was refused is sent to a new leader before its time counts as over.
+    sendPending();
     std::vector<std::uint64_t> unsent;
     std::vector<std::uint64_t> unknown;
     for (const auto &[id, pending] : pending_) {
+        const bool mayHaveActed = pending.unrefusedSends > 0;
         if (now >= pending.deadline)
-            (pending.wasSent ? unknown : unsent).push_back(id);
-        else if (!pending.wasSent && now >= pending.unsentDeadline)
+            (mayHaveActed ? unknown : unsent).push_back(id);
+        else if (!mayHaveActed && now >= pending.unsentDeadline)
             unsent.push_back(id);
     }
     for (const std::uint64_t id : unsent) {
         JobAnswer answer;
         answer.kind = JobAnswerKind::Overloaded;
-        answer.detail = "No leader could be reached, and nothing was sent.";
+        answer.detail = "No leader could be reached, and no process acted on the call.";
         answer.retryAfterMs = RetryAfterMs;
         finish(id, std::move(answer));
     }
@@ -261,7 +272,6 @@
         answer.detail = "The answer did not come in time; the call may have taken effect.";
         finish(id, std::move(answer));
     }
-    sendPending();
     reportUnreachableLeader();
     if (isLeaderReachable())
         searchInterval_ = TickInterval;
--- a/Source/Fleet/leaderclient.h
+++ b/Source/Fleet/leaderclient.h
@@ -38,7 +38,8 @@
     void start();
 
     /** Calls the leader. \a callback is called exactly once; after \a timeout the answer is Unknown
-     * if the call was ever sent, otherwise Overloaded. An unsent call may fail earlier. */
+     * if a process may have acted on the call, otherwise Overloaded. A call on which no process can
+     * have acted may fail earlier. */
     void call(JobCallBody body, Duration timeout, Callback callback);
     /** Sends a message to the leader; returns false if no leader is known or the message could not
      * be sent. */
@@ -60,11 +61,13 @@
         JobCallBody body;
         Callback callback;
         TimePoint deadline;
-        /** Time at which the call fails if it has never been sent. */
+        /** Time at which the call fails if no process can have acted on it. */
         TimePoint unsentDeadline;
         TimePoint sentAt{};
         std::string sentTo;
-        bool wasSent = false;
+        /** Number of times that the call was sent, without those that the receiver refused because
+         * it is not the leader. A process may act on a call that it has refused before. */
+        std::uint32_t unrefusedSends = 0;
     };
 
     void tick();
--- a/Tests/Fleet/leaderclienttest.cpp
+++ b/Tests/Fleet/leaderclienttest.cpp
@@ -6,6 +6,8 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <optional>
+#include <vector>
 
 using namespace Oleander;
 using namespace Oleander::Fleet;
@@ -168,3 +170,72 @@
     CHECK(search.client.isLeaderReachable());
     CHECK_FALSE(search.isPeer(search.seed.address));
 }
+
+namespace {
+
+/** A search whose seed leads, with one call to it. */
+struct PendingSubmission : Search
+{
+    std::vector<JobCall> received;
+    std::optional<JobAnswer> answer;
+
+    PendingSubmission()
+    {
+        seed.view = {3, seed.address, {seed.address}};
+        seed.messenger.on<JobCall>(
+            [this](const Sender &, JobCall &&call) { received.push_back(std::move(call)); });
+        client.start();
+        runUntilReachable();
+        client.call(StateCall{"press.example", "/press/1"}, std::chrono::milliseconds(400),
+                    [this](JobAnswer outcome) { answer = std::move(outcome); });
+        runUntil(loop, [this] { return !received.empty(); });
+    }
+    void reply(JobAnswerKind kind)
+    {
+        JobAnswer reply;
+        reply.id = received.front().id;
+        reply.kind = kind;
+        seed.tell(reply);
+    }
+    JobAnswerKind outcome()
+    {
+        runUntil(loop, [this] { return answer.has_value(); });
+        return answer->kind;
+    }
+};
+
+} // namespace
+
+// The call counted as possibly executed for ever, so that its client was not told that it can retry
+// with another entry.
+TEST_CASE("A call that its only receiver refused has not run")
+{
+    PendingSubmission call;
+    call.seed.answers = false;
+    call.reply(JobAnswerKind::NotLeader);
+    call.seed.messenger.on<JobCall>([&](const Sender &, JobCall &&again) {
+        JobAnswer refusal;
+        refusal.id = again.id;
+        refusal.kind = JobAnswerKind::NotLeader;
+        call.seed.tell(refusal);
+    });
+    CHECK(call.outcome() == JobAnswerKind::Overloaded);
+    CHECK(call.answer->retryAfterMs > 0);
+}
+
+TEST_CASE("A call that was sent again is unknown although one of the sends was refused")
+{
+    PendingSubmission call;
+    call.reply(JobAnswerKind::NotLeader);
+    runUntil(call.loop, [&] { return call.received.size() >= 2; });
+    CHECK(call.outcome() == JobAnswerKind::Unknown);
+}
+
+TEST_CASE("A call of unknown outcome stays unknown when it is refused afterwards")
+{
+    PendingSubmission call;
+    call.reply(JobAnswerKind::Unknown);
+    runUntil(call.loop, [&] { return call.received.size() >= 2; });
+    call.reply(JobAnswerKind::NotLeader);
+    CHECK(call.outcome() == JobAnswerKind::Unknown);
+}
