Entry: Fail a local proposal whose entry another leader replaced

A proposal that the leader made for itself waited again when another leader's entry was committed at its index. If the process led again by then, it proposed a command of an earlier term and could revert what the leader between had acknowledged. Handling it in JobService was ruled out: its callback is called only with the outcome. Before: proposed again. Now: fails as not committed, and the caller's call is repeated against the current leader. Forwarded proposals of other replicas wait as before.

--- a/Source/Entry/pendingproposals.cpp
+++ b/Source/Entry/pendingproposals.cpp
@@ -46,6 +46,11 @@
     for (auto found = range.first; found != range.second; ++found) {
         if (found->second.term == position.term) {
             finish(std::move(found->second.proposal), outcome);
+        } else if (found->second.proposal.isLocalOnly) {
+            // Decided by the leader of a term that has ended; the state may have changed since.
+            finish(std::move(found->second.proposal),
+                   fail(Failure::NotLeader, Step::Commit, {},
+                        "Another leader replaced the entry; the command was not committed."));
         } else {
             // Another entry is committed at this index, so this one never will be, and a retry is
             // safe.
--- a/Source/Entry/pendingproposals.h
+++ b/Source/Entry/pendingproposals.h
@@ -44,7 +44,7 @@
     bool takeForwarded(std::uint64_t id, Proposal &proposal);
 
     /** Finishes the proposal at \a position, whose entry is committed, with \a outcome. A proposal
-     * of another term at the same index waits again. */
+     * of another term at the same index waits again, or fails if it is local only. */
     void complete(LogPosition position, const std::string &outcome);
     /** Finishes the proposals up to \a index as unknown: a snapshot replaced their entries. */
     void replacedBySnapshot(std::uint64_t index);
