Settings: Read the failure domains that operators may evacuate

The control hosts need the known failure domains to reject a mistyped name. Taking them from the minions' announcements was ruled out: a failure domain whose minions are all down could not be evacuated. New key failure-domains in [control-host], empty by default; the same rule for names serves paths and settings, so that no setting holds a name that no request can name.

--- a/Source/Settings/fleetsettings.cpp
+++ b/Source/Settings/fleetsettings.cpp
@@ -54,6 +54,7 @@
     binder.duration(ControlSection, "longest-lease", settings.longestLease, seconds(1),
                     seconds(60));
     bindMetricsDoor(binder, ControlSection, settings.metricsDoor);
+    binder.failureDomains(ControlSection, "failure-domains", settings.failureDomains);
     bindGroup(binder, settings.group);
     bindLimits(binder, "operator-limits", settings.limits);
     return finish(binder, std::move(settings));
--- a/Source/Settings/fleetsettings.h
+++ b/Source/Settings/fleetsettings.h
@@ -37,6 +37,8 @@
     Duration longestLease = std::chrono::seconds(10);
     /** Address of the HTTP server for metrics; disabled if empty. */
     std::string metricsDoor;
+    /** Failure domains that operators may evacuate; evacuations are not offered if empty. */
+    std::vector<std::string> failureDomains;
     GroupSettings group;
     HttpLimits limits;
 };
--- a/Source/Settings/settingsbinder.cpp
+++ b/Source/Settings/settingsbinder.cpp
@@ -1,5 +1,6 @@
 #include "Settings/settingsbinder.h"
 
+#include "Protocol/failuredomain.h"
 #include "Settings/settingsvalue.h"
 
 #include <fmt/format.h>
@@ -74,6 +75,29 @@
     field = std::move(found);
 }
 
+void SettingsBinder::failureDomains(const char *section, const char *key,
+                                    std::vector<std::string> &field)
+{
+    constexpr const char *Allowed =
+        "names of 1 to 128 bytes without spaces and slashes, several with commas between them";
+    const auto *entry = declareKey(section, key, Presence::Optional, Allowed);
+    if (entry == nullptr)
+        return;
+    std::vector<std::string> found;
+    std::string_view rest = entry->value;
+    while (!rest.empty()) {
+        const auto comma = rest.find(',');
+        const std::string name(rest.substr(0, comma));
+        rest = comma == std::string_view::npos ? std::string_view() : rest.substr(comma + 1);
+        if (!isFailureDomainName(name))
+            return addEntryError(*entry, "The value contains an invalid name.", Allowed);
+        if (std::ranges::find(found, name) != found.end())
+            return addEntryError(*entry, "The value contains a name twice.", Allowed);
+        found.push_back(name);
+    }
+    field = std::move(found);
+}
+
 void SettingsBinder::boolean(const char *section, const char *key, bool &field)
 {
     constexpr const char *Allowed = "true or false";
--- a/Source/Settings/settingsbinder.h
+++ b/Source/Settings/settingsbinder.h
@@ -66,6 +66,8 @@
     /** One or more comma-separated addresses. */
     void addresses(const char *section, const char *key, std::vector<std::string> &field,
                    Presence presence);
+    /** Comma-separated names of failure domains; optional. */
+    void failureDomains(const char *section, const char *key, std::vector<std::string> &field);
     /** true or false. */
     void boolean(const char *section, const char *key, bool &field);
     /** Absolute path of a folder. */
