Fleet, platform: Request and withdraw evacuations of failure domains

The job book keeps evacuations, but no request reached it. The control host that receives one now checks the name against its settings and passes it to the leader, on the platform's paths and on /v1/evacuations. The leader accepts each version of an evacuation once. The revision alone was ruled out as the version: a request that finds its state in force leaves it unchanged, so a call delayed by a link could revert a later acknowledged one. A control host does not pass on a request whose caller has closed its connection, which it can read after a suspension.

Without failure-domains in the settings such requests get 404. Metrics, log events and a section of the state dump show the changes.

--- a/Source/Fleet/controlhost.cpp
+++ b/Source/Fleet/controlhost.cpp
@@ -1,5 +1,6 @@
 #include "Fleet/controlhost.h"
 
+#include "Fleet/evacuationhandler.h"
 #include "Fleet/jobservice.h"
 #include "Fleet/leaderclient.h"
 #include "Fleet/settingswatcher.h"
@@ -70,6 +71,7 @@
         , replica_(loop_, messenger_, state_, replicaOptions(settings))
         , jobService_(loop_, messenger_, replica_, state_, leaseOptions(settings))
         , leaderClient_(loop_, messenger_, settings.group.seeds)
+        , evacuationHandler_(loop_, leaderClient_, settings.failureDomains)
         , operatorServer_(loop_, settings.limits,
                           [this](const std::shared_ptr<HttpExchange> &exchange) {
                               handleOperatorCall(exchange);
@@ -216,7 +218,7 @@
 
     void handleOperatorCall(const std::shared_ptr<HttpExchange> &exchange)
     {
-        if (answerDiagnosticsRequest(*exchange))
+        if (answerDiagnosticsRequest(*exchange) || evacuationHandler_.answerOwnPath(exchange))
             return;
         auto call = codec_.decodeOperatorCall(exchange->request());
         if (!call) {
@@ -226,10 +228,15 @@
             logEvent(LogEvent::ConfigurationRefused, call.error());
             return exchange->respond(codec_.encodeOperatorAnswer(answer));
         }
-        leaderClient_.call(std::move(call->body), call->timeout,
-                           [this, exchange](const JobAnswer &answer) {
-                               exchange->respond(codec_.encodeOperatorAnswer(answer));
-                           });
+        const auto encode = [this](const JobAnswer &answer) {
+            return codec_.encodeOperatorAnswer(answer);
+        };
+        if (auto *evacuation = std::get_if<EvacuationCall>(&call->body))
+            return evacuationHandler_.change(exchange, std::move(*evacuation), call->timeout,
+                                             encode);
+        leaderClient_.call(
+            std::move(call->body), call->timeout,
+            [encode, exchange](const JobAnswer &answer) { exchange->respond(encode(answer)); });
     }
 
     void startDrain()
@@ -265,6 +272,7 @@
     ReplicaTask replica_;
     JobService jobService_;
     LeaderClient leaderClient_;
+    EvacuationHandler evacuationHandler_;
     HttpServer operatorServer_;
     DiagnosticsServer diagnosticsServer_;
     ProcessDiagnostics processDiagnostics_;
--- a/Source/Fleet/jobservice.h
+++ b/Source/Fleet/jobservice.h
@@ -4,9 +4,11 @@
 #include "Jobs/jobscheduler.h"
 #include "Runtime/eventloop.h"
 #include "Runtime/messenger.h"
+#include "Runtime/statedump.h"
 #include "State/controlstate.h"
 
 #include <functional>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -52,6 +54,14 @@
     void answer(const CancelCall &call, Callback callback);
     void answer(const ConfigureCall &call, Callback callback);
     void answer(const ReadConfigurationCall &call, const Callback &callback);
+    void answer(const EvacuationCall &call, const Callback &callback);
+    void answer(const ReadEvacuationsCall &call, const Callback &callback);
+    /** Answers the call of a change of an evacuation that was committed with \a outcome. */
+    void answerEvacuation(const std::string &failureDomain, bool requested,
+                          const Result<Jobs::JobOutcome> &outcome, const Callback &callback);
+    EvacuationVersion evacuationVersion(const std::string &failureDomain) const;
+    void reportEvacuations() const;
+    std::vector<DumpRow> evacuationRows() const;
     /** Returns the queue that serves \a host and \a path; without one, answers the call and returns
      * null. */
     const QueueSpec *findQueueOrAnswer(const std::string &host, const std::string &path,
@@ -98,6 +108,11 @@
     Jobs::JobBatch callBatch_;
     std::vector<Waiter> waiters_;
     std::size_t pendingCommits_ = 0;
+    /** Term in which this process as the leader received the latest EvacuationCall. */
+    std::uint64_t evacuationTerm_ = 0;
+    /** EvacuationVersion::calls by failure domain in that term. */
+    std::map<std::string, std::uint64_t> evacuationCalls_;
+    DumpSection evacuationDump_;
 };
 
 } // namespace Oleander::Fleet
--- a/Source/Protocol/jobcalls.h
+++ b/Source/Protocol/jobcalls.h
@@ -78,8 +78,62 @@
     f(v.unused);
 }
 
-using JobCallBody =
-    std::variant<SubmitCall, StateCall, CancelCall, ConfigureCall, ReadConfigurationCall>;
+/** Identifies the state of a failure domain's evacuation that a change replaces. */
+struct EvacuationVersion
+{
+    /** Number of changes so far; 0 for a failure domain that was never evacuated. */
+    std::uint64_t revision = 0;
+    /** Term of the leader that issued this version. */
+    std::uint64_t term = 0;
+    /** Number of calls for the failure domain that this leader has processed, including those that
+     * found the requested state in force and so left the revision as it was. */
+    std::uint64_t calls = 0;
+
+    bool operator==(const EvacuationVersion &) const = default;
+};
+
+template<typename F>
+void visitFields(F &&f, Fields<EvacuationVersion> auto &&v)
+{
+    f(v.revision);
+    f(v.term);
+    f(v.calls);
+}
+
+/** Requests the evacuation of a failure domain, or withdraws the request. */
+struct EvacuationCall
+{
+    std::string failureDomain;
+    bool requested = false;
+    /** The version that the change replaces. The leader processes each version once, so that a call
+     * that a link or a suspended process delayed cannot revert a later one. */
+    EvacuationVersion expected;
+};
+
+template<typename F>
+void visitFields(F &&f, Fields<EvacuationCall> auto &&v)
+{
+    f(v.failureDomain);
+    f(v.requested);
+    f(v.expected);
+}
+
+/** Reads the evacuation requests of all failure domains. */
+struct ReadEvacuationsCall
+{
+    /** Placeholder; the call has no arguments. */
+    std::uint32_t unused = 0;
+};
+
+template<typename F>
+void visitFields(F &&f, Fields<ReadEvacuationsCall> auto &&v)
+{
+    f(v.unused);
+}
+
+/** All calls; new alternatives are appended at the end. */
+using JobCallBody = std::variant<SubmitCall, StateCall, CancelCall, ConfigureCall,
+                                 ReadConfigurationCall, EvacuationCall, ReadEvacuationsCall>;
 
 /** Entry or control host to leader: a call about jobs or queues. */
 struct JobCall
@@ -117,8 +171,36 @@
     NotLeader,
     /** The call may or may not take effect. */
     Unknown,
+    /** No such failure domain is configured; the call had no effect. */
+    UnknownFailureDomain,
+    /** The call did not name the current EvacuationVersion, which the answer holds; it had no
+     * effect. */
+    OutdatedEvacuation,
+    /** The answer lists the evacuation requests. */
+    Evacuations,
+    /** The settings of this process do not offer the call. */
+    NotOffered,
+};
+
+/** An evacuation request as it is listed; also one that was withdrawn. */
+struct EvacuationStatus
+{
+    std::string failureDomain;
+    bool requested = false;
+    std::uint64_t revision = 0;
+    /** Calendar time of the latest change in milliseconds. */
+    std::int64_t changedAtMs = 0;
 };
 
+template<typename F>
+void visitFields(F &&f, Fields<EvacuationStatus> auto &&v)
+{
+    f(v.failureDomain);
+    f(v.requested);
+    f(v.revision);
+    f(v.changedAtMs);
+}
+
 /** Leader to entry or control host: the answer to a JobCall. */
 struct JobAnswer
 {
@@ -129,6 +211,9 @@
     std::string document;
     std::string detail;
     std::uint32_t retryAfterMs = 0;
+    /** Current version of the evacuation that was called. */
+    EvacuationVersion evacuation;
+    std::vector<EvacuationStatus> evacuations;
 };
 
 template<typename F>
@@ -141,6 +226,8 @@
     f(v.document);
     f(v.detail);
     f(v.retryAfterMs);
+    f(v.evacuation);
+    f(v.evacuations);
 }
 
 /** Any process to a control host: asks for the control group, now and after each change. */
--- a/Source/Runtime/httpserver.cpp
+++ b/Source/Runtime/httpserver.cpp
@@ -10,6 +10,7 @@
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
 #include <fmt/format.h>
+#include <poll.h>
 #include <strings.h>
 #include <sys/socket.h>
 
@@ -154,6 +155,16 @@
 
     const HttpRequest &request() const override { return request_; }
 
+    bool isClosed() const override
+    {
+        if (native_ == nullptr)
+            return true;
+        bufferevent *stream =
+            evhttp_connection_get_bufferevent(evhttp_request_get_connection(native_));
+        pollfd polled{bufferevent_getfd(stream), POLLRDHUP, 0};
+        return poll(&polled, 1, 0) > 0;
+    }
+
     void onClosed(std::function<void()> closed) override { closed_ = std::move(closed); }
 
     void respond(HttpResponse response) override
--- a/Source/Runtime/httpserver.h
+++ b/Source/Runtime/httpserver.h
@@ -56,6 +56,10 @@
     virtual ~HttpExchange() = default;
     virtual const HttpRequest &request() const = 0;
     virtual void respond(HttpResponse response) = 0;
+    /** True if the caller has disconnected, or closed its sending side, before the response. Unlike
+     * onClosed() it also sees a close that arrived together with the request, as after a
+     * suspension of this process. */
+    virtual bool isClosed() const = 0;
     /** Calls \a handler if the caller disconnects before the response. */
     virtual void onClosed(std::function<void()> handler) = 0;
 };
--- a/Source/Runtime/logevent.cpp
+++ b/Source/Runtime/logevent.cpp
@@ -85,6 +85,9 @@
     {LogEvent::ConfigurationApplied, LogLevel::Info, "configuration.applied"},
     {LogEvent::ConfigurationStale, LogLevel::Warning, "configuration.stale"},
     {LogEvent::ConfigurationRefused, LogLevel::Warning, "configuration.refused"},
+    {LogEvent::EvacuationChanged, LogLevel::Info, "evacuation.changed"},
+    {LogEvent::EvacuationRefused, LogLevel::Info, "evacuation.refused"},
+    {LogEvent::EvacuationAbandoned, LogLevel::Info, "evacuation.abandoned"},
 
     {LogEvent::PeerConnected, LogLevel::Info, "peer.connected"},
     {LogEvent::PeerLost, LogLevel::Warning, "peer.lost"},
--- a/Source/Runtime/logevent.h
+++ b/Source/Runtime/logevent.h
@@ -86,6 +86,9 @@
     ConfigurationApplied = 5010,
     ConfigurationStale = 5011,
     ConfigurationRefused = 5012,
+    EvacuationChanged = 5020,
+    EvacuationRefused = 5021,
+    EvacuationAbandoned = 5022,
 
     PeerConnected = 6000,
     PeerLost = 6001,
--- a/Tests/Entry/operatorservertest.cpp
+++ b/Tests/Entry/operatorservertest.cpp
@@ -22,6 +22,7 @@
         answered = true;
         answer = std::move(response);
     }
+    bool isClosed() const override { return false; }
     void onClosed(std::function<void()>) override {}
 
     bool answered = false;
--- a/Tests/Fleet/fleetcluster.cpp
+++ b/Tests/Fleet/fleetcluster.cpp
@@ -87,7 +87,14 @@
     const Control &host = controls_.at(control);
     return "[control-host]\nlink = " + host.linkAddress
            + "\noperator-door = " + host.operatorAddress + "\nmetrics-door = " + host.metricsAddress
-           + "\ntolerated-losses = 1\n";
+           + "\ntolerated-losses = 1\n"
+           + (failureDomains_.empty() ? "" : "failure-domains = " + failureDomains_ + '\n');
+}
+
+HttpReply FleetCluster::operate(std::size_t control, const std::string &method,
+                                const std::string &path, std::chrono::milliseconds limit)
+{
+    return httpCall(operatorAddress(control), {method, path, {}, {}}, limit).value_or(HttpReply{});
 }
 
 void FleetCluster::startControl(std::size_t control, bool mayForm)
--- a/Tests/Fleet/fleetcluster.h
+++ b/Tests/Fleet/fleetcluster.h
@@ -31,6 +31,16 @@
     void startControl(std::size_t control, bool mayForm);
     /** Starts or restarts a control host without a data folder. */
     void startDiskless(std::size_t control);
+    /** Setting failure-domains of the control hosts that are started from now on. */
+    void setFailureDomains(const std::string &names) { failureDomains_ = names; }
+    /** Sends a request without a body to the operators' listener of a control host; status 0
+     * without an answer within \a limit. */
+    HttpReply operate(std::size_t control, const std::string &method, const std::string &path,
+                      std::chrono::milliseconds limit = std::chrono::seconds(4));
+    const std::string &operatorAddress(std::size_t control) const
+    {
+        return controls_.at(control).operatorAddress;
+    }
     /** Names \a controls as the seeds in the settings of every process, which reload them. */
     void setSeeds(const std::vector<std::size_t> &controls);
     /** Returns the number of a control host with an address of its own, which is not a seed. */
@@ -101,6 +111,7 @@
 
     TemporaryFolder folder_;
     std::vector<std::size_t> seeds_;
+    std::string failureDomains_;
     /** Settings written so far, without the seeds. */
     std::map<std::string, std::string> settings_;
     std::vector<Control> controls_;
--- a/Tests/Fleet/jobservicetest.cpp
+++ b/Tests/Fleet/jobservicetest.cpp
@@ -51,6 +51,16 @@
         REQUIRE(service.serve(body, [&answer](const JobAnswer &given) { answer = given.kind; }));
     }
 
+    /** Requests or withdraws the evacuation of "west" with the version \a expected. */
+    JobAnswer changeWest(bool requested, const EvacuationVersion &expected)
+    {
+        std::optional<JobAnswer> answer;
+        REQUIRE(service.serve(EvacuationCall{"west", requested, expected},
+                              [&answer](const JobAnswer &given) { answer = given; }));
+        runUntil([&] { return answer.has_value(); });
+        return *answer;
+    }
+
     JobAnswerKind serveAndWait(const JobCallBody &body)
     {
         std::optional<JobAnswerKind> answer;
@@ -137,3 +147,33 @@
     CHECK(leader.state.jobs().find(FirstId)->state == JobState::Cancelled);
     CHECK(leader.state.jobs().find(SecondId)->queue == "new");
 }
+
+TEST_CASE("A delayed evacuation call does not revert a later one that changed nothing")
+{
+    // A call that finds its state in force leaves the revision as it was, so the revision alone
+    // does not show that the delayed call is older.
+    LeadingService leader;
+    const EvacuationVersion first = leader.changeWest(true, {}).evacuation;
+    CHECK(first.revision == 0);
+    CHECK(first.term > 0);
+    REQUIRE(leader.changeWest(false, first).kind == JobAnswerKind::Accepted);
+    const JobAnswer delayed = leader.changeWest(true, first);
+    CHECK(delayed.kind == JobAnswerKind::OutdatedEvacuation);
+    CHECK_FALSE(leader.state.jobs().isEvacuated("west"));
+
+    const JobAnswer requested = leader.changeWest(true, delayed.evacuation);
+    REQUIRE(requested.kind == JobAnswerKind::Accepted);
+    REQUIRE(leader.changeWest(true, requested.evacuation).kind == JobAnswerKind::Accepted);
+    CHECK(leader.changeWest(false, requested.evacuation).kind == JobAnswerKind::OutdatedEvacuation);
+    CHECK(leader.state.jobs().isEvacuated("west"));
+}
+
+TEST_CASE("A call with a version of an earlier term does not change an evacuation")
+{
+    // A former leader that leads again has no count of the calls that others processed meanwhile.
+    LeadingService leader;
+    EvacuationVersion version = leader.changeWest(true, {}).evacuation;
+    --version.term;
+    CHECK(leader.changeWest(true, version).kind == JobAnswerKind::OutdatedEvacuation);
+    CHECK(leader.state.jobs().evacuations().empty());
+}
--- a/Tests/Platform/platformcodectest.cpp
+++ b/Tests/Platform/platformcodectest.cpp
@@ -334,6 +334,10 @@
     CHECK(status(JobAnswerKind::NoSuchJob) == 410);
     CHECK(status(JobAnswerKind::NoConfiguration) == 503);
     CHECK(status(JobAnswerKind::Overloaded) == 503);
+    CHECK(status(JobAnswerKind::NotOffered) == 404);
+    CHECK(status(JobAnswerKind::UnknownFailureDomain) == 422);
+    // After 409 an operator gives up.
+    CHECK(status(JobAnswerKind::OutdatedEvacuation) == 503);
     // A call that may have taken effect must not be reported as refused.
     CHECK(status(JobAnswerKind::Unknown) == 504);
     JobAnswer answer;
@@ -342,6 +346,43 @@
     CHECK(codec.encodeClientAnswer(answer).headers.back().value == "2");
 }
 
+TEST_CASE("The evacuation of a failure domain is requested and withdrawn by path and method")
+{
+    // Guards against a name that reaches the leader in another form than the minions announce it.
+    const auto decoded = [](const std::string &method, const std::string &name) {
+        const auto call =
+            codec.decodeOperatorCall(request(method, "/oleanderusher/evacuations" + name));
+        REQUIRE(call.has_value());
+        return std::get<EvacuationCall>(call->body);
+    };
+    CHECK(decoded("POST", "/z-1").failureDomain == "z-1");
+    CHECK(decoded("POST", "/z-1").requested);
+    CHECK_FALSE(decoded("DELETE", "/z-1").requested);
+    CHECK(decoded("POST", "/z%2d%C3%a91").failureDomain == "z-\xc3\xa9\x31");
+    CHECK(decoded("POST", "/z-1").expected == EvacuationVersion{});
+}
+
+TEST_CASE("An evacuation request with a missing or malformed name is refused with the reason")
+{
+    const auto problem = [](const std::string &method, const std::string &rest) {
+        const auto call =
+            codec.decodeOperatorCall(request(method, "/oleanderusher/evacuations" + rest));
+        return call ? std::string("accepted") : call.error().detail;
+    };
+    CHECK(problem("POST", "") == "The path names no failure domain.");
+    CHECK(problem("DELETE", "/") == "The path names no failure domain.");
+    CHECK(problem("GET", "/z") == "The method is not POST or DELETE.");
+    CHECK(problem("POST", "more") == "The path is not that of an operator call.");
+    const std::string names[] = {
+        "a/b", "a,b", "a%2Fb", "a%20b", "a%00", "a%", "a%4", "a%zz", std::string(129, 'a')};
+    for (const std::string &name : names) {
+        INFO(name);
+        const std::string detail = problem("POST", "/" + name);
+        CHECK(detail.find("'" + name.substr(0, 64) + "'") != std::string::npos);
+        CHECK(detail.size() < 256);
+    }
+}
+
 TEST_CASE("Task names are parsed as they are formatted")
 {
     const TaskRef task{"5c0e7a21d94b36f8", 1, 17};
