Cli: Request, end and list evacuations

Operators had only HTTP for it. evacuate, end-evacuation and evacuations use /v1/evacuations of the control hosts. The requests carry no idempotency key, since repeating them is harmless, so the hint after an unknown outcome names none.

--- a/Source/Cli/answertable.cpp
+++ b/Source/Cli/answertable.cpp
@@ -195,4 +195,29 @@
     return lines;
 }
 
+std::string evacuationTable(const std::string &body)
+{
+    const auto answer = Json::parse(body);
+    return fmt::format("acknowledged, revision {}\n", text(answer, "revision"));
+}
+
+std::string evacuationListTable(const std::string &body)
+{
+    const auto answer = Json::parse(body);
+    std::vector<std::vector<std::string>> rows{
+        {"FAILURE DOMAIN", "EVACUATED", "REVISION", "CHANGED"}};
+    std::vector<std::string> listed;
+    for (const auto &item : answer.at("evacuations")) {
+        listed.push_back(text(item, "failure-domain"));
+        rows.push_back({listed.back(), item.value("requested", false) ? "yes" : "no",
+                        text(item, "revision"), text(item, "changed-at")});
+    }
+    for (const auto &item : answer.at("failure-domains")) {
+        const auto name = item.get<std::string>();
+        if (std::ranges::find(listed, name) == listed.end())
+            rows.push_back({name, "no", "0", "never"});
+    }
+    return columns(rows);
+}
+
 } // namespace Oleander
--- a/Source/Cli/answertable.h
+++ b/Source/Cli/answertable.h
@@ -23,5 +23,7 @@
 std::string listTable(const std::string &body);
 std::string eventTable(const std::string &body);
 std::string statusTable(const std::string &body);
+std::string evacuationTable(const std::string &body);
+std::string evacuationListTable(const std::string &body);
 
 } // namespace Oleander
--- a/Source/Cli/operatorcommand.cpp
+++ b/Source/Cli/operatorcommand.cpp
@@ -3,6 +3,7 @@
 #include "Cli/answertable.h"
 #include "Cli/commandoptions.h"
 #include "Cli/operatorclient.h"
+#include "Protocol/failuredomain.h"
 #include "Records/parse.h"
 #include "Settings/exitcode.h"
 
@@ -10,6 +11,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <cctype>
 #include <cstdio>
 #include <fstream>
 #include <iostream>
@@ -248,9 +250,68 @@
                        [](const std::string &body) { return body; }};
 }
 
+/** Escapes every byte of \a text that is not an unreserved character of RFC 3986. */
+std::string percentEncoded(std::string_view text)
+{
+    constexpr std::string_view Unreserved = "-._~";
+    std::string encoded;
+    for (const char letter : text) {
+        const auto byte = static_cast<unsigned char>(letter);
+        const bool isAlphanumeric = byte < 0x80 && std::isalnum(byte) != 0;
+        if (isAlphanumeric || Unreserved.find(letter) != std::string_view::npos)
+            encoded += letter;
+        else
+            encoded += fmt::format("%{:02X}", byte);
+    }
+    return encoded;
+}
+
+Result<RequestPlan> planEvacuation(const Invocation &call, const char *method)
+{
+    if (call.positionals.size() != 2) {
+        return usageError(
+            fmt::format("The usage is: oleander {} FAILURE-DOMAIN.", call.positionals.front()));
+    }
+    if (!isFailureDomainName(call.positionals[1])) {
+        return usageError(fmt::format("The failure domain is '{}'; allowed is a name of 1 to 128 "
+                                      "bytes without spaces, commas and slashes.",
+                                      call.positionals[1]));
+    }
+    HttpRequest request;
+    request.method = method;
+    request.path = "/v1/evacuations/" + percentEncoded(call.positionals[1]);
+    return RequestPlan{std::move(request), evacuationTable};
+}
+
+Result<RequestPlan> planEvacuate(const Invocation &call)
+{
+    return planEvacuation(call, "POST");
+}
+
+Result<RequestPlan> planEndEvacuation(const Invocation &call)
+{
+    return planEvacuation(call, "DELETE");
+}
+
+Result<RequestPlan> planEvacuations(const Invocation &call)
+{
+    if (call.positionals.size() != 1)
+        return usageError("The usage is: oleander evacuations.");
+    return RequestPlan{readRequest("/v1/evacuations"), evacuationListTable};
+}
+
 constexpr CommandPlan CommandPlans[] = {
-    {"submit", planSubmit}, {"amend", planAmend},   {"withdraw", planWithdraw}, {"show", planShow},
-    {"list", planList},     {"events", planEvents}, {"status", planStatus},     {"dump", planDump},
+    {"submit", planSubmit},
+    {"amend", planAmend},
+    {"withdraw", planWithdraw},
+    {"show", planShow},
+    {"list", planList},
+    {"events", planEvents},
+    {"status", planStatus},
+    {"dump", planDump},
+    {"evacuate", planEvacuate},
+    {"end-evacuation", planEndEvacuation},
+    {"evacuations", planEvacuations},
 };
 
 void printError(std::ostream &errors, const Error &error)
@@ -341,15 +402,19 @@
 ExitCode execute(const Invocation &call, const RequestPlan &plan)
 {
     const bool isChange = plan.request.method != "GET";
+    const bool hasKey = !plan.request.header("Idempotency-Key").empty();
     OperatorClient client({call.options.servers, call.options.timeout,
-                           isChange ? call.options.wait : Duration(0), progressTo(call.errors)});
+                           hasKey ? call.options.wait : Duration(0), progressTo(call.errors)});
     const auto answer = client.call(plan.request);
     if (!answer) {
         printError(call.errors, answer.error());
-        if (isChange && answer.error().code == Failure::Unknown) {
+        if (hasKey && answer.error().code == Failure::Unknown) {
             call.errors << fmt::format("oleander: Repeat the same command with --key={} and "
                                        "--author={}; it takes effect at most once.\n",
                                        call.options.key, call.options.author);
+        } else if (isChange && answer.error().code == Failure::Unknown) {
+            call.errors << "oleander: Repeat the same command; a change that took effect is "
+                           "acknowledged again.\n";
         }
         return exitCodeOf(answer.error().code);
     }
@@ -393,6 +458,18 @@
          "[ADDRESS:PORT]",
          "Shows the state of the process with this operators' door.",
          {"server", "output", "timeout"}},
+        {"evacuate",
+         "FAILURE-DOMAIN",
+         "Starts nothing more on the minions of a failure domain.",
+         {"server", "output", "timeout"}},
+        {"end-evacuation",
+         "FAILURE-DOMAIN",
+         "Withdraws the evacuation of a failure domain.",
+         {"server", "output", "timeout"}},
+        {"evacuations",
+         "",
+         "Lists the evacuations that were requested, and the known failure domains.",
+         {"server", "output", "timeout"}},
     };
     return Commands;
 }
--- a/Tests/Cli/answertabletest.cpp
+++ b/Tests/Cli/answertabletest.cpp
@@ -11,7 +11,8 @@
     // Some of the tables accept some of these.
     const std::string odd[] = {"[]", "7", "null", R"({"events":[1]})", R"({"records":[7]})"};
     for (const AnswerTable table :
-         {changeTable, bulkWithdrawalTable, recordTable, listTable, eventTable, statusTable}) {
+         {changeTable, bulkWithdrawalTable, recordTable, listTable, eventTable, statusTable,
+          evacuationTable, evacuationListTable}) {
         for (const std::string &body : unreadable) {
             const auto text = formatAnswer(table, body);
             REQUIRE_FALSE(text.has_value());
