Jobs: Start nothing in an evacuated failure domain

Cause: the job book holds evacuations, but nothing reads them. Tasks start on the minions of an evacuated failure domain as before.

MachineTable::acceptsLongRunningTasks, which each placement, move target and reservation asks, is false there, and reservations that exist are dropped. Starts that are committed but not ordered, or that the agent lists as undelivered, are stopped at once; starts that were ordered and are not listed 1.5 s after the change are stopped then. No order or renewal is sent there. Listed runs go on; stalled filling runs may leave.

Ruled out: a check in JobBook::start, since the book does not know the failure domain of a minion; a stop of unlisted runs at once, which ends runs that have just started; the calendar clock alone, as a new leader's may differ.

Without an evacuation the decisions are the same.

--- a/Source/Jobs/jobscheduler.cpp
+++ b/Source/Jobs/jobscheduler.cpp
@@ -32,7 +32,10 @@
 } // namespace
 
 JobScheduler::JobScheduler(const JobBook &book, LeaseOptions options)
-    : book_(book), machines_(options), planner_(book, machines_)
+    : book_(book)
+    , machines_(options, &book)
+    , planner_(book, machines_)
+    , startWithdrawal_(book)
 {}
 
 void JobScheduler::startTerm(TimePoint now, std::uint64_t term)
@@ -40,6 +43,7 @@
     term_ = term;
     machines_.startTerm(now, term);
     planner_.startTerm();
+    startWithdrawal_.startTerm();
     startsInFlight_ = false;
     pendingEnds_.clear();
     endingRuns_.clear();
@@ -225,6 +229,7 @@
 std::vector<AddressedDirective> JobScheduler::takeDirectives(TimePoint now, std::int64_t nowMs)
 {
     std::vector<AddressedDirective> directives;
+    startWithdrawal_.update(now);
     for (auto &[life, machine] : machines_.machines()) {
         if (now >= machine.reportedAt + machines_.options().maxReportAge)
             continue;
@@ -272,6 +277,7 @@
             claim = claimOf(active);
         return !claim->isWithin(machine.minion);
     };
+    const bool isEvacuated = machines_.isEvacuated(machine);
     for (const RunKey &key : active) {
         const auto view = machine.running.find(key);
         const bool isOrderKnown = view != machine.running.end() && view->second.isOrderKnown;
@@ -287,6 +293,11 @@
             || movingRuns_.contains(key)) {
             if (recordOrderIfDue(now, key, OrderKind::Stop))
                 directive.stops.push_back({key.first, key.second});
+        } else if (isEvacuated) {
+            // No order to start is sent or renewed; listed runs go on.
+            if (view == machine.running.end() && mustWithdraw(now, nowMs, machine, key)
+                && recordOrderIfDue(now, key, OrderKind::Stop))
+                directive.stops.push_back({key.first, key.second});
         } else if (view == machine.running.end() && exceedsCapacity()) {
             // The minion has shrunk since the start was decided. A run that the latest report could
             // not list may be at work, or have ended, and is not stopped.
@@ -384,6 +395,15 @@
     return job->hasEnded() || job->tasks[key.first.step][key.first.index].done;
 }
 
+bool JobScheduler::mustWithdraw(TimePoint now, std::int64_t nowMs, const Machine &machine,
+                                const RunKey &key) const
+{
+    // A report without a list says nothing about the runs that the minion has started.
+    return neverOrderedRuns_.contains(key) || machine.undelivered.contains(key)
+           || (machine.listedAt == machine.reportedAt
+               && startWithdrawal_.isDue(now, nowMs, machine.minion.zone));
+}
+
 std::uint64_t JobScheduler::pendingJobs(const std::string &queue) const
 {
     const auto isPending = [&](const std::string &id) {
--- a/Source/Jobs/jobscheduler.h
+++ b/Source/Jobs/jobscheduler.h
@@ -4,6 +4,7 @@
 #include "Jobs/jobbook.h"
 #include "Jobs/machinetable.h"
 #include "Jobs/reservationplanner.h"
+#include "Jobs/startwithdrawal.h"
 #include "Jobs/taskplacer.h"
 #include "Jobs/workestimates.h"
 
@@ -103,6 +104,10 @@
     /** Weight of the job \a id; computed once for each \a nowMs. */
     double weightOf(const std::string &id, std::int64_t nowMs);
     bool mustStop(const RunKey &key) const;
+    /** True if the start of \a key, which \a machine in an evacuated failure domain does not list,
+     * must be withdrawn now. */
+    bool mustWithdraw(TimePoint now, std::int64_t nowMs, const Machine &machine,
+                      const RunKey &key) const;
     bool hasBegun(const std::string &id, const Job &job) const;
     /** Returns the step of the active run \a key. */
     const StepSpec &stepOf(const RunKey &key) const;
@@ -123,6 +128,7 @@
     InterferenceTable interference_;
     WorkEstimates estimates_;
     ReservationPlanner planner_;
+    StartWithdrawal startWithdrawal_;
     std::uint64_t term_ = 0;
     bool startsInFlight_ = false;
     std::vector<MinionRunEnd> pendingEnds_;
--- a/Source/Jobs/machinetable.cpp
+++ b/Source/Jobs/machinetable.cpp
@@ -280,12 +280,22 @@
     return machine.disturbedAt != TimePoint{} && now < machine.disturbedAt + options_.disturbedFor;
 }
 
+bool MachineTable::isEvacuated(const Machine &machine) const
+{
+    return evacuations_ != nullptr && evacuations_->isEvacuated(machine.minion.zone);
+}
+
 bool MachineTable::acceptsTasks(TimePoint now, const Machine &machine) const
 {
     return acceptsLongRunningTasks(now, machine) && !machine.health.isSuspended(now);
 }
 
 bool MachineTable::acceptsLongRunningTasks(TimePoint now, const Machine &machine) const
+{
+    return isWorking(now, machine) && !isEvacuated(machine);
+}
+
+bool MachineTable::isWorking(TimePoint now, const Machine &machine) const
 {
     return !machine.minion.draining && machine.minion.reachable
            && now < machine.reportedAt + options_.maxReportAge && now < machine.leaseEnd
--- a/Source/Jobs/machinetable.h
+++ b/Source/Jobs/machinetable.h
@@ -97,7 +97,10 @@
 class MachineTable
 {
 public:
-    explicit MachineTable(LeaseOptions options) : options_(options) {}
+    /** \a book provides the evacuated failure domains; without one there are none. */
+    explicit MachineTable(LeaseOptions options, const JobBook *book = nullptr)
+        : options_(options), evacuations_(book)
+    {}
 
     /** Clears the table for a leader in \a term. In a new term the leases of the previous leader
      * are treated as valid for a full lease from now; in the same term only this leader granted
@@ -115,6 +118,10 @@
      * not the cause. */
     void markDisturbed(TimePoint now, Machine &machine) const;
     bool isDisturbed(TimePoint now, const Machine &machine) const;
+    /** True if no task may start on \a machine because its failure domain is evacuated. */
+    bool isEvacuated(const Machine &machine) const;
+    /** True if \a machine can execute tasks; it accepts new ones only if it is not evacuated. */
+    bool isWorking(TimePoint now, const Machine &machine) const;
     /** True if \a machine may receive new tasks of any kind. */
     bool acceptsTasks(TimePoint now, const Machine &machine) const;
     /** True if \a machine may receive new long-running tasks. */
@@ -145,6 +152,7 @@
     MinionRunEnd lostRunEnd(const MinionLife &life, const RunKey &key) const;
 
     LeaseOptions options_;
+    const JobBook *evacuations_;
     std::map<MinionLife, Machine> machines_;
     std::uint64_t term_ = 0;
     TimePoint termStart_{};
--- a/Source/Jobs/taskplacer.cpp
+++ b/Source/Jobs/taskplacer.cpp
@@ -219,20 +219,22 @@
     {
         double weight = 0;
         RunKey key;
-        const Candidate *at = nullptr;
+        const MinionLife *at = nullptr;
         const RunView *view = nullptr;
     };
     std::vector<Stalled> stalled;
-    for (const Candidate &candidate : candidates_) {
-        const auto runs = book_.activeRuns().find(*candidate.life);
-        if (runs == book_.activeRuns().end() || candidate.isSuspended)
+    for (const auto &[life, machine] : machines_.machines()) {
+        const auto runs = book_.activeRuns().find(life);
+        // Runs may leave an evacuated minion although no task may start there.
+        if (runs == book_.activeRuns().end() || !machines_.isWorking(now_, machine)
+            || machine.health.isSuspended(now_))
             continue;
         for (const RunKey &key : runs->second) {
-            const auto view = candidate.machine->running.find(key);
+            const auto view = machine.running.find(key);
             const auto weight = weights_.find(key.first.job);
-            if (view != candidate.machine->running.end() && weight != weights_.end()
+            if (view != machine.running.end() && weight != weights_.end()
                 && isStalled(view->second, book_.find(key.first.job)->steps[key.first.step]))
-                stalled.push_back({weight->second, key, &candidate, &view->second});
+                stalled.push_back({weight->second, key, &life, &view->second});
         }
     }
     std::ranges::stable_sort(stalled, std::ranges::greater(), &Stalled::weight);
@@ -252,11 +254,11 @@
                                        queue->maxAttempts, FillingLimit::TaskInterference, {});
         if (best == nullptr)
             full.insert({ref.job, ref.step});
-        if (best == nullptr || best == run.at)
+        if (best == nullptr || best->life == run.at)
             continue;
         addTask(*best, step);
         moves.push_back(
-            {run.key, *run.at->life, *best->life, now_ - run.view->progressAt, run.view->percent});
+            {run.key, *run.at, *best->life, now_ - run.view->progressAt, run.view->percent});
     }
     return moves;
 }
--- /dev/null
+++ b/Tests/Jobs/evacuationtest.cpp
@@ -0,0 +1,230 @@
+#include "simulatedfleet.h"
+
+using namespace Oleander;
+using namespace Oleander::Testing;
+
+namespace {
+
+StepSpec longRunning(std::uint32_t count, std::uint32_t milliCores, std::uint32_t maxUnavailable)
+{
+    StepSpec spec = step(count, milliCores);
+    spec.longRunning = true;
+    spec.maxUnavailable = maxUnavailable;
+    return spec;
+}
+
+void change(BookFixture &fixture, const std::string &zone, bool requested)
+{
+    const auto found = fixture.book.evacuations().find(zone);
+    const std::uint64_t revision =
+        found == fixture.book.evacuations().end() ? 0 : found->second.revision;
+    fixture.book.apply(ChangeEvacuation{zone, requested, revision, fixture.nowMs});
+}
+
+/** A leader with the minion LifeA in the failure domain "west" and LifeB in "east". */
+struct ZonesFixture : SchedulerFixture
+{
+    std::uint64_t clockMs = 1'000;
+
+    MachineReport west() const
+    {
+        MachineReport report = reportOf(LifeA, clockMs);
+        report.minion.zone = "west";
+        return report;
+    }
+    void pass(Duration time, MachineReport fromWest)
+    {
+        advance(time);
+        clockMs += static_cast<std::uint64_t>(time.count() / 1'000);
+        fromWest.minionClockMs = clockMs;
+        report("agent-a", fromWest);
+    }
+    void passReports(Duration time) { pass(time, west()); }
+    void reportEast(const std::vector<RunStatus> &running = {})
+    {
+        MachineReport report = reportOf(LifeB, clockMs);
+        report.minion.zone = "east";
+        report.running = running;
+        this->report("agent-b", report);
+    }
+    /** Submits the job "j" of one task and commits its start on LifeA, the only minion. */
+    void startInWest()
+    {
+        report("agent-a", west());
+        directive("agent-a");
+        submit("j", {step(1)});
+        REQUIRE(decide().starts.size() == 1);
+    }
+    /** Reports the refusal of run 1 and returns the starts that follow. */
+    std::vector<RunStart> refuse()
+    {
+        MachineReport report = west();
+        report.refused = {{0, Task0, 1, RunEndKind::Refused, {}}};
+        pass(50ms, report);
+        decide();
+        reportEast();
+        directive("agent-b");
+        return decide().starts;
+    }
+
+    inline static const TaskRef Task0{"j", 0, 0};
+};
+
+bool isStopped(const MachineDirective &directive)
+{
+    return directive.starts.empty() && directive.renewals.empty() && directive.stops.size() == 1;
+}
+
+} // namespace
+
+// Guards against starts and reservations on evacuated minions, also by the next leader.
+TEST_CASE("Nothing starts in a failure domain after its evacuation was requested")
+{
+    SimulatedFleet fleet({8'000, 8'000, 8'000, 8'000});
+    SchedulerFixture &leader = fleet.leader();
+    fleet.setZone(0, "west");
+    fleet.setZone(2, "east");
+    int jobs = 0;
+    const auto submit = [&] {
+        StepSpec spec = step(4, 1'000 + 500 * static_cast<std::uint32_t>(jobs % 5));
+        leader.submit("short-" + std::to_string(jobs++), {spec});
+    };
+    fleet.pass(3s, submit);
+    leader.submit("wide", {longRunning(2, 6'000, 1)});
+    fleet.pass(1s, submit);
+    REQUIRE(fleet.startsIn("west") > 0);
+    leader.scheduler.takeReservationDecisions();
+    change(leader, "west", true);
+    const std::uint64_t before = fleet.startsIn("west");
+    const std::uint64_t others = fleet.startsIn("east");
+    fleet.pass(4s, submit);
+    fleet.changeLeader();
+    fleet.pass(6s, submit);
+    CHECK(fleet.startsIn("west") == before);
+    CHECK(fleet.startsIn("east") > others);
+    // Only tasks of the long-running job may be left.
+    CHECK(fleet.runsIn("west") <= 2);
+    for (const ReservationDecision &decision : leader.scheduler.takeReservationDecisions())
+        CHECK(decision.minion.name >= "minion-102");
+    change(leader, "west", false);
+    fleet.pass(2s, submit);
+    CHECK(fleet.startsIn("west") > before);
+}
+
+// Guards against resources that stay reserved where the task must not start.
+TEST_CASE("A reservation on an evacuated minion is dropped and made elsewhere")
+{
+    BookFixture book;
+    MachineTable machines(LeaseOptions{}, &book.book);
+    ReservationPlanner planner(book.book, machines);
+    const TimePoint now = ManualClock().now();
+    const std::vector<std::uint32_t> sizes{8'000, 8'000, 5'000, 5'000};
+    for (std::size_t i = 0; i < sizes.size(); ++i) {
+        const MinionLife life{"minion-" + std::to_string(i), 100};
+        MachineReport report = reportOf(life, 1'000, sizes[i]);
+        report.minion.zone = i == 0 ? "west" : "east";
+        machines.report(now, life.name, report, book.book);
+        REQUIRE(machines.renewLease(now, *machines.find(life)));
+    }
+    book.submit("short", {step(1, 4'000), step(1, 5'000)});
+    book.start({"short", 0, 0}, 1, {"minion-0", 100});
+    book.start({"short", 1, 0}, 1, {"minion-1", 100});
+    book.submit("wide", {longRunning(1, 6'000, 1)});
+    planner.update(now, book.nowMs + 1'000);
+    REQUIRE(planner.reservations().size() == 1);
+    REQUIRE(planner.reservations().begin()->second.minion.name == "minion-0");
+    change(book, "west", true);
+    planner.update(now + 50ms, book.nowMs + 1'050);
+    CHECK(planner.reservations().empty());
+    planner.update(now + 200ms, book.nowMs + 1'200);
+    REQUIRE(planner.reservations().size() == 1);
+    CHECK(planner.reservations().begin()->second.minion.name == "minion-1");
+}
+
+// Guards against an order that is sent after the evacuation for a start that was committed before.
+TEST_CASE("A start that was committed but not ordered is withdrawn and made elsewhere")
+{
+    ZonesFixture leader;
+    leader.startInWest();
+    change(leader, "west", true);
+    CHECK(isStopped(leader.directive("agent-a")));
+    const auto starts = leader.refuse();
+    REQUIRE(starts.size() == 1);
+    CHECK(starts[0].minion == LifeB);
+}
+
+// Guards against a start that the agent still sends to its minion.
+TEST_CASE("An undelivered start is withdrawn and not renewed")
+{
+    ZonesFixture leader;
+    leader.startInWest();
+    REQUIRE(leader.directive("agent-a").starts.size() == 1);
+    MachineReport report = leader.west();
+    report.undelivered = {{0, ZonesFixture::Task0, 1, RunEndKind::Lost, {}}};
+    // The next renewal of the lease.
+    leader.pass(800ms, report);
+    REQUIRE(leader.directive("agent-a").renewals.size() == 1);
+    change(leader, "west", true);
+    CHECK(isStopped(leader.directive("agent-a")));
+    CHECK(leader.refuse().size() == 1);
+}
+
+// Guards against an order that is repeated, against a stop of a run that has just started, and
+// against a second run beside a withdrawn one that was started anyway.
+TEST_CASE("An ordered start that is not listed is withdrawn after 1.5 s")
+{
+    ZonesFixture leader;
+    leader.startInWest();
+    REQUIRE(leader.directive("agent-a").starts.size() == 1);
+    change(leader, "west", true);
+    for (int i = 0; i < 2; ++i) {
+        leader.passReports(700ms);
+        const MachineDirective directive = leader.directive("agent-a");
+        CHECK(directive.starts.empty());
+        CHECK(directive.stops.empty());
+    }
+    MachineReport unlisted = leader.west();
+    unlisted.hasRunList = false;
+    leader.pass(200ms, unlisted);
+    CHECK(leader.directive("agent-a").stops.empty());
+    leader.passReports(100ms);
+    CHECK(isStopped(leader.directive("agent-a")));
+    leader.reportEast();
+    leader.directive("agent-b");
+    MachineReport started = leader.west();
+    started.running = {{ZonesFixture::Task0, 1, "", 10, 1'000, true}};
+    leader.pass(100ms, started);
+    CHECK(leader.decide().starts.empty());
+    leader.pass(500ms, started);
+    CHECK(leader.directive("agent-a").stops.empty());
+    MachineReport done = leader.west();
+    done.finished = {{1, ZonesFixture::Task0, 1, RunEndKind::Done, {}}};
+    leader.pass(100ms, done);
+    CHECK(leader.decide().ends.size() == 1);
+    CHECK(leader.state("j") == JobState::Completed);
+}
+
+// Guards against a new leader that repeats the order of the former one, or waits for a withdrawal
+// as if the evacuation were new.
+TEST_CASE("A new leader withdraws the unlisted starts of the former leader")
+{
+    ZonesFixture leader;
+    leader.startInWest();
+    REQUIRE(leader.directive("agent-a").starts.size() == 1);
+    change(leader, "west", true);
+    leader.advance(800ms);
+    leader.scheduler.startTerm(leader.clock.now(), ZonesFixture::FirstTerm + 1);
+    leader.passReports(100ms);
+    const MachineDirective early = leader.directive("agent-a");
+    CHECK(early.starts.empty());
+    CHECK(early.stops.empty());
+    leader.passReports(600ms);
+    CHECK(isStopped(leader.directive("agent-a")));
+    // A wrong calendar clock must not defer the withdrawal.
+    leader.scheduler.startTerm(leader.clock.now(), ZonesFixture::FirstTerm + 2);
+    leader.nowMs -= 3'600'000;
+    leader.passReports(100ms);
+    CHECK(leader.directive("agent-a").stops.empty());
+    leader.passReports(1500ms);
+    CHECK(isStopped(leader.directive("agent-a")));
+}
--- a/Tests/Jobs/fillingtest.cpp
+++ b/Tests/Jobs/fillingtest.cpp
@@ -41,6 +41,7 @@
         advance(500ms);
         clockMs += 500;
         MachineReport here = reportOf(LifeA, clockMs);
+        here.minion.zone = "west";
         here.running = {{{"f", 0, 0}, 1, "", percent, milliCores, true}};
         if (otherThere)
             report("agent-b", reportOf(LifeB, clockMs));
@@ -72,6 +73,24 @@
     CHECK(leader.scheduler.takeMoves().size() == 1);
 }
 
+// Guards against stalled runs that cannot leave a minion which takes no new tasks.
+TEST_CASE("A stalled filling run leaves an evacuated minion")
+{
+    FillingFixture leader;
+    leader.registerMinion("agent-a", LifeA);
+    leader.submit("f", {filling(1, 4'000)});
+    REQUIRE(leader.decide().starts.size() == 1);
+    leader.registerMinion("agent-b", LifeB);
+    leader.book.apply(ChangeEvacuation{"west", true, 0, leader.nowMs});
+    for (std::uint32_t percent : {10U, 30U, 40U})
+        CHECK(leader.pass(percent, 4'000, true).empty());
+    std::vector<StopOrder> stops;
+    for (int i = 0; i < 4 && stops.empty(); ++i)
+        stops = leader.pass(40, 0, true);
+    CHECK(stops.size() == 1);
+    CHECK(leader.scheduler.takeMoves().size() == 1);
+}
+
 TEST_CASE("A filling run is not moved while it makes progress or if a move would lose its work")
 {
     const bool saves = GENERATE(true, false);
--- a/Tests/Jobs/simulatedfleet.h
+++ b/Tests/Jobs/simulatedfleet.h
@@ -90,6 +90,36 @@
         exchange();
     }
 
+    /** Places the minions from \a first on in \a zone. */
+    void setZone(std::size_t first, const std::string &zone)
+    {
+        for (std::size_t i = first; i < minions_.size(); ++i)
+            minions_[i].zone = zone;
+        exchange();
+    }
+    /** A new leader begins its term; it knows only the job book. */
+    void changeLeader()
+    {
+        leader_.scheduler.startTerm(leader_.clock.now(), ++term_);
+        exchange();
+    }
+    /** Number of runs on the minions of \a zone. */
+    std::size_t runsIn(const std::string &zone) const
+    {
+        std::size_t count = 0;
+        for (const Minion &minion : minions_)
+            count += minion.zone == zone ? minion.runs.size() : 0;
+        return count;
+    }
+    /** Number of runs that have started on the minions of \a zone. */
+    std::uint64_t startsIn(const std::string &zone) const
+    {
+        std::uint64_t count = 0;
+        for (const Minion &minion : minions_)
+            count += minion.zone == zone ? minion.starts : 0;
+        return count;
+    }
+
     /** Ends the run of \a task as failed. */
     void fail(const TaskRef &task)
     {
@@ -221,6 +251,10 @@
         Duration downtime{};
         std::vector<MinionCrash> crashes;
         std::deque<DelayedDirective> delayed;
+        std::string zone;
+        std::uint64_t starts = 0;
+        /** Runs that were stopped before their start. */
+        std::set<RunKey> rejected;
     };
     static constexpr std::uint64_t MinionMemoryMiB = 1'000'000;
     static constexpr Duration CrashDowntime = std::chrono::seconds(3);
@@ -310,6 +344,7 @@
         minion.runs.clear();
         minion.finished.clear();
         minion.lastEnd = 0;
+        minion.rejected.clear();
         ++minion.life.bornMs;
         minion.downtime = CrashDowntime;
     }
@@ -372,6 +407,9 @@
             status.latencyOrMilliCores = measurementOf(minion, key, run);
             report.running.push_back(status);
         }
+        report.minion.zone = minion.zone;
+        for (const auto &[task, run] : minion.rejected)
+            report.refused.push_back({0, task, run, RunEndKind::Refused, {}});
         report.finished = minion.finished;
         report.hasMinion = minion.downtime <= Duration{};
         report.crashes = minion.crashes;
@@ -387,8 +425,13 @@
             return;
         std::erase_if(minion.finished,
                       [&](const RunEnd &end) { return end.number <= directive.acknowledgedEnd; });
-        for (const StartOrder &order : directive.starts)
-            minion.runs.try_emplace({order.task, order.run}).first->second.weight = order.weight;
+        for (const StartOrder &order : directive.starts) {
+            if (minion.rejected.contains({order.task, order.run}))
+                continue;
+            const auto [run, isNew] = minion.runs.try_emplace({order.task, order.run});
+            run->second.weight = order.weight;
+            minion.starts += isNew ? 1 : 0;
+        }
         for (const ImageInterference &pair : directive.interference)
             minion.pace.learn(pair);
         for (const JobWeight &weight : directive.weights) {
@@ -397,8 +440,14 @@
         }
         for (const StopOrder &order : directive.stops) {
             const RunKey key{order.task, order.run};
-            if (!minion.runs.contains(key))
+            if (!minion.runs.contains(key)) {
+                const bool hasEnded = std::ranges::any_of(minion.finished, [&](const RunEnd &end) {
+                    return end.task == order.task && end.run == order.run;
+                });
+                if (!hasEnded)
+                    minion.rejected.insert(key);
                 continue;
+            }
             ++stops_;
             finish(minion, key, RunEndKind::Stopped);
         }
