Jobs: Return load to cold minions gradually

Cause: minions may be cold when an evacuation is withdrawn. They were treated as warm, and placement fills the minions with least free capacity first, so they could receive most of the starts at once.

ColdStartLimit caps the starts of one second on a minion that announces a cold time, or whose evacuation was withdrawn within the last 5 s, at cold-overage times the average of the warm minions of its service plus cold-slack. There is no limit without both settings, and none without a warm minion to compare with: otherwise a system that starts as a whole would be throttled.

MinionReport::coldRemainingMs is new at the end of the report; platform/ fills it and the settings.

Before: with the limit unread the new test of TestJobs fails where there are settings. After: it passes with and without them.

--- a/Source/Fleet/controlhost.cpp
+++ b/Source/Fleet/controlhost.cpp
@@ -54,6 +54,13 @@
     return options;
 }
 
+std::optional<Jobs::ColdStartOptions> coldStartOptions(const ControlHostSettings &settings)
+{
+    if (settings.coldOverage == 0 || settings.coldSlack == 0)
+        return std::nullopt;
+    return Jobs::ColdStartOptions{settings.coldOverage, settings.coldSlack};
+}
+
 /**
  * \class ControlHost
  * \brief One control host: replica, job service and HTTP server for operators.
@@ -68,7 +75,8 @@
         , codec_(codec)
         , messenger_(loop_, settings.link, newIncarnation(loop_.clock()))
         , replica_(loop_, messenger_, state_, replicaOptions(settings))
-        , jobService_(loop_, messenger_, replica_, state_, leaseOptions(settings))
+        , jobService_(loop_, messenger_, replica_, state_, leaseOptions(settings),
+                      coldStartOptions(settings))
         , leaderClient_(loop_, messenger_, settings.group.seeds)
         , operatorServer_(loop_, settings.limits,
                           [this](const std::shared_ptr<HttpExchange> &exchange) {
--- a/Source/Fleet/jobservice.cpp
+++ b/Source/Fleet/jobservice.cpp
@@ -57,12 +57,13 @@
 } // namespace
 
 JobService::JobService(EventLoop &loop, Messenger &messenger, ReplicaTask &replica,
-                       const State::ControlState &state, Jobs::LeaseOptions lease)
+                       const State::ControlState &state, Jobs::LeaseOptions lease,
+                       std::optional<Jobs::ColdStartOptions> coldStarts)
     : loop_(loop)
     , messenger_(messenger)
     , replica_(replica)
     , state_(state)
-    , scheduler_(state.jobs(), lease)
+    , scheduler_(state.jobs(), lease, coldStarts)
     , processTimer_(loop, [this] { process(); })
     , placementTimer_(loop, [this] { process(); })
     , shareTimer_(loop, [this] { shareInterference(); })
--- a/Source/Fleet/jobservice.h
+++ b/Source/Fleet/jobservice.h
@@ -27,7 +27,8 @@
     using Callback = std::function<void(JobAnswer)>;
 
     JobService(EventLoop &loop, Messenger &messenger, ReplicaTask &replica,
-               const State::ControlState &state, Jobs::LeaseOptions lease);
+               const State::ControlState &state, Jobs::LeaseOptions lease,
+               std::optional<Jobs::ColdStartOptions> coldStarts = std::nullopt);
 
     void start();
     /** Serves \a body; returns false, without storing the callback, while this process is not the
--- a/Source/Jobs/jobscheduler.cpp
+++ b/Source/Jobs/jobscheduler.cpp
@@ -31,10 +31,12 @@
 
 } // namespace
 
-JobScheduler::JobScheduler(const JobBook &book, LeaseOptions options)
+JobScheduler::JobScheduler(const JobBook &book, LeaseOptions options,
+                           std::optional<ColdStartOptions> coldStarts)
     : book_(book)
     , machines_(options, &book)
     , planner_(book, machines_)
+    , coldStarts_(book, machines_, coldStarts)
     , startWithdrawal_(book)
 {}
 
@@ -43,6 +45,7 @@
     term_ = term;
     machines_.startTerm(now, term);
     planner_.startTerm();
+    coldStarts_.startTerm();
     startWithdrawal_.startTerm();
     startsInFlight_ = false;
     pendingEnds_.clear();
@@ -214,8 +217,10 @@
         return batch;
     batch.atMs = nowMs;
     planner_.update(now, nowMs);
-    TaskPlacer placer(book_, machines_, interference_, estimates_, planner_);
+    coldStarts_.update(now, nowMs);
+    TaskPlacer placer(book_, machines_, interference_, estimates_, planner_, coldStarts_);
     batch.starts = placer.place(now, nowMs);
+    coldStarts_.record(now, batch.starts);
     for (const RunStart &start : batch.starts)
         neverOrderedRuns_.insert({start.task, start.run});
     for (RunMove &move : placer.planMoves()) {
--- a/Source/Jobs/jobscheduler.h
+++ b/Source/Jobs/jobscheduler.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Jobs/coldstartlimit.h"
 #include "Jobs/interferencetable.h"
 #include "Jobs/jobbook.h"
 #include "Jobs/machinetable.h"
@@ -9,6 +10,7 @@
 #include "Jobs/workestimates.h"
 
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -35,7 +37,8 @@
 class JobScheduler
 {
 public:
-    JobScheduler(const JobBook &book, LeaseOptions options);
+    JobScheduler(const JobBook &book, LeaseOptions options,
+                 std::optional<ColdStartOptions> coldStarts = std::nullopt);
 
     /** Resets the state for a leader in \a term. */
     void startTerm(TimePoint now, std::uint64_t term);
@@ -128,6 +131,7 @@
     InterferenceTable interference_;
     WorkEstimates estimates_;
     ReservationPlanner planner_;
+    ColdStartLimit coldStarts_;
     StartWithdrawal startWithdrawal_;
     std::uint64_t term_ = 0;
     bool startsInFlight_ = false;
--- a/Source/Jobs/taskplacer.cpp
+++ b/Source/Jobs/taskplacer.cpp
@@ -98,6 +98,7 @@
         candidate.life = &life;
         candidate.machine = &machine;
         candidate.isSuspended = !machines_.acceptsTasks(now, machine);
+        candidate.startsLeft = coldStarts_.startsLeft(life);
         if (used != use.end())
             candidate.use = used->second;
         for (const RunKey &key : unbooked) {
@@ -437,6 +438,8 @@
     }
     candidate.use.add(step);
     candidate.fillingCapacity.clear();
+    if (candidate.startsLeft)
+        --*candidate.startsLeft;
     if (unobservedPairs_)
         unobservedPairs_->add(candidate.use);
 }
@@ -446,9 +449,9 @@
                        const std::map<MinionLife, std::uint32_t> &spread) const
 {
     const MinionReport &minion = candidate.machine->minion;
-    if (candidate.isIsolated || (candidate.isSuspended && !step.longRunning)
-        || minion.service != service || !hasLabel(minion, step.requiredLabel)
-        || !fits(candidate, step))
+    if (candidate.isIsolated || candidate.startsLeft == 0U
+        || (candidate.isSuspended && !step.longRunning) || minion.service != service
+        || !hasLabel(minion, step.requiredLabel) || !fits(candidate, step))
         return false;
     if (step.maxPerMinion > 0) {
         // A task that takes the place of another one with a reservation would leave that
--- a/Source/Jobs/taskplacer.h
+++ b/Source/Jobs/taskplacer.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Jobs/coldstartlimit.h"
 #include "Jobs/interferencetable.h"
 #include "Jobs/joborder.h"
 #include "Jobs/machinetable.h"
@@ -41,12 +42,13 @@
 public:
     TaskPlacer(const JobBook &book, const MachineTable &machines,
                const InterferenceTable &interference, const WorkEstimates &estimates,
-               const ReservationPlanner &planner)
+               const ReservationPlanner &planner, const ColdStartLimit &coldStarts)
         : book_(book)
         , machines_(machines)
         , interference_(interference)
         , estimates_(estimates)
         , planner_(planner)
+        , coldStarts_(coldStarts)
     {}
 
     /** Returns the starts for the calendar time \a nowMs, which is \a now on the monotonic clock.
@@ -84,6 +86,8 @@
         bool isSuspended = false;
         /** True if no other task may start here in this pass, because a suspect starts. */
         bool isIsolated = false;
+        /** Number of further tasks that may start here in this pass; empty if it is not limited. */
+        std::optional<std::uint64_t> startsLeft;
     };
 
     /** What limits the placement of a filling task on a minion. */
@@ -141,6 +145,7 @@
     const InterferenceTable &interference_;
     const WorkEstimates &estimates_;
     const ReservationPlanner &planner_;
+    const ColdStartLimit &coldStarts_;
     /** True if \a run makes no progress and loses little when it is stopped. */
     bool isStalled(const RunView &run, const StepSpec &step) const;
 
--- a/Source/Protocol/jobmessages.h
+++ b/Source/Protocol/jobmessages.h
@@ -81,6 +81,8 @@
     bool draining = false;
     /** False while the agent's calls to the minion fail. */
     bool reachable = true;
+    /** Time for which the minion is still cold, so that its tasks run slowly, in milliseconds. */
+    std::uint64_t coldRemainingMs = 0;
 
     /** True if this minion has at least the resources of \a other. */
     bool hasCapacityOf(const MinionReport &other) const
@@ -102,6 +104,7 @@
     f(v.accelerators);
     f(v.draining);
     f(v.reachable);
+    f(v.coldRemainingMs);
 }
 
 /** A run that may have crashed its minion. */
--- a/Source/Settings/fleetsettings.cpp
+++ b/Source/Settings/fleetsettings.cpp
@@ -13,6 +13,9 @@
 constexpr const char *EntrySection = "job-entry";
 constexpr const char *AgentSection = "machine-agent";
 constexpr const char *GroupSection = "group";
+constexpr double MinColdOverage = 0.1;
+constexpr double MaxColdOverage = 1000;
+constexpr std::uint64_t MaxColdSlack = 1'000'000;
 
 void bindGroup(SettingsBinder &binder, GroupSettings &group)
 {
@@ -53,6 +56,9 @@
     binder.number(ControlSection, "tolerated-losses", settings.toleratedLosses, 0, 16);
     binder.duration(ControlSection, "longest-lease", settings.longestLease, seconds(1),
                     seconds(60));
+    binder.decimal(ControlSection, "cold-overage", settings.coldOverage, MinColdOverage,
+                   MaxColdOverage);
+    binder.number(ControlSection, "cold-slack", settings.coldSlack, 1, MaxColdSlack);
     bindMetricsDoor(binder, ControlSection, settings.metricsDoor);
     bindGroup(binder, settings.group);
     bindLimits(binder, "operator-limits", settings.limits);
--- a/Source/Settings/fleetsettings.h
+++ b/Source/Settings/fleetsettings.h
@@ -35,6 +35,10 @@
     std::uint64_t toleratedLosses = 1;
     /** Maximum lease duration of a minion. */
     Duration longestLease = std::chrono::seconds(10);
+    /** Starts on a cold minion as a multiple of the average on a warm one; 0 for no limit. */
+    double coldOverage = 0;
+    /** Starts on a cold minion in one second in addition; 0 for no limit. */
+    std::uint64_t coldSlack = 0;
     /** Address of the HTTP server for metrics; disabled if empty. */
     std::string metricsDoor;
     GroupSettings group;
--- a/Source/Settings/settingsbinder.cpp
+++ b/Source/Settings/settingsbinder.cpp
@@ -132,6 +132,22 @@
         field = *value;
 }
 
+void SettingsBinder::decimal(const char *section, const char *key, double &field, double min,
+                             double max)
+{
+    const std::string allowed = fmt::format("a decimal number of {} to {}", min, max);
+    const auto *entry = declareKey(section, key, Presence::Optional, allowed);
+    if (entry == nullptr)
+        return;
+    const auto value = parseDecimal(entry->value);
+    if (!value)
+        addEntryError(*entry, "The value is not a decimal number.", allowed);
+    else if (*value < min || *value > max)
+        addEntryError(*entry, "The number is out of range.", allowed);
+    else
+        field = *value;
+}
+
 void SettingsBinder::number(const char *section, const char *key, std::uint64_t &field,
                             std::uint64_t min, std::uint64_t max, Presence presence)
 {
--- a/Source/Settings/settingsbinder.h
+++ b/Source/Settings/settingsbinder.h
@@ -79,6 +79,8 @@
     /** Integer without sign or unit. */
     void number(const char *section, const char *key, std::uint64_t &field, std::uint64_t min,
                 std::uint64_t max, Presence presence = Presence::Optional);
+    /** Decimal number without sign or unit. */
+    void decimal(const char *section, const char *key, double &field, double min, double max);
     /** Section in which each key is a process name and its value the messenger address. */
     void peers(const char *section, std::vector<PeerAddress> &field);
 
--- a/Source/Settings/settingsvalue.cpp
+++ b/Source/Settings/settingsvalue.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <cmath>
 #include <limits>
 
 namespace Oleander {
@@ -52,6 +53,17 @@
     return value;
 }
 
+std::optional<double> parseDecimal(std::string_view text)
+{
+    double value = 0;
+    const auto *const end = text.data() + text.size();
+    const auto result = std::from_chars(text.data(), end, value, std::chars_format::fixed);
+    if (text.empty() || text.front() == '-' || result.ec != std::errc() || result.ptr != end
+        || !std::isfinite(value))
+        return std::nullopt;
+    return value;
+}
+
 std::optional<Duration> parseDuration(std::string_view text)
 {
     const auto value = parseWithUnit(text, DurationUnits);
--- a/Source/Settings/settingsvalue.h
+++ b/Source/Settings/settingsvalue.h
@@ -12,6 +12,9 @@
 /** Parses an unsigned decimal integer. */
 std::optional<std::uint64_t> parseNumber(std::string_view text);
 
+/** Parses a decimal number without sign or exponent. */
+std::optional<double> parseDecimal(std::string_view text);
+
 /** Parses an integer with the unit ms, s or min. */
 std::optional<Duration> parseDuration(std::string_view text);
 
--- a/Tests/Jobs/evacuationtest.cpp
+++ b/Tests/Jobs/evacuationtest.cpp
@@ -228,3 +228,45 @@
     leader.passReports(1500ms);
     CHECK(isStopped(leader.directive("agent-a")));
 }
+
+// Guards against full load on cold minions, and against a limit without the settings.
+TEST_CASE("Load returns to cold minions gradually")
+{
+    BookFixture book;
+    const bool isLimited = GENERATE(true, false);
+    const bool isAnnounced = GENERATE(true, false);
+    JobScheduler scheduler(book.book, LeaseOptions{},
+                           isLimited ? std::optional(ColdStartOptions{1.5, 5}) : std::nullopt);
+    ManualClock clock;
+    scheduler.startTerm(clock.now(), 1);
+    const MinionLife warmLife{"minion-c", 100};
+    std::uint64_t clockMs = 1'000;
+    if (!isAnnounced) {
+        change(book, "west", true);
+        change(book, "west", false);
+    }
+    int jobs = 0;
+    // Returns the starts of 20 new tasks on the cold minion.
+    const auto startsOnCold = [&](Duration time, bool isCold) {
+        clock.advance(time);
+        clockMs += static_cast<std::uint64_t>(time.count() / 1'000);
+        book.nowMs += time.count() / 1'000;
+        for (const MinionLife &life : {LifeA, LifeB, warmLife}) {
+            // The placement prefers the smallest minion.
+            MachineReport report = reportOf(life, clockMs, life == LifeA ? 7'000 : 8'000);
+            report.minion.zone = life == LifeA ? "west" : "east";
+            report.minion.coldRemainingMs = life == LifeA && isCold && isAnnounced ? 3'000 : 0;
+            scheduler.report(clock.now(), book.nowMs, "agent of " + life.name, report);
+        }
+        scheduler.takeDirectives(clock.now(), book.nowMs);
+        book.submit("j" + std::to_string(jobs++), {step(20, 10)});
+        const JobBatch batch = scheduler.takeStarts(clock.now(), book.nowMs);
+        book.apply(batch);
+        scheduler.startsResolved();
+        return std::ranges::count(batch.starts, LifeA, &RunStart::minion);
+    };
+    CHECK(startsOnCold(0ms, true) == (isLimited ? 5 : 20));
+    // In the last second the two warm minions have received 15 starts: 1.5 * 7.5 + 5 - 5.
+    CHECK(startsOnCold(900ms, true) == (isLimited ? 11 : 20));
+    CHECK(startsOnCold(5s, false) == 20);
+}
--- a/Tests/Platform/platformcodectest.cpp
+++ b/Tests/Platform/platformcodectest.cpp
@@ -145,6 +145,15 @@
         *codec.decodeMinionCall(request("DELETE", path))));
 }
 
+// Guards against cold minions that receive as many starts as warm ones.
+TEST_CASE("The remaining cold time of a minion is decoded")
+{
+    const auto call = codec.decodeMinionCall(request("PUT", "/oleanderusher/instances/i-1",
+                                                     announcementWith("coldRemainingMs", "2500")));
+    REQUIRE(call.has_value());
+    CHECK(std::get<Fleet::MinionAnnouncement>(*call).minion.coldRemainingMs == 2'500);
+}
+
 TEST_CASE("An announcement whose address names no reachable port is refused")
 {
     CHECK_FALSE(isAnnouncementRefused(announcementWith("address", R"("10.0.0.1:65535")")));
--- /dev/null
+++ b/Tests/Settings/fleetsettingstest.cpp
@@ -0,0 +1,27 @@
+#include "Settings/fleetsettings.h"
+
+#include <catch2/catch.hpp>
+
+using namespace Oleander;
+
+namespace {
+
+ControlHostSettings coldSettings(const std::string &lines)
+{
+    return parseControlHostSettings(parseIni("control.ini", "[control-host]\n" + lines)).settings;
+}
+
+} // namespace
+
+// Guards against a limit of starts without its settings, and against one that is misread.
+TEST_CASE("The limit of starts on cold minions is a decimal number and a slack")
+{
+    CHECK(coldSettings("").coldOverage == 0);
+    CHECK(coldSettings("").coldSlack == 0);
+    CHECK(coldSettings("cold-overage = 1.5\ncold-slack = 5\n").coldOverage == 1.5);
+    CHECK(coldSettings("cold-overage = 2\ncold-slack = 5\n").coldSlack == 5);
+    for (const std::string bad : {"-1", "1.5x", "nan", "inf", "1e3", "0", ""}) {
+        INFO(bad);
+        CHECK(coldSettings("cold-overage = " + bad + "\n").coldOverage == 0);
+    }
+}
