Jobs: Move long-running tasks out of an evacuated failure domain

Cause: long-running tasks have no end of their own, so they stay on the minions of an evacuated failure domain for ever.

EvacuationPlanner plans moves after each placement, so that waiting tasks come first. It stops a run only when the resources for its successor are free on a minion elsewhere, and reserves them there until the successor starts. The tasks of a step move one at a time, each until its successor is at work, and only while fewer other tasks than maxUnavailable are unavailable. A new leader makes no move in its first 3 s, as a stop of the former leader may be in flight.

ReservationPlanner's reservations carry the moves; they have no expiry and count neither for its limits nor for its rounds of evictions. Its own count of unavailable tasks takes a task as available while its minion drains or is silent, so the moves count more strictly.

Ruled out: evictions or accumulating resources for a move, as the task runs already; a time limit for the reservation, as the stop of a silent minion takes as long as its lease.

The event run.evacuated tells of each move, the gauge oleander_evacuated_runs of the runs that are left.

Before: with isEvacuated unread the three new tests fail. After: they pass, with maxUnavailable 0, 1 and 3 and across a change of the leader.

--- a/Source/Fleet/jobservice.cpp
+++ b/Source/Fleet/jobservice.cpp
@@ -67,7 +67,10 @@
     , processTimer_(loop, [this] { process(); })
     , placementTimer_(loop, [this] { process(); })
     , shareTimer_(loop, [this] { shareInterference(); })
-    , serviceLevelTimer_(loop, [this] { reportServiceLevels(); })
+    , serviceLevelTimer_(loop, [this] {
+        reportServiceLevels();
+        reportEvacuatedRuns();
+    })
 {}
 
 void JobService::start()
@@ -313,6 +316,7 @@
         decidedAt + std::max(MinPlacementInterval, PlacementPauseFactor * (decidedAt - now));
     logReservations();
     logMoves();
+    logEvacuationMoves();
     if (batch.empty())
         return;
     recordStartWaits(batch);
@@ -413,6 +417,30 @@
     }
 }
 
+void JobService::logEvacuationMoves()
+{
+    for (const Jobs::EvacuationMove &move : scheduler_.takeEvacuationMoves()) {
+        logRunEvent(LogEvent::RunEvacuated, Step::Place, move.from.name, move.run,
+                    {{"why", "its failure domain is evacuated"},
+                     {"failure_domain", move.failureDomain},
+                     {"room_on", move.to.name}});
+    }
+}
+
+void JobService::reportEvacuatedRuns() const
+{
+    const auto counts = Jobs::countEvacuatedRuns(book(), scheduler_.machines());
+    for (const auto &[failureDomain, evacuation] : book().evacuations()) {
+        const auto count = counts.find(failureDomain);
+        const bool isCounted = isLeading_ && count != counts.end();
+        processMetrics()
+            .gauge("oleander_evacuated_runs",
+                   "Runs that are still active in an evacuated failure domain, on the leader.",
+                   {{"failure_domain", failureDomain}})
+            .set(isCounted ? count->second : 0);
+    }
+}
+
 void JobService::logIgnoredEnds()
 {
     for (const Jobs::MinionRunEnd &runEnd : scheduler_.takeIgnoredEnds()) {
--- a/Source/Fleet/jobservice.h
+++ b/Source/Fleet/jobservice.h
@@ -74,9 +74,12 @@
     void logOrders(const MachineDirective &directive) const;
     void logReservations();
     void logMoves();
+    void logEvacuationMoves();
     void logIgnoredEnds();
     /** Logs the long-running jobs that miss their service level, and sets the gauges. */
     void reportServiceLevels() const;
+    /** Sets the gauge of the runs in evacuated failure domains. */
+    void reportEvacuatedRuns() const;
     void commit(Jobs::JobCommand command, std::function<void(Result<Jobs::JobOutcome>)> callback);
     std::int64_t nowMs() const;
     const Jobs::JobBook &book() const { return state_.jobs(); }
--- a/Source/Jobs/jobscheduler.cpp
+++ b/Source/Jobs/jobscheduler.cpp
@@ -37,6 +37,7 @@
     , machines_(options, &book)
     , planner_(book, machines_)
     , coldStarts_(book, machines_, coldStarts)
+    , evacuations_(book, machines_, planner_, coldStarts_)
     , startWithdrawal_(book)
 {}
 
@@ -46,6 +47,7 @@
     machines_.startTerm(now, term);
     planner_.startTerm();
     coldStarts_.startTerm();
+    evacuations_.startTerm(now);
     startWithdrawal_.startTerm();
     startsInFlight_ = false;
     pendingEnds_.clear();
@@ -221,12 +223,17 @@
     TaskPlacer placer(book_, machines_, interference_, estimates_, planner_, coldStarts_);
     batch.starts = placer.place(now, nowMs);
     coldStarts_.record(now, batch.starts);
-    for (const RunStart &start : batch.starts)
+    std::vector<std::pair<MinionLife, TaskRef>> claimed;
+    for (const RunStart &start : batch.starts) {
         neverOrderedRuns_.insert({start.task, start.run});
+        claimed.emplace_back(start.minion, start.task);
+    }
     for (RunMove &move : placer.planMoves()) {
+        claimed.emplace_back(move.to, move.run.first);
         if (movingRuns_.insert(move.run).second)
             moves_.push_back(std::move(move));
     }
+    evacuations_.plan(now, claimed);
     startsInFlight_ = !batch.starts.empty();
     return batch;
 }
--- a/Source/Jobs/jobscheduler.h
+++ b/Source/Jobs/jobscheduler.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Jobs/coldstartlimit.h"
+#include "Jobs/evacuationplanner.h"
 #include "Jobs/interferencetable.h"
 #include "Jobs/jobbook.h"
 #include "Jobs/machinetable.h"
@@ -79,6 +80,10 @@
     /** Returns the reservations made since the last call. */
     std::vector<ReservationDecision> takeReservationDecisions() { return planner_.takeDecisions(); }
 
+    /** Returns the moves of long-running tasks out of evacuated failure domains that were decided
+     * since the last call. */
+    std::vector<EvacuationMove> takeEvacuationMoves() { return evacuations_.takeMoves(); }
+
     /** Returns the runs to move that were chosen since the last call. */
     std::vector<RunMove> takeMoves() { return std::exchange(moves_, {}); }
 
@@ -132,6 +137,7 @@
     WorkEstimates estimates_;
     ReservationPlanner planner_;
     ColdStartLimit coldStarts_;
+    EvacuationPlanner evacuations_;
     StartWithdrawal startWithdrawal_;
     std::uint64_t term_ = 0;
     bool startsInFlight_ = false;
--- a/Source/Jobs/reservationplanner.cpp
+++ b/Source/Jobs/reservationplanner.cpp
@@ -25,6 +25,8 @@
 constexpr std::size_t MaxReservationsPerPlan = 16;
 /** Maximum number of runs evicted for one task. */
 constexpr std::size_t MaxEvictionsPerTask = 3;
+/** Expiry of a reservation or stop that ends by other conditions. */
+constexpr TimePoint NoExpiry = TimePoint::max();
 
 } // namespace
 
@@ -69,8 +71,10 @@
     for (const auto &[id, share] : shares)
         waiting.insert(share.waiting.begin(), share.waiting.end());
     const bool hasUnplanned = !waiting.empty();
-    for (const auto &[task, reservation] : reservations_)
-        waiting.insert(task);
+    for (const auto &[task, reservation] : reservations_) {
+        if (reservation.movedRun == 0)
+            waiting.insert(task);
+    }
     rounds_.update(now, waiting, isSettled());
     if (!hasUnplanned)
         return;
@@ -78,7 +82,10 @@
     dropUsableByOthers(shares, minions);
     std::map<std::string, std::int64_t> spare = findSpareMilliCores(minions);
     const std::size_t most = std::max<std::size_t>(1, minions.size() / MinionsPerReservation);
-    const std::size_t limit = std::min(most, reservations_.size() + MaxReservationsPerPlan);
+    const auto moves = static_cast<std::size_t>(std::ranges::count_if(
+        reservations_, [](const auto &item) { return item.second.movedRun > 0; }));
+    const std::size_t limit =
+        std::min(most, reservations_.size() - moves + MaxReservationsPerPlan) + moves;
     while (reservations_.size() < limit) {
         Share *least = nullptr;
         for (auto &[id, share] : shares) {
@@ -122,12 +129,16 @@
         const Job *job = book_.find(task.job);
         const auto machine = machines_.machines().find(reservation.minion);
         const bool isOpen = job != nullptr && !job->hasEnded();
-        const bool isStarted = isOpen && !job->tasks[task.step][task.index].active.empty();
-        if (isStarted && !reservation.isAccumulating)
+        const auto isOtherRun = [moved = reservation.movedRun](const ActiveRun &run) {
+            return run.run != moved;
+        };
+        const bool isStarted =
+            isOpen && std::ranges::any_of(job->tasks[task.step][task.index].active, isOtherRun);
+        if (isStarted && !reservation.isAccumulating && reservation.movedRun == 0)
             successors_.emplace(task, reservation.until);
         return now >= reservation.until || !isOpen || isStarted
                || machine == machines_.machines().end()
-               || !machines_.acceptsLongRunningTasks(now, machine->second);
+               || isObsolete(now, task, reservation, machine->second);
     });
     std::erase_if(evictions_, [&](const auto &item) {
         return now >= item.second || book_.activeRun(item.first) == nullptr;
@@ -141,6 +152,29 @@
     });
 }
 
+bool ReservationPlanner::isObsolete(TimePoint now, const TaskRef &task,
+                                    const Reservation &reservation, const Machine &machine) const
+{
+    if (!machines_.acceptsLongRunningTasks(now, machine))
+        return true;
+    if (reservation.movedRun == 0)
+        return false;
+    // A minion that has shrunk would hold the reservation forever.
+    Claim claim;
+    if (const auto runs = book_.activeRuns().find(reservation.minion);
+        runs != book_.activeRuns().end()) {
+        for (const RunKey &run : runs->second)
+            claim.add(book_.find(run.first.job)->steps[run.first.step]);
+    }
+    return !claim.leavesRoom(machine.minion, book_.find(task.job)->steps[task.step]);
+}
+
+void ReservationPlanner::moveRun(const RunKey &run, const MinionLife &to)
+{
+    reservations_[run.first] = {to, NoExpiry, false, run.second};
+    evictions_[run] = NoExpiry;
+}
+
 void ReservationPlanner::dropStarted(TimePoint now)
 {
     std::erase_if(successors_, [&](const auto &item) {
@@ -156,9 +190,11 @@
 
 bool ReservationPlanner::isSettled() const
 {
-    return evictions_.empty() && successors_.empty()
-           && std::ranges::all_of(reservations_,
-                                  [](const auto &item) { return item.second.isAccumulating; });
+    // Moves take no resources from other jobs.
+    return std::ranges::all_of(evictions_, [](const auto &item) { return item.second == NoExpiry; })
+           && successors_.empty() && std::ranges::all_of(reservations_, [](const auto &item) {
+                  return item.second.isAccumulating || item.second.movedRun > 0;
+              });
 }
 
 ReservationPlanner::Shares ReservationPlanner::findShares(std::int64_t nowMs) const
@@ -275,7 +311,7 @@
     spareMilliCores -= taken;
     eviction.minion->reserved = true;
     ++recipient.held;
-    reservations_[task] = {*eviction.minion->life, now + ReserveFor, eviction.runs.empty()};
+    reservations_[task] = {*eviction.minion->life, now + ReserveFor, eviction.runs.empty(), 0};
     decisions_.push_back({task, *eviction.minion->life, std::move(eviction.runs)});
     return true;
 }
--- a/Source/Jobs/reservationplanner.h
+++ b/Source/Jobs/reservationplanner.h
@@ -21,6 +21,9 @@
     /** True if no run is evicted for the reservation: free resources accumulate as short tasks end.
      */
     bool isAccumulating = false;
+    /** Number of the task's run that is stopped so that the task continues here; 0 for a waiting
+     * task. Such a reservation has no expiry. */
+    std::uint32_t movedRun = 0;
 };
 
 /** Reservations by the task that they are made for. */
@@ -62,6 +65,8 @@
     /** Drops obsolete reservations and plans new ones for the waiting tasks. */
     void update(TimePoint now, std::int64_t nowMs);
     const Reservations &reservations() const { return reservations_; }
+    /** Stops \a run and reserves resources for its task on \a to, which must have them. */
+    void moveRun(const RunKey &run, const MinionLife &to);
     /** True if \a run is stopped for a reservation. */
     bool evicts(const RunKey &run) const { return evictions_.contains(run); }
     /** True if the task is placed before tasks that end by themselves: it has a reservation, or it
@@ -105,6 +110,9 @@
     using Shares = std::map<std::string, Share>;
 
     void dropExpired(TimePoint now);
+    /** True if the minion \a machine of \a reservation cannot execute \a task any more. */
+    bool isObsolete(TimePoint now, const TaskRef &task, const Reservation &reservation,
+                    const Machine &machine) const;
     /** Drops the successors of evicted runs that have started. */
     void dropStarted(TimePoint now);
     /** True if no eviction is in progress and every successor of an evicted run has started. */
--- a/Source/Runtime/logevent.cpp
+++ b/Source/Runtime/logevent.cpp
@@ -61,6 +61,7 @@
     {LogEvent::RunEndIgnored, LogLevel::Warning, "run.end-ignored"},
     {LogEvent::RunOutlivedLease, LogLevel::Warning, "run.outlived-lease"},
     {LogEvent::RunPaced, LogLevel::Info, "run.paced"},
+    {LogEvent::RunEvacuated, LogLevel::Info, "run.evacuated"},
 
     {LogEvent::LeaderElected, LogLevel::Info, "control.leader-elected"},
     {LogEvent::LeaderSteppedDown, LogLevel::Warning, "control.leader-stood-down"},
--- a/Source/Runtime/logevent.h
+++ b/Source/Runtime/logevent.h
@@ -62,6 +62,7 @@
     RunEndIgnored = 3033,
     RunOutlivedLease = 3034,
     RunPaced = 3040,
+    RunEvacuated = 3041,
 
     LeaderElected = 4000,
     LeaderSteppedDown = 4001,
--- a/Tests/Jobs/evacuationtest.cpp
+++ b/Tests/Jobs/evacuationtest.cpp
@@ -229,6 +229,90 @@
     CHECK(isStopped(leader.directive("agent-a")));
 }
 
+// Guards against stops of several tasks of a step at a time, also by consecutive leaders.
+TEST_CASE("Long-running tasks leave an evacuated failure domain one at a time")
+{
+    SimulatedFleet fleet({8'000, 8'000, 8'000, 8'000});
+    SchedulerFixture &leader = fleet.leader();
+    const std::uint32_t maxUnavailable = GENERATE(0U, 1U, 3U);
+    fleet.setZone(0, "west");
+    fleet.setZone(2, "east");
+    fleet.setOrderDelay(150ms);
+    change(leader, "east", true);
+    leader.submit("l", {longRunning(5, 2'000, maxUnavailable)});
+    fleet.pass(4s);
+    REQUIRE(fleet.runsIn("west") == 5);
+    change(leader, "east", false);
+    change(leader, "west", true);
+    double least = 1;
+    const auto measure = [&] { least = std::min(least, fleet.shareAtWork("l")); };
+    fleet.pass(900ms, measure);
+    fleet.changeLeader();
+    fleet.pass(15s, measure);
+    CHECK(least >= 0.8);
+    CHECK(fleet.runsIn("west") == 0);
+    CHECK(fleet.runsIn("east") == 5);
+    CHECK(fleet.stops() == 5);
+}
+
+// Guards against a task that is stopped only to wait.
+TEST_CASE("A long-running task stays in an evacuated failure domain until another has room")
+{
+    SimulatedFleet fleet({8'000, 8'000});
+    SchedulerFixture &leader = fleet.leader();
+    fleet.setZone(0, "west");
+    fleet.setZone(1, "east");
+    change(leader, "east", true);
+    leader.submit("here", {longRunning(2, 4'000, 1)});
+    fleet.pass(2s);
+    change(leader, "east", false);
+    leader.submit("there", {longRunning(1, 5'000, 1)});
+    fleet.pass(3s);
+    REQUIRE(fleet.runsIn("east") == 1);
+    change(leader, "west", true);
+    fleet.pass(10s);
+    CHECK(fleet.runsIn("west") == 2);
+    CHECK(fleet.stops() == 0);
+    leader.cancel("there");
+    fleet.pass(10s);
+    CHECK(fleet.runsIn("east") == 2);
+}
+
+// Guards against other tasks that take the resources between the stop and the next start.
+TEST_CASE("The resources for a task that leaves an evacuated minion are held until it starts")
+{
+    ZonesFixture leader;
+    leader.report("agent-a", leader.west());
+    leader.directive("agent-a");
+    leader.submit("j", {longRunning(1, 6'000, 1)});
+    REQUIRE(leader.decide().starts.size() == 1);
+    leader.directive("agent-a");
+    change(leader, "west", true);
+    MachineReport atWork = leader.west();
+    atWork.running = {{ZonesFixture::Task0, 1, "", 100, 0, true}};
+    for (int i = 0; i < 5; ++i) {
+        leader.pass(700ms, atWork);
+        leader.reportEast();
+        leader.decide();
+        leader.directive("agent-b");
+    }
+    const auto moves = leader.scheduler.takeEvacuationMoves();
+    REQUIRE(moves.size() == 1);
+    CHECK(moves[0].to == LifeB);
+    leader.submit("short", {step(8)});
+    CHECK(leader.decide().starts.size() == 2);
+    leader.pass(700ms, atWork);
+    CHECK(isStopped(leader.directive("agent-a")));
+    MachineReport stopped = leader.west();
+    stopped.finished = {{1, ZonesFixture::Task0, 1, RunEndKind::Stopped, {}}};
+    leader.pass(5ms, stopped);
+    CHECK(leader.decide().ends.size() == 1);
+    const JobBatch next = leader.decide();
+    REQUIRE(next.starts.size() == 1);
+    CHECK(next.starts[0].task == ZonesFixture::Task0);
+    CHECK(next.starts[0].minion == LifeB);
+}
+
 // Guards against full load on cold minions, and against a limit without the settings.
 TEST_CASE("Load returns to cold minions gradually")
 {
