Agent: Hold starts within the bound of an evacuation

Cause: the agent sends a start only with a confirmation of the leader that is more recent than two thirds of cancel-time. Where the bound of an evacuation is shorter, a start could be sent after it.

Without the key the agent behaves as before; a test of the settings covers the choice.

--- a/Source/Fleet/machineagent.cpp
+++ b/Source/Fleet/machineagent.cpp
@@ -36,7 +36,7 @@
         , codec_(codec)
         , messenger_(loop_, settings.name, newIncarnation(loop_.clock()))
         , leaderClient_(loop_, messenger_, settings.group.seeds)
-        , minionTask_(loop_, codec, settings.minion, settings.cancelTime)
+        , minionTask_(loop_, codec, settings.minion, settings.confirmationTime())
         , minionServer_(
               loop_, settings.limits,
               [this](const std::shared_ptr<HttpExchange> &exchange) { handleMinionCall(exchange); })
--- a/Source/Fleet/miniontask.cpp
+++ b/Source/Fleet/miniontask.cpp
@@ -21,8 +21,8 @@
 /** Ends of ended instances that are reported; bounds the reports of an agent that finds no leader
  * while its minion starts again and again. */
 constexpr std::size_t MaxLastEnds = 1'000;
-/** Share of the cancel time for which a start may be sent after the report that the leader's order
- * is based on. The rest covers the wait of the call and the start of the task. */
+/** Share of the confirmation time for which a start may be sent after the report that the leader's
+ * order is based on. The rest covers the wait of the call and the start of the task. */
 constexpr int StartValidityPercent = 66;
 constexpr int Hundred = 100;
 /** Fences in one term, far more than instances start at one address. With any realistic term, the
@@ -37,11 +37,11 @@
 } // namespace
 
 MinionTask::MinionTask(EventLoop &loop, const FleetCodec &codec, const std::string &address,
-                       Duration cancelTime)
+                       Duration confirmationTime)
     : loop_(loop)
     , codec_(codec)
     , address_(address)
-    , startValidity_(cancelTime * StartValidityPercent / Hundred)
+    , startValidity_(confirmationTime * StartValidityPercent / Hundred)
     , verifier_(loop, codec, address, [this](const std::string &name) { return makeProbe(name); })
     , tickTimer_(loop, [this] { tick(); })
 {
--- a/Source/Fleet/miniontask.h
+++ b/Source/Fleet/miniontask.h
@@ -29,10 +29,10 @@
 class MinionTask
 {
 public:
-    /** \a cancelTime is the time after the acknowledgement of a job's cancelling within which its
-     * tasks may still start. */
+    /** \a confirmationTime is the time after the acknowledgement of a job's cancelling, or of an
+     * evacuation, within which tasks may still start. */
     MinionTask(EventLoop &loop, const FleetCodec &codec, const std::string &address,
-               Duration cancelTime = std::chrono::seconds(3));
+               Duration confirmationTime = std::chrono::seconds(3));
 
     void handleAnnouncement(const MinionAnnouncement &announcement);
     void handleDeparture(const MinionDeparture &departure);
--- a/Source/Settings/fleetsettings.cpp
+++ b/Source/Settings/fleetsettings.cpp
@@ -91,6 +91,11 @@
     binder.address(AgentSection, "minion", settings.minion, Presence::Required, PortRule::NonZero);
     binder.duration(AgentSection, "cancel-time", settings.cancelTime, milliseconds(100),
                     seconds(60));
+    Duration evacuationTime{};
+    binder.duration(AgentSection, "evacuation-time", evacuationTime, milliseconds(100),
+                    seconds(60));
+    if (evacuationTime > Duration{})
+        settings.evacuationTime = evacuationTime;
     bindMetricsDoor(binder, AgentSection, settings.metricsDoor);
     bindGroup(binder, settings.group);
     bindLimits(binder, "minion-limits", settings.limits);
--- a/Source/Settings/fleetsettings.h
+++ b/Source/Settings/fleetsettings.h
@@ -4,7 +4,9 @@
 #include "Runtime/httpserver.h"
 #include "Settings/settingsbinder.h"
 
+#include <algorithm>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -79,6 +81,15 @@
     /** Time after the acknowledgement of a job's cancelling within which its tasks may still start.
      */
     Duration cancelTime = std::chrono::seconds(3);
+    /** Time after the acknowledgement of an evacuation within which tasks may still start in the
+     * failure domain; empty if evacuations are not offered. */
+    std::optional<Duration> evacuationTime;
+
+    /** Age at which a confirmation of a start is too old for all of these times. */
+    Duration confirmationTime() const
+    {
+        return std::min(cancelTime, evacuationTime.value_or(cancelTime));
+    }
     /** Address of the HTTP server for metrics; disabled if empty. */
     std::string metricsDoor;
     GroupSettings group;
--- a/Tests/Settings/fleetsettingstest.cpp
+++ b/Tests/Settings/fleetsettingstest.cpp
@@ -3,9 +3,16 @@
 #include <catch2/catch.hpp>
 
 using namespace Oleander;
+using namespace std::chrono_literals;
 
 namespace {
 
+Duration confirmationTime(const std::string &lines)
+{
+    return parseMachineAgentSettings(parseIni("agent.ini", "[machine-agent]\n" + lines))
+        .settings.confirmationTime();
+}
+
 ControlHostSettings coldSettings(const std::string &lines)
 {
     return parseControlHostSettings(parseIni("control.ini", "[control-host]\n" + lines)).settings;
@@ -13,6 +20,15 @@
 
 } // namespace
 
+// Guards against starts that are sent after the shorter of the two times.
+TEST_CASE("The shorter of the cancel time and the evacuation time applies")
+{
+    CHECK(confirmationTime("") == 3s);
+    CHECK(confirmationTime("cancel-time = 4s\n") == 4s);
+    CHECK(confirmationTime("cancel-time = 4s\nevacuation-time = 2500ms\n") == 2500ms);
+    CHECK(confirmationTime("cancel-time = 2s\nevacuation-time = 5s\n") == 2s);
+}
+
 // Guards against a limit of starts without its settings, and against one that is misread.
 TEST_CASE("The limit of starts on cold minions is a decimal number and a slack")
 {
