Jobs: Hold back moves beside a starting task of the step

Cause: maxUnavailable 0 gives no limit, so only the move in progress kept a step's tasks from leaving together. A new leader does not know that move: if its successor takes longer than 3 s to get to work, a second task was stopped.

Without a limit, a task that is starting now blocks the moves of its step; tasks that wait do not, as they may wait for the whole evacuation.

--- a/Source/Jobs/evacuationplanner.cpp
+++ b/Source/Jobs/evacuationplanner.cpp
@@ -124,19 +124,21 @@
 
 bool EvacuationPlanner::mayStop(TimePoint now, const TaskRef &ref, const StepSpec &step) const
 {
-    if (step.maxUnavailable == 0)
-        return true;
     const std::vector<Task> &tasks = book_.find(ref.job)->tasks[ref.step];
-    std::uint32_t unavailable = 0;
+    std::uint32_t waiting = 0;
+    std::uint32_t starting = 0;
     for (std::uint32_t index = 0; index < tasks.size(); ++index) {
         const auto &active = tasks[index].active;
-        if (index != ref.index
-            && (active.empty()
-                || !isAtWork(now, active.back().minion,
-                             {{ref.job, ref.step, index}, active.back().run})))
-            ++unavailable;
+        if (index == ref.index)
+            continue;
+        if (active.empty())
+            ++waiting;
+        else if (!isAtWork(now, active.back().minion,
+                           {{ref.job, ref.step, index}, active.back().run}))
+            ++starting;
     }
-    return unavailable < step.maxUnavailable;
+    // Without a limit, a task that is starting may be one that the former leader moved.
+    return step.maxUnavailable == 0 ? starting == 0 : waiting + starting < step.maxUnavailable;
 }
 
 const MinionLife *EvacuationPlanner::chooseMinion(TimePoint now, const TaskRef &ref)
--- a/Tests/Jobs/evacuationtest.cpp
+++ b/Tests/Jobs/evacuationtest.cpp
@@ -313,6 +313,28 @@
     CHECK(next.starts[0].minion == LifeB);
 }
 
+// Guards against a second move of a step beside one that only the former leader knows.
+TEST_CASE("A new leader moves no task of a step without a limit while another is starting")
+{
+    ZonesFixture leader;
+    leader.submit("j", {longRunning(2, 2'000, 0)});
+    REQUIRE(leader.start(ZonesFixture::Task0, 1, LifeA));
+    REQUIRE(leader.start({"j", 0, 1}, 1, LifeB));
+    change(leader, "west", true);
+    MachineReport atWork = leader.west();
+    atWork.running = {{ZonesFixture::Task0, 1, "", 100, 0, true}};
+    const auto movesAt = [&](std::uint32_t percent) {
+        leader.pass(700ms, atWork);
+        leader.reportEast({{{"j", 0, 1}, 1, "", percent, 0, true}});
+        leader.decide();
+        leader.directive("agent-b");
+        return leader.scheduler.takeEvacuationMoves().size();
+    };
+    for (int i = 0; i < 6; ++i)
+        CHECK(movesAt(50) == 0);
+    CHECK(movesAt(100) == 1);
+}
+
 // Guards against full load on cold minions, and against a limit without the settings.
 TEST_CASE("Load returns to cold minions gradually")
 {
