--- a/Source/Fleet/jobservice.cpp
+++ b/Source/Fleet/jobservice.cpp
@@ -58,12 +58,13 @@
 } // namespace
 
 JobService::JobService(EventLoop &loop, Messenger &messenger, ReplicaTask &replica,
-                       const State::ControlState &state, Jobs::LeaseOptions lease)
+                       const State::ControlState &state, Jobs::LeaseOptions lease,
+                       std::optional<Jobs::ColdStartOptions> coldStarts)
     : loop_(loop)
     , messenger_(messenger)
     , replica_(replica)
     , state_(state)
-    , scheduler_(state.jobs(), lease)
+    , scheduler_(state.jobs(), lease, coldStarts)
     , processTimer_(loop, [this] { process(); })
     , placementTimer_(loop, [this] { process(); })
     , shareTimer_(loop, [this] { shareInterference(); })
@@ -71,6 +72,7 @@
                          [this] {
                              reportServiceLevels();
                              reportEvacuations();
+                             reportEvacuatedRuns();
                          })
     , evacuationDump_("evacuations", [this] { return evacuationRows(); })
 {}
@@ -417,6 +419,7 @@
         decidedAt + std::max(MinPlacementInterval, PlacementPauseFactor * (decidedAt - now));
     logReservations();
     logMoves();
+    logEvacuationMoves();
     if (batch.empty())
         return;
     recordStartWaits(batch);
@@ -517,6 +520,30 @@
     }
 }
 
+void JobService::logEvacuationMoves()
+{
+    for (const Jobs::EvacuationMove &move : scheduler_.takeEvacuationMoves()) {
+        logRunEvent(LogEvent::RunEvacuated, Step::Place, move.from.name, move.run,
+                    {{"why", "its failure domain is evacuated"},
+                     {"failure_domain", move.failureDomain},
+                     {"room_on", move.to.name}});
+    }
+}
+
+void JobService::reportEvacuatedRuns() const
+{
+    const auto counts = Jobs::countEvacuatedRuns(book(), scheduler_.machines());
+    for (const auto &[failureDomain, evacuation] : book().evacuations()) {
+        const auto count = counts.find(failureDomain);
+        const bool isCounted = isLeading_ && count != counts.end();
+        processMetrics()
+            .gauge("oleander_evacuated_runs",
+                   "Runs that are still active in an evacuated failure domain, on the leader.",
+                   {{"failure_domain", failureDomain}})
+            .set(isCounted ? count->second : 0);
+    }
+}
+
 void JobService::logIgnoredEnds()
 {
     for (const Jobs::MinionRunEnd &runEnd : scheduler_.takeIgnoredEnds()) {
--- a/Source/Fleet/jobservice.h
+++ b/Source/Fleet/jobservice.h
@@ -29,7 +29,8 @@
     using Callback = std::function<void(JobAnswer)>;
 
     JobService(EventLoop &loop, Messenger &messenger, ReplicaTask &replica,
-               const State::ControlState &state, Jobs::LeaseOptions lease);
+               const State::ControlState &state, Jobs::LeaseOptions lease,
+               std::optional<Jobs::ColdStartOptions> coldStarts = std::nullopt);
 
     void start();
     /** Serves \a body; returns false, without storing the callback, while this process is not the
@@ -83,9 +84,12 @@
     void logOrders(const MachineDirective &directive) const;
     void logReservations();
     void logMoves();
+    void logEvacuationMoves();
     void logIgnoredEnds();
     /** Logs the long-running jobs that miss their service level, and sets the gauges. */
     void reportServiceLevels() const;
+    /** Sets the gauge of the runs in evacuated failure domains. */
+    void reportEvacuatedRuns() const;
     void commit(Jobs::JobCommand command, std::function<void(Result<Jobs::JobOutcome>)> callback);
     std::int64_t nowMs() const;
     const Jobs::JobBook &book() const { return state_.jobs(); }
--- a/Source/Jobs/jobscheduler.cpp
+++ b/Source/Jobs/jobscheduler.cpp
@@ -31,8 +31,14 @@
 
 } // namespace
 
-JobScheduler::JobScheduler(const JobBook &book, LeaseOptions options)
-    : book_(book), machines_(options), planner_(book, machines_)
+JobScheduler::JobScheduler(const JobBook &book, LeaseOptions options,
+                           std::optional<ColdStartOptions> coldStarts)
+    : book_(book)
+    , machines_(options, &book)
+    , planner_(book, machines_)
+    , coldStarts_(book, machines_, coldStarts)
+    , evacuations_(book, machines_, planner_, coldStarts_)
+    , startWithdrawal_(book)
 {}
 
 void JobScheduler::startTerm(TimePoint now, std::uint64_t term)
@@ -40,6 +46,9 @@
     term_ = term;
     machines_.startTerm(now, term);
     planner_.startTerm();
+    coldStarts_.startTerm();
+    evacuations_.startTerm(now);
+    startWithdrawal_.startTerm();
     startsInFlight_ = false;
     pendingEnds_.clear();
     endingRuns_.clear();
@@ -210,14 +219,21 @@
         return batch;
     batch.atMs = nowMs;
     planner_.update(now, nowMs);
-    TaskPlacer placer(book_, machines_, interference_, estimates_, planner_);
+    coldStarts_.update(now, nowMs);
+    TaskPlacer placer(book_, machines_, interference_, estimates_, planner_, coldStarts_);
     batch.starts = placer.place(now, nowMs);
-    for (const RunStart &start : batch.starts)
+    coldStarts_.record(now, batch.starts);
+    std::vector<std::pair<MinionLife, TaskRef>> claimed;
+    for (const RunStart &start : batch.starts) {
         neverOrderedRuns_.insert({start.task, start.run});
+        claimed.emplace_back(start.minion, start.task);
+    }
     for (RunMove &move : placer.planMoves()) {
+        claimed.emplace_back(move.to, move.run.first);
         if (movingRuns_.insert(move.run).second)
             moves_.push_back(std::move(move));
     }
+    evacuations_.plan(now, claimed);
     startsInFlight_ = !batch.starts.empty();
     return batch;
 }
@@ -225,6 +241,7 @@
 std::vector<AddressedDirective> JobScheduler::takeDirectives(TimePoint now, std::int64_t nowMs)
 {
     std::vector<AddressedDirective> directives;
+    startWithdrawal_.update(now);
     for (auto &[life, machine] : machines_.machines()) {
         if (now >= machine.reportedAt + machines_.options().maxReportAge)
             continue;
@@ -272,6 +289,7 @@
             claim = claimOf(active);
         return !claim->isWithin(machine.minion);
     };
+    const bool isEvacuated = machines_.isEvacuated(machine);
     for (const RunKey &key : active) {
         const auto view = machine.running.find(key);
         const bool isOrderKnown = view != machine.running.end() && view->second.isOrderKnown;
@@ -287,6 +305,11 @@
             || movingRuns_.contains(key)) {
             if (recordOrderIfDue(now, key, OrderKind::Stop))
                 directive.stops.push_back({key.first, key.second});
+        } else if (isEvacuated) {
+            // No order to start is sent or renewed; listed runs go on.
+            if (view == machine.running.end() && mustWithdraw(now, nowMs, machine, key)
+                && recordOrderIfDue(now, key, OrderKind::Stop))
+                directive.stops.push_back({key.first, key.second});
         } else if (view == machine.running.end() && exceedsCapacity()) {
             // The minion has shrunk since the start was decided. A run that the latest report could
             // not list may be at work, or have ended, and is not stopped.
@@ -384,6 +407,15 @@
     return job->hasEnded() || job->tasks[key.first.step][key.first.index].done;
 }
 
+bool JobScheduler::mustWithdraw(TimePoint now, std::int64_t nowMs, const Machine &machine,
+                                const RunKey &key) const
+{
+    // A report without a list says nothing about the runs that the minion has started.
+    return neverOrderedRuns_.contains(key) || machine.undelivered.contains(key)
+           || (machine.listedAt == machine.reportedAt
+               && startWithdrawal_.isDue(now, nowMs, machine.minion.zone));
+}
+
 std::uint64_t JobScheduler::pendingJobs(const std::string &queue) const
 {
     const auto isPending = [&](const std::string &id) {
--- a/Source/Jobs/jobscheduler.h
+++ b/Source/Jobs/jobscheduler.h
@@ -1,13 +1,17 @@
 #pragma once
 
+#include "Jobs/coldstartlimit.h"
+#include "Jobs/evacuationplanner.h"
 #include "Jobs/interferencetable.h"
 #include "Jobs/jobbook.h"
 #include "Jobs/machinetable.h"
 #include "Jobs/reservationplanner.h"
+#include "Jobs/startwithdrawal.h"
 #include "Jobs/taskplacer.h"
 #include "Jobs/workestimates.h"
 
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -34,7 +38,8 @@
 class JobScheduler
 {
 public:
-    JobScheduler(const JobBook &book, LeaseOptions options);
+    JobScheduler(const JobBook &book, LeaseOptions options,
+                 std::optional<ColdStartOptions> coldStarts = std::nullopt);
 
     /** Resets the state for a leader in \a term. */
     void startTerm(TimePoint now, std::uint64_t term);
@@ -75,6 +80,10 @@
     /** Returns the reservations made since the last call. */
     std::vector<ReservationDecision> takeReservationDecisions() { return planner_.takeDecisions(); }
 
+    /** Returns the moves of long-running tasks out of evacuated failure domains that were decided
+     * since the last call. */
+    std::vector<EvacuationMove> takeEvacuationMoves() { return evacuations_.takeMoves(); }
+
     /** Returns the runs to move that were chosen since the last call. */
     std::vector<RunMove> takeMoves() { return std::exchange(moves_, {}); }
 
@@ -103,6 +112,10 @@
     /** Weight of the job \a id; computed once for each \a nowMs. */
     double weightOf(const std::string &id, std::int64_t nowMs);
     bool mustStop(const RunKey &key) const;
+    /** True if the start of \a key, which \a machine in an evacuated failure domain does not list,
+     * must be withdrawn now. */
+    bool mustWithdraw(TimePoint now, std::int64_t nowMs, const Machine &machine,
+                      const RunKey &key) const;
     bool hasBegun(const std::string &id, const Job &job) const;
     /** Returns the step of the active run \a key. */
     const StepSpec &stepOf(const RunKey &key) const;
@@ -123,6 +136,9 @@
     InterferenceTable interference_;
     WorkEstimates estimates_;
     ReservationPlanner planner_;
+    ColdStartLimit coldStarts_;
+    EvacuationPlanner evacuations_;
+    StartWithdrawal startWithdrawal_;
     std::uint64_t term_ = 0;
     bool startsInFlight_ = false;
     std::vector<MinionRunEnd> pendingEnds_;
--- a/Source/Settings/fleetsettings.h
+++ b/Source/Settings/fleetsettings.h
@@ -4,7 +4,9 @@
 #include "Runtime/httpserver.h"
 #include "Settings/settingsbinder.h"
 
+#include <algorithm>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -35,6 +37,10 @@
     std::uint64_t toleratedLosses = 1;
     /** Maximum lease duration of a minion. */
     Duration longestLease = std::chrono::seconds(10);
+    /** Starts on a cold minion as a multiple of the average on a warm one; 0 for no limit. */
+    double coldOverage = 0;
+    /** Starts on a cold minion in one second in addition; 0 for no limit. */
+    std::uint64_t coldSlack = 0;
     /** Address of the HTTP server for metrics; disabled if empty. */
     std::string metricsDoor;
     /** Failure domains that operators may evacuate; evacuations are not offered if empty. */
@@ -77,6 +83,15 @@
     /** Time after the acknowledgement of a job's cancelling within which its tasks may still start.
      */
     Duration cancelTime = std::chrono::seconds(3);
+    /** Time after the acknowledgement of an evacuation within which tasks may still start in the
+     * failure domain; empty if evacuations are not offered. */
+    std::optional<Duration> evacuationTime;
+
+    /** Age at which a confirmation of a start is too old for all of these times. */
+    Duration confirmationTime() const
+    {
+        return std::min(cancelTime, evacuationTime.value_or(cancelTime));
+    }
     /** Address of the HTTP server for metrics; disabled if empty. */
     std::string metricsDoor;
     GroupSettings group;
--- a/Tests/Settings/fleetsettingstest.cpp
+++ b/Tests/Settings/fleetsettingstest.cpp
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 
 using namespace Oleander;
+using namespace std::chrono_literals;
 
 namespace {
 
@@ -13,6 +14,17 @@
                                     + line + "\n[group]\nseeds = 127.0.0.1:2\nlink-port = 1\n"));
 }
 
+Duration confirmationTime(const std::string &lines)
+{
+    return parseMachineAgentSettings(parseIni("agent.ini", "[machine-agent]\n" + lines))
+        .settings.confirmationTime();
+}
+
+ControlHostSettings coldSettings(const std::string &lines)
+{
+    return parseControlHostSettings(parseIni("control.ini", "[control-host]\n" + lines)).settings;
+}
+
 } // namespace
 
 TEST_CASE("The failure domains of a control host are read as a list of names")
@@ -33,3 +45,25 @@
         CHECK(checked.errors.front().line == 4);
     }
 }
+
+// Guards against starts that are sent after the shorter of the two times.
+TEST_CASE("The shorter of the cancel time and the evacuation time applies")
+{
+    CHECK(confirmationTime("") == 3s);
+    CHECK(confirmationTime("cancel-time = 4s\n") == 4s);
+    CHECK(confirmationTime("cancel-time = 4s\nevacuation-time = 2500ms\n") == 2500ms);
+    CHECK(confirmationTime("cancel-time = 2s\nevacuation-time = 5s\n") == 2s);
+}
+
+// Guards against a limit of starts without its settings, and against one that is misread.
+TEST_CASE("The limit of starts on cold minions is a decimal number and a slack")
+{
+    CHECK(coldSettings("").coldOverage == 0);
+    CHECK(coldSettings("").coldSlack == 0);
+    CHECK(coldSettings("cold-overage = 1.5\ncold-slack = 5\n").coldOverage == 1.5);
+    CHECK(coldSettings("cold-overage = 2\ncold-slack = 5\n").coldSlack == 5);
+    for (const std::string bad : {"-1", "1.5x", "nan", "inf", "1e3", "0", ""}) {
+        INFO(bad);
+        CHECK(coldSettings("cold-overage = " + bad + "\n").coldOverage == 0);
+    }
+}
