JSON: Limit the values of a job by its largest body

A value takes up to 100 bytes once parsed, so a body of 262,144 bytes with the 200,000 values that were allowed needs 20 MB. A job gets 65,536 values: the smallest step takes 12 bytes and two values, so every job of legal size still fits. A configuration gets 262,144 values, as 4 MiB with 16 bytes for each hold; with 200,000 some legal ones were refused. A limit from the settings was ruled out: it follows from the formats, not from the deployment.

--- a/Source/Protocol/jsonreader.cpp
+++ b/Source/Protocol/jsonreader.cpp
@@ -28,6 +28,22 @@
 
 } // namespace
 
+std::size_t countJsonValues(std::string_view text, std::size_t max)
+{
+    std::size_t values = 0;
+    bool isInString = false;
+    for (std::size_t at = 0; at < text.size() && values < max; ++at) {
+        const char letter = text[at];
+        if (letter == '"')
+            isInString = !isInString;
+        else if (isInString)
+            at += letter == '\\' ? 1 : 0;
+        else
+            values += letter == ',' || letter == '[' || letter == '{' ? 1 : 0;
+    }
+    return values;
+}
+
 Result<void> checkJsonLimits(std::string_view text, const JsonLimits &limits)
 {
     std::size_t depth = 0;
--- a/Source/Protocol/jsonreader.h
+++ b/Source/Protocol/jsonreader.h
@@ -28,6 +28,18 @@
     std::size_t maxValues = 200'000;
 };
 
+/** Maximum number of values of a job's description. The smallest step, with one field, takes 12
+ * bytes and counts as two values: at most 43,690 in a body of 262,144 bytes. */
+constexpr std::size_t MaxJobValues = 65'536;
+
+/** Maximum number of values of a document of up to 4 MiB: configurations and announcements have at
+ * least 16 bytes for each value. */
+constexpr std::size_t MaxDocumentValues = 262'144;
+
+/** Returns the number of commas and opening brackets of \a text outside of strings, up to
+ * \a max. */
+std::size_t countJsonValues(std::string_view text, std::size_t max);
+
 /** Checks the limits of \a text without parsing it. */
 Result<void> checkJsonLimits(std::string_view text, const JsonLimits &limits);
 
--- a/Tests/Protocol/jsonreadertest.cpp
+++ b/Tests/Protocol/jsonreadertest.cpp
@@ -25,6 +25,13 @@
     }
 }
 
+TEST_CASE("Values are counted outside of strings, up to the given maximum")
+{
+    // The memory of a request is estimated from this number before the request is parsed.
+    CHECK(countJsonValues(R"([1,{"a,[":2,"\\":3},"\",,"])", 100) == 5);
+    CHECK(countJsonValues("[,,,,", 3) == 3);
+}
+
 TEST_CASE("Only integers within the range are read")
 {
     using Json = nlohmann::json;
