HTTP server: Bound the memory of requests, answers and connections

Callbacks on the buffers of each connection now count its bytes before evhttp reads them and refuse a request with 503, 408, 413 or 431 as soon as a limit shows. An incomplete request has not run, so each of these answers says so. Descriptors: the server closes the least useful connection of a full door, and stops accepting while too many wait for their removal.

A server without a shared budget has one of its own.

--- a/Source/Runtime/httpserver.cpp
+++ b/Source/Runtime/httpserver.cpp
@@ -2,6 +2,7 @@
 
 #include "Base/nametable.h"
 #include "Runtime/address.h"
+#include "Runtime/httpconnection.h"
 #include "Runtime/httpmethod.h"
 
 #include <event2/buffer.h>
@@ -9,6 +10,7 @@
 #include <event2/event.h>
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
+#include <event2/listener.h>
 #include <fmt/format.h>
 #include <strings.h>
 #include <sys/socket.h>
@@ -25,20 +27,15 @@
 constexpr Duration SweepPeriod = std::chrono::milliseconds(20);
 // A longer interval between two sweeps is time in which the process did not run.
 constexpr Duration SuspensionThreshold = std::chrono::seconds(1);
+// Connections that may wait for their removal before the server stops accepting until the next
+// sweep. Their descriptors come from the reserved ones.
+constexpr std::size_t MaxClosingConnections = 64;
 
 bool equalsIgnoringCase(std::string_view a, std::string_view b)
 {
     return a.size() == b.size() && strncasecmp(a.data(), b.data(), a.size()) == 0;
 }
 
-HttpResponse problemResponse(unsigned status, const std::string &detail)
-{
-    return {status,
-            {{"Content-Type", "application/problem+json"}, {"Connection", "close"}},
-            fmt::format(R"({{"title":"{}","status":{},"outcome":"not-run","step":"accept"}})",
-                        detail, status)};
-}
-
 HttpRequest readRequest(evhttp_request *native)
 {
     HttpRequest request;
@@ -53,7 +50,7 @@
         request.headers.push_back({field->key, field->value});
     evbuffer *body = evhttp_request_get_input_buffer(native);
     request.body.resize(evbuffer_get_length(body));
-    evbuffer_copyout(body, request.body.data(), request.body.size());
+    evbuffer_remove(body, request.body.data(), request.body.size());
     char *host = nullptr;
     std::uint16_t port = 0;
     evhttp_connection_get_peer(evhttp_request_get_connection(native), &host, &port);
@@ -104,34 +101,23 @@
 {
     class Exchange;
 
-    /**
-     * One accepted connection. The server holds a reference to its bufferevent, so that sweep() can
-     * detect that evhttp has dropped the connection.
-     */
-    struct Connection
-    {
-        bufferevent *stream = nullptr;
-        TimePoint idleSince;
-        bool hasRequest = false;
-        bool overLimit = false;
-    };
-
     EventLoop &loop;
-    HttpLimits limits;
+    HttpConnectionContext context;
     Handler handler;
     evhttp *http = nullptr;
     evhttp_bound_socket *listener = nullptr;
     bool closing = false;
     std::unordered_set<Exchange *> exchanges;
-    std::unordered_map<bufferevent *, Connection> connections;
+    std::unordered_map<bufferevent *, std::unique_ptr<HttpConnection>> connections;
+    bool isPaused = false;
     std::unique_ptr<Timer> sweepTimer;
     TimePoint lastSweep;
 
     bufferevent *addConnection();
-    static void restartTimeout(bufferevent *stream, short direction);
+    HttpConnection *connectionOf(evhttp_request *native) const;
+    void setPaused(bool paused);
     void sweep();
     void accept(evhttp_request *native);
-    void markIdle(evhttp_request *native);
 };
 
 class HttpServer::Private::Exchange final : public HttpExchange
@@ -164,7 +150,7 @@
         stopWatching();
         closed_ = nullptr;
         server_->exchanges.erase(this);
-        server_->markIdle(native);
+        HttpConnection *connection = server_->connectionOf(native);
         evkeyvalq *headers = evhttp_request_get_output_headers(native);
         for (const auto &field : response.headers)
             evhttp_add_header(headers, field.name.c_str(), field.value.c_str());
@@ -175,6 +161,8 @@
             evbuffer_add(body, response.body.data(), response.body.size());
         evhttp_send_reply(native, static_cast<int>(response.status), nullptr, body);
         evbuffer_free(body);
+        if (connection != nullptr)
+            connection->beginSending();
     }
 
     /** Detaches from the request when the server is destroyed before the response. */
@@ -228,19 +216,32 @@
     bufferevent *stream = bufferevent_socket_new(loop.base(), -1, BEV_OPT_CLOSE_ON_FREE);
     if (stream == nullptr)
         return nullptr;
-    bufferevent_incref(stream);
-    const bool overLimit = connections.size() >= limits.maxConnections;
-    connections[stream] = Connection{stream, loop.clock().now(), false, overLimit};
+    connections[stream] = std::make_unique<HttpConnection>(context, stream);
+    if (context.budget->decisions().closingConnections() >= MaxClosingConnections)
+        setPaused(true);
     return stream;
 }
 
-/** Starts the timeout of a direction again and drops its expiry if that is not handled yet. */
-void HttpServer::Private::restartTimeout(bufferevent *stream, short direction)
+HttpConnection *HttpServer::Private::connectionOf(evhttp_request *native) const
+{
+    evhttp_connection *connection = evhttp_request_get_connection(native);
+    if (connection == nullptr)
+        return nullptr;
+    const auto found = connections.find(evhttp_connection_get_bufferevent(connection));
+    return found == connections.end() ? nullptr : found->second.get();
+}
+
+/** Stops accepting connections, or accepts them again. */
+void HttpServer::Private::setPaused(bool paused)
 {
-    if ((bufferevent_get_enabled(stream) & direction) == 0)
+    if (listener == nullptr || paused == isPaused)
         return;
-    bufferevent_disable(stream, direction);
-    bufferevent_enable(stream, direction);
+    isPaused = paused;
+    evconnlistener *native = evhttp_bound_socket_get_listener(listener);
+    if (paused)
+        evconnlistener_disable(native);
+    else
+        evconnlistener_enable(native);
 }
 
 void HttpServer::Private::sweep()
@@ -251,62 +252,48 @@
     const bool wasSuspended = now - lastSweep > SuspensionThreshold;
     lastSweep = now;
     for (auto it = connections.begin(); it != connections.end();) {
-        Connection &connection = it->second;
-        bufferevent_data_cb read = nullptr;
-        bufferevent_data_cb write = nullptr;
-        bufferevent_event_cb event = nullptr;
-        void *argument = nullptr;
-        bufferevent_getcb(connection.stream, &read, &write, &event, &argument);
-        if (event == nullptr) {
-            bufferevent_decref(connection.stream);
+        HttpConnection &connection = *it->second;
+        if (connection.isDropped()) {
             it = connections.erase(it);
             continue;
         }
-        if (wasSuspended) {
-            connection.idleSince = now;
-            restartTimeout(connection.stream, EV_READ);
-            restartTimeout(connection.stream, EV_WRITE);
-        }
-        // A request must be complete within the idle timeout, even if bytes keep trickling in.
-        if (!connection.hasRequest && now - connection.idleSince > limits.idleTimeout)
-            shutdown(bufferevent_getfd(connection.stream), SHUT_RDWR);
+        if (wasSuspended)
+            connection.restartTimes(now);
+        connection.checkTimes(now);
+        if (isPaused)
+            connection.closeRefused();
         ++it;
     }
+    if (context.budget->decisions().closingConnections() < MaxClosingConnections)
+        setPaused(false);
+    context.budget->report(now);
 }
 
 void HttpServer::Private::accept(evhttp_request *native)
 {
-    bufferevent *stream = evhttp_connection_get_bufferevent(evhttp_request_get_connection(native));
-    bool overLimit = false;
-    const auto found = connections.find(stream);
-    if (found != connections.end()) {
-        found->second.hasRequest = true;
-        overLimit = found->second.overLimit;
-    }
+    HttpConnection *connection = connectionOf(native);
     auto exchange = std::make_shared<Exchange>(this, native);
-    if (overLimit)
-        return exchange->respond(problemResponse(503, "This server has too many connections."));
+    if (connection != nullptr) {
+        if (auto refusal = connection->beginHandling(exchange->request()))
+            return exchange->respond(std::move(*refusal));
+    }
     if (const char *conflict = framingConflict(exchange->request()))
-        return exchange->respond(problemResponse(400, conflict));
+        return exchange->respond(refusalResponse(400, conflict));
     handler(exchange);
 }
 
-void HttpServer::Private::markIdle(evhttp_request *native)
-{
-    evhttp_connection *connection = evhttp_request_get_connection(native);
-    if (connection == nullptr)
-        return;
-    const auto found = connections.find(evhttp_connection_get_bufferevent(connection));
-    if (found == connections.end())
-        return;
-    found->second.hasRequest = false;
-    found->second.idleSince = loop.clock().now();
-}
-
-HttpServer::HttpServer(EventLoop &loop, HttpLimits limits, Handler handler)
-    : private_(new Private{loop, limits, std::move(handler)})
+HttpServer::HttpServer(EventLoop &loop, HttpLimits limits, Handler handler,
+                       HttpServerOptions options)
+    : private_(
+        new Private{loop,
+                    {loop.clock(), limits, std::move(options.budget), 0, options.acceptsBody},
+                    std::move(handler)})
 {
     auto *self = private_.get();
+    HttpConnectionContext &context = self->context;
+    if (context.budget == nullptr)
+        context.budget = std::make_shared<HttpBudget>();
+    context.door = context.budget->decisions().addDoor(limits.maxConnections);
     self->http = evhttp_new(loop.base());
     evhttp_set_max_headers_size(self->http, static_cast<ev_ssize_t>(limits.maxHeaderBytes));
     evhttp_set_max_body_size(self->http, static_cast<ev_ssize_t>(limits.maxBodyBytes));
@@ -334,8 +321,6 @@
     for (auto *exchange : exchanges)
         exchange->abandon();
     evhttp_free(private_->http);
-    for (auto &[stream, connection] : private_->connections)
-        bufferevent_decref(stream);
 }
 
 Result<std::string> HttpServer::listen(const std::string &address)
--- a/Source/Runtime/httpserver.h
+++ b/Source/Runtime/httpserver.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace Oleander {
@@ -39,9 +40,38 @@
 {
     std::size_t maxHeaderBytes = 16U << 10U;
     std::size_t maxBodyBytes = 2U << 20U;
-    /** Time after which an idle connection or one with an incomplete request is closed. */
+    /** Time after which a connection is closed that is idle, or that pauses within a request or
+     * while it takes its response. */
     Duration idleTimeout = std::chrono::seconds(10);
+    /** Time in which a request must be complete, and in which its response must be read. */
+    Duration requestTimeout = std::chrono::seconds(30);
     std::size_t maxConnections = 1024;
+    /** Maximum number of header fields of a request, including the trailer. */
+    std::size_t maxHeaderFields = 256;
+};
+
+/** Largest body of a request whose method and path take none. It is read, so that the handler can
+ * say what is wrong with the request. */
+constexpr std::size_t MaxUnexpectedBody = 16U << 10U;
+
+/** Returns whether a request with this method and path may have a body. */
+using BodyFilter = std::function<bool(std::string_view method, std::string_view path)>;
+
+/** Filter of a server that takes no bodies. */
+inline bool acceptsNoBody(std::string_view, std::string_view)
+{
+    return false;
+}
+
+class HttpBudget;
+
+/** What an HttpServer shares with the other servers of its process, and what it reads. */
+struct HttpServerOptions
+{
+    /** Budget of the process; the server has one of its own if this is null. */
+    std::shared_ptr<HttpBudget> budget;
+    /** Empty if every request may have a body. */
+    BodyFilter acceptsBody;
 };
 
 /**
@@ -69,7 +99,7 @@
 public:
     using Handler = std::function<void(const std::shared_ptr<HttpExchange> &)>;
 
-    HttpServer(EventLoop &loop, HttpLimits limits, Handler handler);
+    HttpServer(EventLoop &loop, HttpLimits limits, Handler handler, HttpServerOptions options = {});
     ~HttpServer();
     HttpServer(const HttpServer &) = delete;
     HttpServer &operator=(const HttpServer &) = delete;
--- a/Source/Runtime/logevent.cpp
+++ b/Source/Runtime/logevent.cpp
@@ -91,6 +91,7 @@
     {LogEvent::FrameMalformed, LogLevel::Warning, "peer.frame-malformed"},
     {LogEvent::ListenerOpened, LogLevel::Info, "door.opened"},
     {LogEvent::ListenerClosed, LogLevel::Info, "door.closed"},
+    {LogEvent::RequestsRefused, LogLevel::Warning, "door.requests-refused"},
 });
 
 } // namespace
--- a/Source/Runtime/logevent.h
+++ b/Source/Runtime/logevent.h
@@ -92,6 +92,7 @@
     FrameMalformed = 6002,
     ListenerOpened = 6010,
     ListenerClosed = 6011,
+    RequestsRefused = 6012,
 };
 
 /** One row of the table of events. */
