Settings: Add the budget and the limits of HTTP requests

Each process gets [http] request-budget and reserved-descriptors, and each *-limits section request-timeout and max-header-fields. All HTTP servers of a process share its budget. Bodies of configurations and minions' announcements may have 4 MiB; the default of 2 MiB refused legal ones. The default budgets fit machines of 128 MB (agents) and 160 MB. A budget in the file that one legal request does not fit in is an error with its line; one that is not in the file is raised instead, so that files of before with a larger max-body still work.

--- a/Source/Agent/agentprocess.cpp
+++ b/Source/Agent/agentprocess.cpp
@@ -8,6 +8,7 @@
 #include "Configuration/configurationfollower.h"
 #include "Configuration/configurationgate.h"
 #include "Runtime/diagnosticsserver.h"
+#include "Runtime/httpbudget.h"
 #include "Runtime/incarnation.h"
 #include "Runtime/log.h"
 #include "Runtime/messenger.h"
@@ -90,9 +91,11 @@
         , requests_(loop_, messenger_, admissionSettings(settings, gate()))
         , worker_(loop_, messenger_, workerOptions(settings, gate()))
         , heartbeats_(loop_, messenger_, requests_, worker_, heartbeatOptions(settings))
+        , budget_(std::make_shared<HttpBudget>(settings.http))
         , minionServer_(loop_, requests_,
-                        {settings.minionLimits, settings.admission.maxMinionLifetime})
-        , operatorServer_(loop_, settings.operatorLimits, answerOperatorRequest)
+                        {settings.minionLimits, settings.admission.maxMinionLifetime}, budget_)
+        , operatorServer_(loop_, settings.operatorLimits, answerOperatorRequest,
+                          {budget_, acceptsNoBody})
         , dump_(requests_, worker_)
         , diagnostics_(loop_)
         , drainTimer_(loop_, [this] { stopWhenIdle(); })
@@ -154,6 +157,7 @@
     RequestTask requests_;
     WorkerTask worker_;
     HeartbeatTask heartbeats_;
+    std::shared_ptr<HttpBudget> budget_;
     MinionServer minionServer_;
     HttpServer operatorServer_;
     AgentDump dump_;
--- a/Source/Agent/minionserver.cpp
+++ b/Source/Agent/minionserver.cpp
@@ -33,12 +33,17 @@
 
 } // namespace
 
-MinionServer::MinionServer(EventLoop &loop, RequestTask &requests, MinionServerSettings settings)
+MinionServer::MinionServer(EventLoop &loop, RequestTask &requests, MinionServerSettings settings,
+                           std::shared_ptr<HttpBudget> budget)
     : requests_(requests)
     , settings_(settings)
-    , server_(loop, settings_.limits, [this](const std::shared_ptr<HttpExchange> &exchange) {
-        exchange->respond(handle(exchange->request()));
-    })
+    , server_(loop, settings_.limits,
+              [this](const std::shared_ptr<HttpExchange> &exchange) {
+                  exchange->respond(handle(exchange->request()));
+              },
+              {std::move(budget), [](auto method, auto path) {
+                   return method == "PUT" && path.starts_with(ItemPrefix);
+               }})
 {}
 
 HttpResponse MinionServer::handle(const HttpRequest &request)
--- a/Source/Agent/minionserver.h
+++ b/Source/Agent/minionserver.h
@@ -26,7 +26,8 @@
 class MinionServer
 {
 public:
-    MinionServer(EventLoop &loop, RequestTask &requests, MinionServerSettings settings);
+    MinionServer(EventLoop &loop, RequestTask &requests, MinionServerSettings settings,
+                 std::shared_ptr<HttpBudget> budget = nullptr);
 
     /** Listens on "ADDRESS:PORT"; returns the address in use. */
     Result<std::string> listen(const std::string &address) { return server_.listen(address); }
--- a/Source/Entry/callerserver.cpp
+++ b/Source/Entry/callerserver.cpp
@@ -26,7 +26,8 @@
     , router_(router)
     , settings_(std::move(settings))
     , server_(loop, settings_.limits,
-              [this](const std::shared_ptr<HttpExchange> &exchange) { handle(exchange); })
+              [this](const std::shared_ptr<HttpExchange> &exchange) { handle(exchange); },
+              {settings_.budget, [](auto, auto path) { return path != HealthPath; }})
 {}
 
 void CallerServer::handle(const std::shared_ptr<HttpExchange> &exchange)
--- a/Source/Entry/callerserver.h
+++ b/Source/Entry/callerserver.h
@@ -19,6 +19,8 @@
     Duration maxTimeout = std::chrono::seconds(60);
     /** Fails while the entry may not admit work; "/healthz" then answers 503. May be empty. */
     std::function<Result<void>()> gate;
+    /** Budget of the process; the server has one of its own if this is null. */
+    std::shared_ptr<HttpBudget> budget;
 };
 
 /**
--- a/Source/Entry/entry.cpp
+++ b/Source/Entry/entry.cpp
@@ -66,11 +66,13 @@
     return router;
 }
 
-CallerServerSettings callerServerSettings(const EntrySettings &settings, AdmissionCheck gate)
+CallerServerSettings callerServerSettings(const EntrySettings &settings, AdmissionCheck gate,
+                                          std::shared_ptr<HttpBudget> budget)
 {
     CallerServerSettings result;
     result.limits = settings.callerLimits;
     result.gate = std::move(gate);
+    result.budget = std::move(budget);
     result.defaultTimeout = settings.request.defaultTimeout;
     result.maxTimeout = settings.request.maxTimeout;
     return result;
@@ -95,7 +97,8 @@
                       commit<ClaimBatchOutcome>(std::move(batch), std::move(callback));
                   })
         , scheduler_(loop_, messenger_, schedulerOptions())
-        , callerServer_(loop_, router_, callerServerSettings(settings, gate()))
+        , budget_(std::make_shared<HttpBudget>(settings.http))
+        , callerServer_(loop_, router_, callerServerSettings(settings, gate(), budget_))
         , operatorServer_(loop_, state_, settings.operatorLimits, operatorServerDependencies())
         , dump_(state_)
         , diagnostics_(loop_)
@@ -145,6 +148,7 @@
     {
         OperatorServerDependencies dependencies;
         dependencies.entry = settings_.name;
+        dependencies.budget = budget_;
         dependencies.propose = [this](std::string command, ReplicaTask::ProposeCallback callback) {
             replica_.propose(std::move(command), std::move(callback));
         };
@@ -233,6 +237,7 @@
     ConfigurationTask configuration_;
     RouterTask router_;
     SchedulerTask scheduler_;
+    std::shared_ptr<HttpBudget> budget_;
     CallerServer callerServer_;
     OperatorServer operatorServer_;
     EntryDump dump_;
--- a/Source/Entry/operatorserver.cpp
+++ b/Source/Entry/operatorserver.cpp
@@ -67,7 +67,10 @@
     : loop_(loop)
     , state_(state)
     , dependencies_(std::move(dependencies))
-    , server_(loop, limits, [this](auto exchange) { handle(exchange); })
+    , server_(
+          loop, limits, [this](auto exchange) { handle(exchange); },
+          {dependencies_.budget,
+           [](auto method, auto path) { return method != "DELETE" && path.starts_with("/v1/"); }})
     , timer_(loop, [this] { answerReadyChanges(); })
     , alive_(std::make_shared<OperatorServer *>(this))
 {}
--- a/Source/Entry/operatorserver.h
+++ b/Source/Entry/operatorserver.h
@@ -26,6 +26,8 @@
     std::function<void(ReplicaTask::ReadCallback)> readBarrier;
     std::function<ReplicaStatus()> replicaStatus;
     std::function<ConfigurationRollout()> rollout;
+    /** Budget of the process; the server has one of its own if this is null. */
+    std::shared_ptr<HttpBudget> budget;
 };
 
 /**
--- a/Source/Fleet/controlhost.cpp
+++ b/Source/Fleet/controlhost.cpp
@@ -4,6 +4,7 @@
 #include "Fleet/leaderclient.h"
 #include "Fleet/settingswatcher.h"
 #include "Runtime/diagnosticsserver.h"
+#include "Runtime/httpbudget.h"
 #include "Runtime/incarnation.h"
 #include "Runtime/log.h"
 #include "Runtime/processdiagnostics.h"
@@ -70,11 +71,15 @@
         , replica_(loop_, messenger_, state_, replicaOptions(settings))
         , jobService_(loop_, messenger_, replica_, state_, leaseOptions(settings))
         , leaderClient_(loop_, messenger_, settings.group.seeds)
-        , operatorServer_(loop_, settings.limits,
-                          [this](const std::shared_ptr<HttpExchange> &exchange) {
-                              handleOperatorCall(exchange);
-                          })
-        , diagnosticsServer_(loop_)
+        , budget_(std::make_shared<HttpBudget>(settings.http))
+        , operatorServer_(
+              loop_, settings.limits,
+              [this](const std::shared_ptr<HttpExchange> &exchange) {
+                  handleOperatorCall(exchange);
+              },
+              {budget_, [this](auto method,
+                               auto target) { return codec_.acceptsOperatorBody(method, target); }})
+        , diagnosticsServer_(loop_, budget_)
         , processDiagnostics_(loop_)
         , settingsWatcher_(loop_, path, [this] { reload(); })
         , membershipTimer_(loop_, [this] { updateMembership(); })
@@ -265,6 +270,7 @@
     ReplicaTask replica_;
     JobService jobService_;
     LeaderClient leaderClient_;
+    std::shared_ptr<HttpBudget> budget_;
     HttpServer operatorServer_;
     DiagnosticsServer diagnosticsServer_;
     ProcessDiagnostics processDiagnostics_;
--- a/Source/Fleet/fleetcodec.h
+++ b/Source/Fleet/fleetcodec.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -94,6 +95,12 @@
     /** True if \a request is the platform's readiness probe of an entry. */
     virtual bool isHealthCheck(const HttpRequest &request) const = 0;
 
+    /** True if a call of a client, an operator or a minion with this method and path may have a
+     * body; a larger one than MaxUnexpectedBody is not read otherwise. */
+    virtual bool acceptsClientBody(std::string_view method, std::string_view path) const = 0;
+    virtual bool acceptsOperatorBody(std::string_view method, std::string_view path) const = 0;
+    virtual bool acceptsMinionBody(std::string_view method, std::string_view path) const = 0;
+
     virtual Result<MinionCall> decodeMinionCall(const HttpRequest &request) const = 0;
     virtual HttpResponse encodeMinionAnswer() const = 0;
     /**
--- a/Source/Fleet/jobentry.cpp
+++ b/Source/Fleet/jobentry.cpp
@@ -3,6 +3,7 @@
 #include "Fleet/leaderclient.h"
 #include "Fleet/settingswatcher.h"
 #include "Runtime/diagnosticsserver.h"
+#include "Runtime/httpbudget.h"
 #include "Runtime/incarnation.h"
 #include "Runtime/log.h"
 #include "Runtime/metrics.h"
@@ -37,14 +38,18 @@
         , codec_(codec)
         , messenger_(loop_, settings.name, newIncarnation(loop_.clock()))
         , leaderClient_(loop_, messenger_, settings.group.seeds)
+        , budget_(std::make_shared<HttpBudget>(settings.http))
         , callerServer_(
               loop_, settings.limits,
-              [this](const std::shared_ptr<HttpExchange> &exchange) { handleClientCall(exchange); })
+              [this](const std::shared_ptr<HttpExchange> &exchange) { handleClientCall(exchange); },
+              {budget_, [this](auto method,
+                               auto target) { return codec_.acceptsClientBody(method, target); }})
         , healthServer_(loop_, settings.limits,
                         [this](const std::shared_ptr<HttpExchange> &exchange) {
                             handleHealthCheck(exchange);
-                        })
-        , diagnosticsServer_(loop_)
+                        },
+                        {budget_, acceptsNoBody})
+        , diagnosticsServer_(loop_, budget_)
         , processDiagnostics_(loop_)
         , settingsWatcher_(loop_, path, [this] { reload(); })
         , drainTimer_(loop_, [this] { continueDrain(); })
@@ -152,6 +157,7 @@
     EventLoop loop_;
     Messenger messenger_;
     LeaderClient leaderClient_;
+    std::shared_ptr<HttpBudget> budget_;
     HttpServer callerServer_;
     HttpServer healthServer_;
     DiagnosticsServer diagnosticsServer_;
--- a/Source/Fleet/machineagent.cpp
+++ b/Source/Fleet/machineagent.cpp
@@ -4,6 +4,7 @@
 #include "Fleet/miniontask.h"
 #include "Fleet/settingswatcher.h"
 #include "Runtime/diagnosticsserver.h"
+#include "Runtime/httpbudget.h"
 #include "Runtime/incarnation.h"
 #include "Runtime/log.h"
 #include "Runtime/processdiagnostics.h"
@@ -37,10 +38,13 @@
         , messenger_(loop_, settings.name, newIncarnation(loop_.clock()))
         , leaderClient_(loop_, messenger_, settings.group.seeds)
         , minionTask_(loop_, codec, settings.minion, settings.cancelTime)
+        , budget_(std::make_shared<HttpBudget>(settings.http))
         , minionServer_(
               loop_, settings.limits,
-              [this](const std::shared_ptr<HttpExchange> &exchange) { handleMinionCall(exchange); })
-        , diagnosticsServer_(loop_)
+              [this](const std::shared_ptr<HttpExchange> &exchange) { handleMinionCall(exchange); },
+              {budget_, [this](auto method,
+                               auto target) { return codec_.acceptsMinionBody(method, target); }})
+        , diagnosticsServer_(loop_, budget_)
         , processDiagnostics_(loop_)
         , settingsWatcher_(loop_, path, [this] { reload(); })
         , reportTimer_(loop_, [this] { sendReport(); })
@@ -123,6 +127,7 @@
     Messenger messenger_;
     LeaderClient leaderClient_;
     MinionTask minionTask_;
+    std::shared_ptr<HttpBudget> budget_;
     HttpServer minionServer_;
     DiagnosticsServer diagnosticsServer_;
     ProcessDiagnostics processDiagnostics_;
--- a/Source/Runtime/diagnosticsserver.cpp
+++ b/Source/Runtime/diagnosticsserver.cpp
@@ -34,11 +34,13 @@
     return true;
 }
 
-DiagnosticsServer::DiagnosticsServer(EventLoop &loop)
-    : server_(loop, HttpLimits{}, [](const std::shared_ptr<HttpExchange> &exchange) {
-        if (!answerDiagnosticsRequest(*exchange))
-            exchange->respond({NotFound, {}, {}});
-    })
+DiagnosticsServer::DiagnosticsServer(EventLoop &loop, std::shared_ptr<HttpBudget> budget)
+    : server_(loop, HttpLimits{},
+              [](const std::shared_ptr<HttpExchange> &exchange) {
+                  if (!answerDiagnosticsRequest(*exchange))
+                      exchange->respond({NotFound, {}, {}});
+              },
+              {std::move(budget), acceptsNoBody})
 {}
 
 Result<void> DiagnosticsServer::listen(const std::string &address)
--- a/Source/Runtime/diagnosticsserver.h
+++ b/Source/Runtime/diagnosticsserver.h
@@ -17,7 +17,7 @@
 class DiagnosticsServer
 {
 public:
-    explicit DiagnosticsServer(EventLoop &loop);
+    DiagnosticsServer(EventLoop &loop, std::shared_ptr<HttpBudget> budget);
 
     /** Listens on \a address; does nothing if it is empty. */
     Result<void> listen(const std::string &address);
--- a/Source/Settings/agentsettings.cpp
+++ b/Source/Settings/agentsettings.cpp
@@ -93,6 +93,9 @@
     bindAgent(binder, settings);
     bindLimits(binder, "minion-limits", settings.minionLimits);
     bindLimits(binder, "operator-limits", settings.operatorLimits);
+    bindHttp(
+        binder, settings.http,
+        {{"minion-limits", settings.minionLimits}, {"operator-limits", settings.operatorLimits}});
     bindWorker(binder, settings.worker);
     bindAdmission(binder, settings.admission);
     checkAddressesDiffer(binder, AgentSection, "minion-door", settings.minionDoor, "link",
--- a/Source/Settings/agentsettings.h
+++ b/Source/Settings/agentsettings.h
@@ -3,7 +3,7 @@
 #include "Base/clock.h"
 #include "Base/location.h"
 #include "Protocol/messages.h"
-#include "Runtime/httpserver.h"
+#include "Settings/commonsettings.h"
 #include "Settings/entrysettings.h"
 #include "Settings/settingsbinder.h"
 
@@ -53,8 +53,9 @@
     std::string minionDoor;
     /** Address of the HTTP server for state dump and metrics; disabled if empty. */
     std::string operatorDoor;
-    HttpLimits minionLimits;
+    HttpLimits minionLimits = DocumentLimits;
     HttpLimits operatorLimits;
+    HttpSettings http = AgentHttpSettings;
     /** Entries to which this agent announces itself, with the addresses of their messengers. */
     std::vector<PeerAddress> entries;
     WorkerSettings worker;
--- a/Source/Settings/entrysettings.cpp
+++ b/Source/Settings/entrysettings.cpp
@@ -133,6 +133,9 @@
     bindEntry(binder, settings);
     bindLimits(binder, "caller-limits", settings.callerLimits);
     bindLimits(binder, "operator-limits", settings.operatorLimits);
+    bindHttp(
+        binder, settings.http,
+        {{"caller-limits", settings.callerLimits}, {"operator-limits", settings.operatorLimits}});
     bindRequest(binder, settings.request);
     bindLease(binder, settings.lease);
     bindControl(binder, settings.control);
--- a/Source/Settings/entrysettings.h
+++ b/Source/Settings/entrysettings.h
@@ -2,7 +2,7 @@
 
 #include "Base/clock.h"
 #include "Base/location.h"
-#include "Runtime/httpserver.h"
+#include "Settings/commonsettings.h"
 #include "Settings/settingsbinder.h"
 
 #include <cstdint>
@@ -79,7 +79,8 @@
     /** Voting members of the control group, with the addresses of their messengers. */
     std::vector<PeerAddress> controlGroup;
     HttpLimits callerLimits;
-    HttpLimits operatorLimits;
+    HttpLimits operatorLimits = DocumentLimits;
+    HttpSettings http;
     RequestSettings request;
     LeaseSettings lease;
     ControlSettings control;
--- a/Source/Settings/fleetsettings.cpp
+++ b/Source/Settings/fleetsettings.cpp
@@ -56,6 +56,7 @@
     bindMetricsDoor(binder, ControlSection, settings.metricsDoor);
     bindGroup(binder, settings.group);
     bindLimits(binder, "operator-limits", settings.limits);
+    bindHttp(binder, settings.http, {{"operator-limits", settings.limits}});
     return finish(binder, std::move(settings));
 }
 
@@ -72,6 +73,7 @@
     bindMetricsDoor(binder, EntrySection, settings.metricsDoor);
     bindGroup(binder, settings.group);
     bindLimits(binder, "caller-limits", settings.limits);
+    bindHttp(binder, settings.http, {{"caller-limits", settings.limits}});
     return finish(binder, std::move(settings));
 }
 
@@ -88,6 +90,7 @@
     bindMetricsDoor(binder, AgentSection, settings.metricsDoor);
     bindGroup(binder, settings.group);
     bindLimits(binder, "minion-limits", settings.limits);
+    bindHttp(binder, settings.http, {{"minion-limits", settings.limits}});
     return finish(binder, std::move(settings));
 }
 
--- a/Source/Settings/fleetsettings.h
+++ b/Source/Settings/fleetsettings.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "Base/clock.h"
-#include "Runtime/httpserver.h"
+#include "Settings/commonsettings.h"
 #include "Settings/settingsbinder.h"
 
 #include <cstdint>
@@ -38,7 +38,8 @@
     /** Address of the HTTP server for metrics; disabled if empty. */
     std::string metricsDoor;
     GroupSettings group;
-    HttpLimits limits;
+    HttpLimits limits = DocumentLimits;
+    HttpSettings http;
 };
 
 /**
@@ -59,6 +60,7 @@
     std::string metricsDoor;
     GroupSettings group;
     HttpLimits limits;
+    HttpSettings http;
 };
 
 /**
@@ -78,7 +80,8 @@
     /** Address of the HTTP server for metrics; disabled if empty. */
     std::string metricsDoor;
     GroupSettings group;
-    HttpLimits limits;
+    HttpLimits limits = DocumentLimits;
+    HttpSettings http = AgentHttpSettings;
 };
 
 CheckedSettings<ControlHostSettings> parseControlHostSettings(IniFile file);
--- a/Tests/Platform/platformcodectest.cpp
+++ b/Tests/Platform/platformcodectest.cpp
@@ -101,6 +101,47 @@
     CHECK(problem("[7]") == "step 0 is not an object.");
 }
 
+TEST_CASE("Bodies are expected only where a call takes one")
+{
+    // Elsewhere the server does not read a large body.
+    CHECK(codec.acceptsClientBody("POST", "/press/5c0e7a21d94b36f8"));
+    CHECK_FALSE(codec.acceptsClientBody("POST", "/press/other"));
+    CHECK_FALSE(codec.acceptsClientBody("DELETE", "/press/5c0e7a21d94b36f8"));
+    CHECK(codec.acceptsOperatorBody("PUT", "/oleanderusher/config"));
+    CHECK_FALSE(codec.acceptsOperatorBody("GET", "/oleanderusher/config"));
+    CHECK_FALSE(codec.acceptsOperatorBody("PUT", "/oleanderusher/other"));
+    CHECK(codec.acceptsMinionBody("PUT", "/oleanderusher/instances/i-1"));
+    CHECK_FALSE(codec.acceptsMinionBody("POST", "/oleanderusher/instances/i-1"));
+}
+
+TEST_CASE("A job has the steps of the largest body, but not more values than are allowed")
+{
+    // A value takes many times its size once parsed; a configuration of 4 MiB has more of them.
+    const auto jobWith = [](const std::string &step, std::size_t count) {
+        std::string steps = step;
+        for (std::size_t i = 1; i < count; ++i)
+            steps += ',' + step;
+        return R"({"spec":"","steps":[)" + steps + "]}";
+    };
+    const auto decode = [](const std::string &body) {
+        return codec.decodeClientCall(request("POST", "/press/5c0e7a21d94b36f8", body));
+    };
+    const std::string largest = jobWith(R"({"count":1})", 21'840);
+    REQUIRE(largest.size() <= 262'144);
+    CHECK(decode(largest).has_value());
+    const auto refused = decode(jobWith("1", MaxJobValues));
+    REQUIRE_FALSE(refused.has_value());
+    CHECK(refused.error().detail.find("65536 values") != std::string::npos);
+    std::string services = R"({"name":"s"})";
+    for (int i = 1; i < 120'000; ++i)
+        services += R"(,{"name":"s"})";
+    CHECK(codec
+              .decodeOperatorCall(
+                  request("PUT", "/oleanderusher/config",
+                          R"({"version":1,"routes":[],"services":[)" + services + "]}"))
+              .has_value());
+}
+
 TEST_CASE("A configuration with any invalid part is refused as a whole")
 {
     const std::string route =
--- a/Tests/Settings/entrysettingstest.cpp
+++ b/Tests/Settings/entrysettingstest.cpp
@@ -1,6 +1,7 @@
 #include "Settings/entrysettings.h"
 
 #include "Settings/agentsettings.h"
+#include "Settings/fleetsettings.h"
 #include "Settings/settingsvalue.h"
 
 #include <catch2/catch.hpp>
@@ -80,7 +81,7 @@
         "entry.ini:20: \"[lights\": The section heading has no closing bracket. Allowed: "
         "[section].\n"
         "entry.ini:22: [weather] wind = \"strong\": The section is unknown. Allowed: "
-        "caller-limits, control, control-group, entry, lease, operator-limits, request.\n";
+        "caller-limits, control, control-group, entry, http, lease, operator-limits, request.\n";
     std::string all;
     for (const auto &text : entryErrors(content))
         all += text + '\n';
@@ -184,3 +185,39 @@
     CHECK_FALSE(isAddress("127.0.0.1:65536"));
     CHECK_FALSE(isAddress("host:80"));
 }
+
+TEST_CASE("A budget that one legal request does not fit in is refused with its line")
+{
+    // Otherwise a request within the limits would always be refused.
+    const auto errors = entryErrors(GoodEntry + "[http]\nrequest-budget = 4MiB\n");
+    REQUIRE(errors.size() == 1);
+    CHECK(errors[0].starts_with("entry.ini:13: [http] request-budget = \"4MiB\": One request of "
+                                "max-header and max-body of [operator-limits] does not fit"));
+    CHECK(entryErrors(GoodEntry + "[http]\nrequest-budget = 6MiB\n").empty());
+}
+
+TEST_CASE("Default limits take a document of 4 MiB where operators and minions send one")
+{
+    // A machine of 128 MB must hold the budget of an agent beside the agent itself.
+    const auto entry = parseEntrySettings(parseIni("entry.ini", GoodEntry)).settings;
+    const auto control = parseControlHostSettings(parseIni("control.ini", "")).settings;
+    const auto machine = parseMachineAgentSettings(parseIni("agent.ini", "")).settings;
+    const auto agent = parseAgentSettings(parseIni("agent.ini", "")).settings;
+    for (const auto &limits :
+         {entry.operatorLimits, control.limits, machine.limits, agent.minionLimits})
+        CHECK(limits.maxBodyBytes == 4U << 20U);
+    CHECK(entry.http.requestBudget == 48U << 20U);
+    CHECK(control.http.requestBudget == 48U << 20U);
+    CHECK(machine.http.requestBudget == 32U << 20U);
+    CHECK(agent.http.requestBudget == 32U << 20U);
+}
+
+TEST_CASE("A budget that is not set holds the bodies that are allowed")
+{
+    // Files of before the budget may allow bodies of up to 64 MiB.
+    const auto settings =
+        parseEntrySettings(parseIni("entry.ini", GoodEntry + "[caller-limits]\nmax-body = 64MiB\n"))
+            .settings;
+    CHECK(RequestBudget::doorShare(settings.http.requestBudget)
+          >= settings.callerLimits.maxBodyBytes + settings.callerLimits.maxHeaderBytes);
+}
