HTTP server: Return memory once closed connections are freed

libevent frees a connection in a later iteration than the one in which the budget releases its bytes, so malloc_trim found nothing to return: after 300 clients with stopped bodies of 1 MB had closed, 44 of 47 MB stayed resident. Trimming now waits until few bytes have been held for a second; 9 MB stay.

--- a/Source/Runtime/httpbudget.cpp
+++ b/Source/Runtime/httpbudget.cpp
@@ -16,6 +16,8 @@
 constexpr Duration LogInterval = std::chrono::seconds(1);
 // malloc_trim visits the whole heap, which takes milliseconds.
 constexpr Duration TrimInterval = std::chrono::seconds(5);
+// libevent frees a connection only after the budget has released its bytes.
+constexpr Duration TrimDelay = std::chrono::seconds(1);
 // Less is not worth the time that malloc_trim takes.
 constexpr std::size_t MinTrimPeak = 4U << 20U;
 
@@ -79,7 +81,11 @@
 {
     const std::size_t held = decisions_.heldBytes();
     peakBytes_ = std::max(peakBytes_, held);
-    if (peakBytes_ < MinTrimPeak || held > peakBytes_ / 4 || now - lastTrim_ < TrimInterval)
+    if (peakBytes_ < MinTrimPeak || held > peakBytes_ / 4) {
+        lowSince_ = now;
+        return;
+    }
+    if (now - lowSince_ < TrimDelay || now - lastTrim_ < TrimInterval)
         return;
     lastTrim_ = now;
     peakBytes_ = held;
--- a/Source/Runtime/httpbudget.h
+++ b/Source/Runtime/httpbudget.h
@@ -42,6 +42,8 @@
     std::size_t peakBytes_ = 0;
     TimePoint lastLog_;
     TimePoint lastTrim_;
+    /** Last time at which many bytes were held, or few had been since the last trim. */
+    TimePoint lowSince_;
 };
 
 } // namespace Oleander
