--- a/Source/Fleet/controlhost.cpp
+++ b/Source/Fleet/controlhost.cpp
@@ -5,6 +5,7 @@
 #include "Fleet/leaderclient.h"
 #include "Fleet/settingswatcher.h"
 #include "Runtime/diagnosticsserver.h"
+#include "Runtime/httpbudget.h"
 #include "Runtime/incarnation.h"
 #include "Runtime/log.h"
 #include "Runtime/processdiagnostics.h"
@@ -80,11 +81,15 @@
                       coldStartOptions(settings))
         , leaderClient_(loop_, messenger_, settings.group.seeds)
         , evacuationHandler_(loop_, leaderClient_, settings.failureDomains)
-        , operatorServer_(loop_, settings.limits,
-                          [this](const std::shared_ptr<HttpExchange> &exchange) {
-                              handleOperatorCall(exchange);
-                          })
-        , diagnosticsServer_(loop_)
+        , budget_(std::make_shared<HttpBudget>(settings.http))
+        , operatorServer_(
+              loop_, settings.limits,
+              [this](const std::shared_ptr<HttpExchange> &exchange) {
+                  handleOperatorCall(exchange);
+              },
+              {budget_, [this](auto method,
+                               auto target) { return codec_.acceptsOperatorBody(method, target); }})
+        , diagnosticsServer_(loop_, budget_)
         , processDiagnostics_(loop_)
         , settingsWatcher_(loop_, path, [this] { reload(); })
         , membershipTimer_(loop_, [this] { updateMembership(); })
@@ -281,6 +286,7 @@
     JobService jobService_;
     LeaderClient leaderClient_;
     EvacuationHandler evacuationHandler_;
+    std::shared_ptr<HttpBudget> budget_;
     HttpServer operatorServer_;
     DiagnosticsServer diagnosticsServer_;
     ProcessDiagnostics processDiagnostics_;
--- a/Source/Settings/fleetsettings.h
+++ b/Source/Settings/fleetsettings.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "Base/clock.h"
-#include "Runtime/httpserver.h"
+#include "Settings/commonsettings.h"
 #include "Settings/settingsbinder.h"
 
 #include <algorithm>
@@ -46,7 +46,8 @@
     /** Failure domains that operators may evacuate; evacuations are not offered if empty. */
     std::vector<std::string> failureDomains;
     GroupSettings group;
-    HttpLimits limits;
+    HttpLimits limits = DocumentLimits;
+    HttpSettings http;
 };
 
 /**
@@ -67,6 +68,7 @@
     std::string metricsDoor;
     GroupSettings group;
     HttpLimits limits;
+    HttpSettings http;
 };
 
 /**
@@ -95,7 +97,8 @@
     /** Address of the HTTP server for metrics; disabled if empty. */
     std::string metricsDoor;
     GroupSettings group;
-    HttpLimits limits;
+    HttpLimits limits = DocumentLimits;
+    HttpSettings http = AgentHttpSettings;
 };
 
 CheckedSettings<ControlHostSettings> parseControlHostSettings(IniFile file);
