--- a/Source/Fleet/controlhost.cpp
+++ b/Source/Fleet/controlhost.cpp
@@ -238,7 +238,12 @@
             JobAnswer answer;
             answer.kind = JobAnswerKind::Invalid;
             answer.detail = call.error().detail;
-            logEvent(LogEvent::ConfigurationRefused, call.error());
+            const std::string &method = exchange->request().method;
+            // Only evacuations are requested with these methods.
+            if (method == "POST" || method == "DELETE")
+                EvacuationHandler::reportMalformed(call.error());
+            else
+                logEvent(LogEvent::ConfigurationRefused, call.error());
             return exchange->respond(codec_.encodeOperatorAnswer(answer));
         }
         const auto encode = [this](const JobAnswer &answer) {
--- a/Source/Fleet/evacuationhandler.cpp
+++ b/Source/Fleet/evacuationhandler.cpp
@@ -113,6 +113,12 @@
     return true;
 }
 
+void EvacuationHandler::reportMalformed(const Error &error)
+{
+    logEvent(LogEvent::EvacuationRefused, error);
+    countResult("refused");
+}
+
 std::optional<JobAnswer> EvacuationHandler::rejection(const std::string &failureDomain) const
 {
     if (failureDomains_.empty()) {
--- a/Source/Fleet/evacuationhandler.h
+++ b/Source/Fleet/evacuationhandler.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Base/clock.h"
+#include "Base/error.h"
 #include "Fleet/leaderclient.h"
 #include "Protocol/jobcalls.h"
 #include "Runtime/eventloop.h"
@@ -37,6 +38,8 @@
 
     /** Answers a request to /v1/evacuations; returns false without a response for another path. */
     bool answerOwnPath(const std::shared_ptr<HttpExchange> &exchange);
+    /** Reports a request that another path refused because it is malformed. */
+    static void reportMalformed(const Error &error);
     /** Requests or withdraws an evacuation and answers within \a timeout. */
     void change(const std::shared_ptr<HttpExchange> &exchange, EvacuationCall call,
                 Duration timeout, Encoder encode);
--- a/Tests/Fleet/evacuationtest.cpp
+++ b/Tests/Fleet/evacuationtest.cpp
@@ -126,6 +126,24 @@
     CHECK_THAT(group.list(frozen), Contains(ControlGroup::entry("west", false, 2)));
 }
 
+TEST_CASE("Without a quorum a request is refused and changes nothing")
+{
+    // Guards against a request that takes effect after its caller was told that it did not run.
+    FleetCluster cluster;
+    cluster.setFailureDomains("west");
+    cluster.startControl(0, true);
+    const auto status = [&](const std::string &method, const std::string &path) {
+        return cluster.operate(0, method, path).status;
+    };
+    REQUIRE(waitFor([&] { return status("GET", "/metrics") == 200; }));
+    CHECK(status("POST", "/oleanderusher/evacuations/west") == 503);
+    CHECK(status("POST", "/v1/evacuations/west") == 503);
+    for (std::size_t i = 1; i < Hosts; ++i)
+        cluster.startControl(i, true);
+    REQUIRE(waitFor([&] { return status("GET", "/v1/evacuations") == 200; }));
+    CHECK_THAT(cluster.operate(0, "GET", "/v1/evacuations").body, Contains(R"("evacuations":[])"));
+}
+
 TEST_CASE("Evacuations are not offered without failure domains in the settings")
 {
     // Guards against a deployment whose behaviour changes although its settings did not.
--- a/Tests/Platform/alteredcallstest.cpp
+++ b/Tests/Platform/alteredcallstest.cpp
@@ -114,7 +114,8 @@
 TEST_CASE("A path with altered bytes is accepted or refused with an error that can be sent")
 {
     Mutator mutator(5, {"/", "//", "..", "%00", "?", "\xff", std::string(1, '\0'), "-1"});
-    for (const std::string path : {"/press/5c0e7a21d94b36f8", "/oleanderusher/instances/i-1"}) {
+    for (const std::string path : {"/press/5c0e7a21d94b36f8", "/oleanderusher/instances/i-1",
+                                   "/oleanderusher/evacuations/z-%41"}) {
         for (int i = 0; i < Calls; ++i) {
             const std::string altered = mutator.alter(path);
             INFO("call " << i << ": " << altered);
@@ -124,6 +125,8 @@
                     checkError(*error);
                 if (const auto error = errorOf(codec.decodeMinionCall(call)))
                     checkError(*error);
+                if (const auto error = errorOf(codec.decodeOperatorCall(call)))
+                    checkError(*error);
             }
         }
     }
--- a/Tests/Runtime/metricstest.cpp
+++ b/Tests/Runtime/metricstest.cpp
@@ -23,6 +23,7 @@
 
     const HttpRequest &request() const override { return asked; }
     void respond(HttpResponse response) override { answer = std::move(response); }
+    bool isClosed() const override { return false; }
     void onClosed(std::function<void()> /*handler*/) override {}
 };
 
