Jobs: Examine each step once when moves are planned

Cause: the planner counted the unavailable tasks of a step, and looked for room for it, again for each of its runs in the evacuated failure domain. For a step of N tasks that is N times N look-ups in each placement.

The counts are kept for one plan, and a step without room is examined once, as the tasks of a step are alike.

--- a/Source/Jobs/evacuationplanner.cpp
+++ b/Source/Jobs/evacuationplanner.cpp
@@ -59,6 +59,9 @@
     replaceReservations(now);
     if (now < firstMoveAt_)
         return;
+    notAtWork_.clear();
+    // The tasks of a step are alike, so if one has no room the others are skipped.
+    std::set<StepKey> full;
     for (const auto &[life, machine] : machines_.machines()) {
         const auto runs = book_.activeRuns().find(life);
         // A run on a minion that is not connected ends with its lease, whether stopped or not.
@@ -70,11 +73,14 @@
             const StepSpec &step = stepOf(book_, ref);
             if (!step.longRunning || book_.find(ref.job)->hasEnded()
                 || !machine.running.contains(run) || reservations_.evicts(run)
-                || moves_.contains({ref.job, ref.step}) || !mayStop(now, ref, step))
+                || moves_.contains({ref.job, ref.step}) || full.contains({ref.job, ref.step})
+                || !mayStop(now, life, run))
                 continue;
             const MinionLife *to = chooseMinion(now, ref);
-            if (to == nullptr)
+            if (to == nullptr) {
+                full.emplace(ref.job, ref.step);
                 continue;
+            }
             reservations_.moveRun(run, *to);
             claims_[*to].add(step);
             moves_.emplace(StepKey{ref.job, ref.step}, run);
@@ -122,23 +128,25 @@
            && isConnected(now, machine->second) && !reservations_.evicts(run);
 }
 
-bool EvacuationPlanner::mayStop(TimePoint now, const TaskRef &ref, const StepSpec &step) const
+bool EvacuationPlanner::mayStop(TimePoint now, const MinionLife &life, const RunKey &run)
 {
+    const TaskRef &ref = run.first;
+    const auto [known, first] = notAtWork_.try_emplace({ref.job, ref.step});
+    NotAtWork &step = known->second;
     const std::vector<Task> &tasks = book_.find(ref.job)->tasks[ref.step];
-    std::uint32_t waiting = 0;
-    std::uint32_t starting = 0;
-    for (std::uint32_t index = 0; index < tasks.size(); ++index) {
+    for (std::uint32_t index = 0; first && index < tasks.size(); ++index) {
         const auto &active = tasks[index].active;
-        if (index == ref.index)
-            continue;
         if (active.empty())
-            ++waiting;
+            ++step.waiting;
         else if (!isAtWork(now, active.back().minion,
                            {{ref.job, ref.step, index}, active.back().run}))
-            ++starting;
+            ++step.starting;
     }
+    const std::uint32_t itself = isAtWork(now, life, run) ? 0 : 1;
+    const std::uint32_t starting = step.starting - std::min(step.starting, itself);
+    const std::uint32_t limit = stepOf(book_, ref).maxUnavailable;
     // Without a limit, a task that is starting may be one that the former leader moved.
-    return step.maxUnavailable == 0 ? starting == 0 : waiting + starting < step.maxUnavailable;
+    return limit == 0 ? starting == 0 : step.waiting + starting < limit;
 }
 
 const MinionLife *EvacuationPlanner::chooseMinion(TimePoint now, const TaskRef &ref)
--- a/Source/Jobs/evacuationplanner.h
+++ b/Source/Jobs/evacuationplanner.h
@@ -9,6 +9,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -48,14 +49,22 @@
     {}
 
     void startTerm(TimePoint now);
-    /** Plans the moves after a placement. \a claimed are the steps of the tasks that the placement
-     * has started or is about to start on a minion. */
+    /** Plans the moves after a placement. \a claimed are the tasks that the placement starts or
+     * moves, with their new minions. */
     void plan(TimePoint now, const std::vector<std::pair<MinionLife, TaskRef>> &claimed);
     /** Returns the moves decided since the last call. */
     std::vector<EvacuationMove> takeMoves();
 
 private:
     using StepKey = std::pair<std::string, std::uint32_t>;
+    /** Number of tasks of a step that are not at work. */
+    struct NotAtWork
+    {
+        /** Tasks without a run. */
+        std::uint32_t waiting = 0;
+        /** Tasks whose run has not completed its startup, ends, or cannot be observed. */
+        std::uint32_t starting = 0;
+    };
 
     /** True if the successor of \a run is at work, or none is needed. */
     bool isComplete(TimePoint now, const RunKey &run) const;
@@ -65,8 +74,8 @@
     bool isConnected(TimePoint now, const Machine &machine) const;
     /** True if \a run is at work on \a life and is not being stopped. */
     bool isAtWork(TimePoint now, const MinionLife &life, const RunKey &run) const;
-    /** True if a stop of the task \a ref leaves enough tasks of its step at work. */
-    bool mayStop(TimePoint now, const TaskRef &ref, const StepSpec &step) const;
+    /** True if a stop of \a run on \a life leaves enough tasks of its step at work. */
+    bool mayStop(TimePoint now, const MinionLife &life, const RunKey &run);
     /** Returns a minion with resources for \a ref, or null. */
     const MinionLife *chooseMinion(TimePoint now, const TaskRef &ref);
     std::size_t countTasksOf(const TaskRef &ref, const MinionLife &life) const;
@@ -84,6 +93,8 @@
     /** Tasks that the placement has just started, and their minions. */
     std::vector<std::pair<MinionLife, TaskRef>> claimed_;
     std::map<MinionLife, Claim> claims_;
+    /** Counts of the steps that the current plan has examined. */
+    std::map<StepKey, NotAtWork> notAtWork_;
 };
 
 } // namespace Oleander::Jobs
