Tests/Jobs: Cover a move whose new minion leaves

The reservation of a move is made again on another minion if its own leaves before the successor starts; no test failed without that. With it, the test that holds the resources for a moved task also runs with a minion that drains. It fails if the reservation is not made again: other tasks take the resources.

The search for a start of the task no longer refers to a structured binding in a lambda, which clang-tidy 14 does not compile.

--- a/Source/Jobs/evacuationplanner.cpp
+++ b/Source/Jobs/evacuationplanner.cpp
@@ -101,15 +101,17 @@
 void EvacuationPlanner::replaceReservations(TimePoint now)
 {
     for (const auto &[step, run] : moves_) {
-        const Task &task = *book_.findTask(run.first);
-        const bool hasSuccessor = !task.active.empty() && task.active.back().run != run.second;
-        if (hasSuccessor || reservations_.reservations().contains(run.first)
-            || std::ranges::any_of(claimed_,
-                                   [&](const auto &item) { return item.second == run.first; }))
+        const TaskRef &ref = run.first;
+        const auto &active = book_.findTask(ref)->active;
+        const bool hasSuccessor = !active.empty() && active.back().run != run.second;
+        const auto starting =
+            std::ranges::find(claimed_, ref, &std::pair<MinionLife, TaskRef>::second);
+        if (hasSuccessor || starting != claimed_.end()
+            || reservations_.reservations().contains(ref))
             continue;
-        if (const MinionLife *to = chooseMinion(now, run.first)) {
+        if (const MinionLife *to = chooseMinion(now, ref)) {
             reservations_.moveRun(run, *to);
-            claims_[*to].add(stepOf(book_, run.first));
+            claims_[*to].add(stepOf(book_, ref));
         }
     }
 }
--- a/Tests/Jobs/evacuationtest.cpp
+++ b/Tests/Jobs/evacuationtest.cpp
@@ -278,10 +278,13 @@
     CHECK(fleet.runsIn("east") == 2);
 }
 
-// Guards against other tasks that take the resources between the stop and the next start.
+// Guards against other tasks that take the resources between the stop and the next start, also
+// when the minion that holds them leaves.
 TEST_CASE("The resources for a task that leaves an evacuated minion are held until it starts")
 {
     ZonesFixture leader;
+    const bool doesLeave = GENERATE(false, true);
+    const MinionLife lifeC{"minion-c", 100};
     leader.report("agent-a", leader.west());
     leader.directive("agent-a");
     leader.submit("j", {longRunning(1, 6'000, 1)});
@@ -299,6 +302,14 @@
     const auto moves = leader.scheduler.takeEvacuationMoves();
     REQUIRE(moves.size() == 1);
     CHECK(moves[0].to == LifeB);
+    if (doesLeave) {
+        MachineReport leaving = reportOf(LifeB, leader.clockMs);
+        leaving.minion.draining = true;
+        leader.report("agent-b", leaving);
+        leader.report("agent-c", reportOf(lifeC, leader.clockMs));
+        leader.directive("agent-c");
+        CHECK(leader.decide().starts.empty());
+    }
     leader.submit("short", {step(8)});
     CHECK(leader.decide().starts.size() == 2);
     leader.pass(700ms, atWork);
@@ -310,7 +321,7 @@
     const JobBatch next = leader.decide();
     REQUIRE(next.starts.size() == 1);
     CHECK(next.starts[0].task == ZonesFixture::Task0);
-    CHECK(next.starts[0].minion == LifeB);
+    CHECK(next.starts[0].minion == (doesLeave ? lifeC : LifeB));
 }
 
 // Guards against a second move of a step beside one that only the former leader knows.
