--- a/Source/Jobs/evacuationplanner.cpp
+++ b/Source/Jobs/evacuationplanner.cpp
@@ -59,6 +59,9 @@
     replaceReservations(now);
     if (now < firstMoveAt_)
         return;
+    notAtWork_.clear();
+    // The tasks of a step are alike, so if one has no room the others are skipped.
+    std::set<StepKey> full;
     for (const auto &[life, machine] : machines_.machines()) {
         const auto runs = book_.activeRuns().find(life);
         // A run on a minion that is not connected ends with its lease, whether stopped or not.
@@ -70,11 +73,14 @@
             const StepSpec &step = stepOf(book_, ref);
             if (!step.longRunning || book_.find(ref.job)->hasEnded()
                 || !machine.running.contains(run) || reservations_.evicts(run)
-                || moves_.contains({ref.job, ref.step}) || !mayStop(now, ref, step))
+                || moves_.contains({ref.job, ref.step}) || full.contains({ref.job, ref.step})
+                || !mayStop(now, life, run))
                 continue;
             const MinionLife *to = chooseMinion(now, ref);
-            if (to == nullptr)
+            if (to == nullptr) {
+                full.emplace(ref.job, ref.step);
                 continue;
+            }
             reservations_.moveRun(run, *to);
             claims_[*to].add(step);
             moves_.emplace(StepKey{ref.job, ref.step}, run);
@@ -95,15 +101,17 @@
 void EvacuationPlanner::replaceReservations(TimePoint now)
 {
     for (const auto &[step, run] : moves_) {
-        const Task &task = *book_.findTask(run.first);
-        const bool hasSuccessor = !task.active.empty() && task.active.back().run != run.second;
-        if (hasSuccessor || reservations_.reservations().contains(run.first)
-            || std::ranges::any_of(claimed_,
-                                   [&](const auto &item) { return item.second == run.first; }))
+        const TaskRef &ref = run.first;
+        const auto &active = book_.findTask(ref)->active;
+        const bool hasSuccessor = !active.empty() && active.back().run != run.second;
+        const auto starting =
+            std::ranges::find(claimed_, ref, &std::pair<MinionLife, TaskRef>::second);
+        if (hasSuccessor || starting != claimed_.end()
+            || reservations_.reservations().contains(ref))
             continue;
-        if (const MinionLife *to = chooseMinion(now, run.first)) {
+        if (const MinionLife *to = chooseMinion(now, ref)) {
             reservations_.moveRun(run, *to);
-            claims_[*to].add(stepOf(book_, run.first));
+            claims_[*to].add(stepOf(book_, ref));
         }
     }
 }
@@ -122,23 +130,25 @@
            && isConnected(now, machine->second) && !reservations_.evicts(run);
 }
 
-bool EvacuationPlanner::mayStop(TimePoint now, const TaskRef &ref, const StepSpec &step) const
+bool EvacuationPlanner::mayStop(TimePoint now, const MinionLife &life, const RunKey &run)
 {
+    const TaskRef &ref = run.first;
+    const auto [known, first] = notAtWork_.try_emplace({ref.job, ref.step});
+    NotAtWork &step = known->second;
     const std::vector<Task> &tasks = book_.find(ref.job)->tasks[ref.step];
-    std::uint32_t waiting = 0;
-    std::uint32_t starting = 0;
-    for (std::uint32_t index = 0; index < tasks.size(); ++index) {
+    for (std::uint32_t index = 0; first && index < tasks.size(); ++index) {
         const auto &active = tasks[index].active;
-        if (index == ref.index)
-            continue;
         if (active.empty())
-            ++waiting;
+            ++step.waiting;
         else if (!isAtWork(now, active.back().minion,
                            {{ref.job, ref.step, index}, active.back().run}))
-            ++starting;
+            ++step.starting;
     }
+    const std::uint32_t itself = isAtWork(now, life, run) ? 0 : 1;
+    const std::uint32_t starting = step.starting - std::min(step.starting, itself);
+    const std::uint32_t limit = stepOf(book_, ref).maxUnavailable;
     // Without a limit, a task that is starting may be one that the former leader moved.
-    return step.maxUnavailable == 0 ? starting == 0 : waiting + starting < step.maxUnavailable;
+    return limit == 0 ? starting == 0 : step.waiting + starting < limit;
 }
 
 const MinionLife *EvacuationPlanner::chooseMinion(TimePoint now, const TaskRef &ref)
