Jobs: Reserve a minion for large tasks (EASY backfilling)

Cause: a task that ends by itself and fits on no minion, although enough is free on all together, waits as long as small tasks take each piece that becomes free.

BackfillPlanner predicts where the first large tasks in the order of jobs fit soonest, from the progress and the estimates of the active runs, and reserves that minion, at most one in ten of a service. BackfillWindows lets other tasks start there only if they are expected to end before or fit beside. Long-running tasks, tasks that lost a run, and any task while less than 60% of the service is claimed are exempt; they prefer other minions. Off by default: the planner then returns at once, and no window limits a placement.

Ruled out: - Dropping a reservation as soon as a new prediction exceeds the margin. Estimates change with every submitted job: a filling job with a long estimate ended the reservation of a task that then lost its memory. Only measured progress drops it before the margin has passed. - Reservations for filling tasks: the processor time that they use cannot be reserved. Their memory counts against the reservations of others. - Taking a reservation over when the order of jobs changes.

--- a/Source/Jobs/jobscheduler.cpp
+++ b/Source/Jobs/jobscheduler.cpp
@@ -31,8 +31,11 @@
 
 } // namespace
 
-JobScheduler::JobScheduler(const JobBook &book, LeaseOptions options)
-    : book_(book), machines_(options), planner_(book, machines_)
+JobScheduler::JobScheduler(const JobBook &book, LeaseOptions lease, SchedulerOptions options)
+    : book_(book)
+    , machines_(lease)
+    , planner_(book, machines_)
+    , backfill_(book, machines_, estimates_, planner_, options.backfill)
 {}
 
 void JobScheduler::startTerm(TimePoint now, std::uint64_t term)
@@ -40,6 +43,7 @@
     term_ = term;
     machines_.startTerm(now, term);
     planner_.startTerm();
+    backfill_.startTerm();
     startsInFlight_ = false;
     pendingEnds_.clear();
     endingRuns_.clear();
@@ -210,7 +214,9 @@
         return batch;
     batch.atMs = nowMs;
     planner_.update(now, nowMs);
-    TaskPlacer placer(book_, machines_, interference_, estimates_, planner_);
+    backfill_.update(now, nowMs);
+    TaskPlacer placer(book_, machines_, interference_, estimates_, planner_,
+                      {book_, backfill_, now});
     batch.starts = placer.place(now, nowMs);
     for (const RunStart &start : batch.starts)
         neverOrderedRuns_.insert({start.task, start.run});
--- a/Source/Jobs/jobscheduler.h
+++ b/Source/Jobs/jobscheduler.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Jobs/backfillplanner.h"
 #include "Jobs/interferencetable.h"
 #include "Jobs/jobbook.h"
 #include "Jobs/machinetable.h"
@@ -22,6 +23,13 @@
     MachineDirective directive;
 };
 
+/** Optional behaviour of a JobScheduler. */
+struct SchedulerOptions
+{
+    /** Reserves resources for large tasks; see BackfillPlanner. */
+    bool backfill = false;
+};
+
 /**
  * \class JobScheduler
  * \brief The leader's decisions about jobs: what to commit and which orders to send to the agents.
@@ -34,7 +42,7 @@
 class JobScheduler
 {
 public:
-    JobScheduler(const JobBook &book, LeaseOptions options);
+    JobScheduler(const JobBook &book, LeaseOptions lease, SchedulerOptions options = {});
 
     /** Resets the state for a leader in \a term. */
     void startTerm(TimePoint now, std::uint64_t term);
@@ -75,6 +83,9 @@
     /** Returns the reservations made since the last call. */
     std::vector<ReservationDecision> takeReservationDecisions() { return planner_.takeDecisions(); }
 
+    /** Reservations for large tasks. */
+    BackfillPlanner &backfill() { return backfill_; }
+
     /** Returns the runs to move that were chosen since the last call. */
     std::vector<RunMove> takeMoves() { return std::exchange(moves_, {}); }
 
@@ -123,6 +134,7 @@
     InterferenceTable interference_;
     WorkEstimates estimates_;
     ReservationPlanner planner_;
+    BackfillPlanner backfill_;
     std::uint64_t term_ = 0;
     bool startsInFlight_ = false;
     std::vector<MinionRunEnd> pendingEnds_;
--- a/Source/Jobs/taskplacer.cpp
+++ b/Source/Jobs/taskplacer.cpp
@@ -38,6 +38,8 @@
 /** Penalty in milli-cores for a minion without the label that the step prefers (the rack of its
  * data). */
 constexpr std::int64_t FarPenaltyMilliCores = 1'000'000;
+/** Penalty in milli-cores for a minion where the task delays a large one that has a reservation. */
+constexpr std::int64_t ReservedPenaltyMilliCores = 1'500'000;
 /** Penalty in milli-cores for a suspended minion, which long-running tasks use last. */
 constexpr std::int64_t SuspendedPenaltyMilliCores = 2'000'000;
 
@@ -59,9 +61,12 @@
 
 void TaskPlacer::applyReservation(const TaskRef &ref, const StepSpec &step)
 {
-    const MinionLife &life = planner_.reservations().at(ref).minion;
+    windows_.restore(ref);
+    const auto reservation = planner_.reservations().find(ref);
+    if (reservation == planner_.reservations().end())
+        return;
     for (Candidate &candidate : candidates_) {
-        if (*candidate.life == life)
+        if (*candidate.life == reservation->second.minion)
             candidate.reserved.push_back(&step);
     }
 }
@@ -70,7 +75,7 @@
 {
     const auto reservation = planner_.reservations().find(ref);
     if (reservation == planner_.reservations().end())
-        return false;
+        return windows_.release(ref);
     for (Candidate &candidate : candidates_) {
         const auto entry = std::ranges::find(candidate.reserved, &step);
         if (*candidate.life == reservation->second.minion && entry != candidate.reserved.end())
@@ -403,6 +408,11 @@
     return claim.leavesRoom(candidate.machine->minion, step);
 }
 
+bool TaskPlacer::delaysReserved(const Candidate &candidate, const StepSpec &step) const
+{
+    return !windows_.admits(*candidate.life, candidate.machine->minion, candidate.use.claim, step);
+}
+
 const TaskPlacer::FillingCapacity &TaskPlacer::fillingCapacity(Candidate &candidate,
                                                                const std::string &image) const
 {
@@ -434,6 +444,7 @@
             {step.image, interference_.baseLatencyRatio(step.image), std::nullopt});
     }
     candidate.use.add(step);
+    windows_.add(*candidate.life, step);
     candidate.fillingCapacity.clear();
     if (unobservedPairs_)
         unobservedPairs_->add(candidate.use);
@@ -448,6 +459,11 @@
         || minion.service != service || !hasLabel(minion, step.requiredLabel)
         || !fits(candidate, step))
         return false;
+    // Long-running tasks and tasks that have lost a run do not wait for large ones, nor does any
+    // task while most of the service is idle.
+    if (delaysReserved(candidate, step) && !step.longRunning && task.lastRun == 0
+        && !isMostlyIdle(service))
+        return false;
     if (step.maxPerMinion > 0) {
         // A task that takes the place of another one with a reservation would leave that
         // reservation unusable.
@@ -492,6 +508,8 @@
                 continue;
             score = capacity.available;
         }
+        if (delaysReserved(candidate, step))
+            score -= ReservedPenaltyMilliCores;
         if (candidate.isSuspended)
             score -= SuspendedPenaltyMilliCores;
         if (!step.affinity.empty() && !hasLabel(minion, step.affinity))
--- a/Source/Jobs/taskplacer.h
+++ b/Source/Jobs/taskplacer.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Jobs/backfillwindows.h"
 #include "Jobs/interferencetable.h"
 #include "Jobs/joborder.h"
 #include "Jobs/machinetable.h"
@@ -11,6 +12,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace Oleander::Jobs {
@@ -41,12 +43,13 @@
 public:
     TaskPlacer(const JobBook &book, const MachineTable &machines,
                const InterferenceTable &interference, const WorkEstimates &estimates,
-               const ReservationPlanner &planner)
+               const ReservationPlanner &planner, BackfillWindows windows)
         : book_(book)
         , machines_(machines)
         , interference_(interference)
         , estimates_(estimates)
         , planner_(planner)
+        , windows_(std::move(windows))
     {}
 
     /** Returns the starts for the calendar time \a nowMs, which is \a now on the monotonic clock.
@@ -131,6 +134,9 @@
      */
     bool isMostlyIdle(const std::string &service) const;
     bool fits(const Candidate &candidate, const StepSpec &step) const;
+    /** True if a task of \a step on \a candidate would delay a large task that has a reservation
+     * there. */
+    bool delaysReserved(const Candidate &candidate, const StepSpec &step) const;
     /** Capacity of \a candidate for further filling tasks of \a image. */
     const FillingCapacity &fillingCapacity(Candidate &candidate, const std::string &image) const;
     /** Adds a task of \a step to the use of \a candidate. */
@@ -141,6 +147,7 @@
     const InterferenceTable &interference_;
     const WorkEstimates &estimates_;
     const ReservationPlanner &planner_;
+    BackfillWindows windows_;
     /** True if \a run makes no progress and loses little when it is stopped. */
     bool isStalled(const RunView &run, const StepSpec &step) const;
 
--- a/Tests/Jobs/jobfixture.h
+++ b/Tests/Jobs/jobfixture.h
@@ -113,9 +113,13 @@
     static constexpr std::uint64_t FirstTerm = 3;
 
     ManualClock clock;
-    JobScheduler scheduler{book, LeaseOptions{}};
+    JobScheduler scheduler;
 
-    SchedulerFixture() { scheduler.startTerm(clock.now(), FirstTerm); }
+    explicit SchedulerFixture(SchedulerOptions options = {})
+        : scheduler(book, LeaseOptions{}, options)
+    {
+        scheduler.startTerm(clock.now(), FirstTerm);
+    }
 
     void advance(Duration step)
     {
--- a/Tests/Jobs/simulatedfleet.h
+++ b/Tests/Jobs/simulatedfleet.h
@@ -30,7 +30,9 @@
     static constexpr Duration Step = std::chrono::milliseconds(50);
     static constexpr Duration Startup = std::chrono::milliseconds(300);
 
-    explicit SimulatedFleet(const std::vector<std::uint32_t> &milliCores)
+    explicit SimulatedFleet(const std::vector<std::uint32_t> &milliCores,
+                            SchedulerOptions options = {})
+        : leader_(options)
     {
         for (const std::uint32_t size : milliCores)
             addMinion(size);
@@ -62,6 +64,12 @@
         pass(time, [] {});
     }
 
+    /** Makes the tasks of the job \a id take \a factor times their estimate. */
+    void setDurationFactor(const std::string &id, double factor) { durationFactors_[id] = factor; }
+
+    /** Makes all minions report no progress. */
+    void hideProgress() { isProgressHidden_ = true; }
+
     /** Sets the time that an order takes to its minion. */
     void setOrderDelay(Duration delay) { orderDelay_ = delay; }
 
@@ -258,11 +266,20 @@
         }
         return ratio;
     }
-    std::uint32_t percentOf(const StepSpec &spec, const Run &run) const
+    /** Returns the duration of the run \a key at full speed. */
+    Duration durationOf(const RunKey &key) const
     {
+        const auto factor = durationFactors_.find(key.first.job);
+        const double ms =
+            stepOf(key).estimateMs * (factor == durationFactors_.end() ? 1.0 : factor->second);
+        return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(ms));
+    }
+    std::uint32_t percentOf(const RunKey &key, const Run &run) const
+    {
+        const StepSpec &spec = stepOf(key);
         if (spec.longRunning)
             return run.elapsed >= Startup ? 100 : 0;
-        const Duration whole = std::chrono::milliseconds(std::max(spec.estimateMs, 1U));
+        const Duration whole = std::max<Duration>(durationOf(key), std::chrono::milliseconds(1));
         return static_cast<std::uint32_t>(std::min<Duration::rep>(99, 100 * run.executed / whole));
     }
     std::uint32_t measurementOf(const Minion &minion, const RunKey &key, const Run &run) const
@@ -348,7 +365,7 @@
         std::vector<RunKey> done;
         for (const auto &[key, run] : minion.runs) {
             const StepSpec &spec = stepOf(key);
-            if (!spec.longRunning && run.executed >= std::chrono::milliseconds(spec.estimateMs))
+            if (!spec.longRunning && run.executed >= durationOf(key))
                 done.push_back(key);
         }
         for (const RunKey &key : done)
@@ -368,7 +385,7 @@
             status.task = key.first;
             status.run = key.second;
             status.hasStartOrder = true;
-            status.percent = percentOf(stepOf(key), run);
+            status.percent = isProgressHidden_ ? 0 : percentOf(key, run);
             status.latencyOrMilliCores = measurementOf(minion, key, run);
             report.running.push_back(status);
         }
@@ -466,6 +483,8 @@
     Duration longestWait_{};
     std::string longestWaitingTask_;
     Interference interference_;
+    std::map<std::string, double> durationFactors_;
+    bool isProgressHidden_ = false;
     TimePoint nextPace_{};
     double servingTime_ = 0;
     double overTarget_ = 0;
