Control host: Offer backfilling by a setting

Cause: the reservations for large tasks were not reachable from settings.

`[control-host] backfill = true` enables them, false is the default. Each reservation and its end is logged (`backfill.reserved`, `backfill.ended` with the reason), the gauge `oleander_backfill_reservations` counts the reserved minions, and the histogram `oleander_large_task_wait_seconds` has the waits of large tasks.

Ruled out: a key that is read again at runtime. The replicas would then differ while the file is being changed on several hosts, and a restart of a control host is cheap.

--- a/Source/Fleet/controlhost.cpp
+++ b/Source/Fleet/controlhost.cpp
@@ -68,7 +68,8 @@
         , codec_(codec)
         , messenger_(loop_, settings.link, newIncarnation(loop_.clock()))
         , replica_(loop_, messenger_, state_, replicaOptions(settings))
-        , jobService_(loop_, messenger_, replica_, state_, leaseOptions(settings))
+        , jobService_(loop_, messenger_, replica_, state_, leaseOptions(settings),
+                      Jobs::SchedulerOptions{settings.backfill})
         , leaderClient_(loop_, messenger_, settings.group.seeds)
         , operatorServer_(loop_, settings.limits,
                           [this](const std::shared_ptr<HttpExchange> &exchange) {
--- a/Source/Fleet/jobservice.cpp
+++ b/Source/Fleet/jobservice.cpp
@@ -57,12 +57,13 @@
 } // namespace
 
 JobService::JobService(EventLoop &loop, Messenger &messenger, ReplicaTask &replica,
-                       const State::ControlState &state, Jobs::LeaseOptions lease)
+                       const State::ControlState &state, Jobs::LeaseOptions lease,
+                       Jobs::SchedulerOptions options)
     : loop_(loop)
     , messenger_(messenger)
     , replica_(replica)
     , state_(state)
-    , scheduler_(state.jobs(), lease)
+    , scheduler_(state.jobs(), lease, options)
     , processTimer_(loop, [this] { process(); })
     , placementTimer_(loop, [this] { process(); })
     , shareTimer_(loop, [this] { shareInterference(); })
@@ -311,6 +312,7 @@
     nextPlacementAt_ =
         decidedAt + std::max(MinPlacementInterval, PlacementPauseFactor * (decidedAt - now));
     logReservations();
+    reportBackfill();
     logMoves();
     if (batch.empty())
         return;
@@ -400,6 +402,46 @@
     }
 }
 
+void JobService::reportBackfill()
+{
+    Jobs::BackfillPlanner &backfill = scheduler_.backfill();
+    if (!backfill.isEnabled())
+        return;
+    const TimePoint now = loop_.clock().now();
+    for (const Jobs::BackfillDecision &decision : backfill.takeDecisions()) {
+        const Duration expectedIn = decision.reservation.promisedAt - now;
+        const auto expectedInMs =
+            std::chrono::duration_cast<std::chrono::milliseconds>(expectedIn).count();
+        const TaskRef &task = decision.task;
+        const std::string &minion = decision.reservation.minion.name;
+        if (decision.end) {
+            logEvent(LogEvent::BackfillEnded, Step::Place, minion,
+                     {{"job", task.job},
+                      {"step", task.step},
+                      {"index", task.index},
+                      {"expected_ms", expectedInMs},
+                      {"why", Jobs::backfillEndName(*decision.end)}});
+        } else {
+            logEvent(LogEvent::BackfillReserved, Step::Place, minion,
+                     {{"job", task.job},
+                      {"step", task.step},
+                      {"index", task.index},
+                      {"expected_ms", expectedInMs}});
+        }
+    }
+    processMetrics()
+        .gauge("oleander_backfill_reservations",
+               "Minions that are reserved for a large task that ends by itself.")
+        .set(static_cast<double>(backfill.reservations().size()));
+    for (const Duration wait : backfill.takeWaits()) {
+        processMetrics()
+            .histogram("oleander_large_task_wait_seconds",
+                       "Time from the first plan that finds a waiting task to fit on no minion "
+                       "although enough is free on all together, to its start.")
+            .record(wait);
+    }
+}
+
 void JobService::logMoves()
 {
     for (const Jobs::RunMove &move : scheduler_.takeMoves()) {
--- a/Source/Fleet/jobservice.h
+++ b/Source/Fleet/jobservice.h
@@ -27,7 +27,8 @@
     using Callback = std::function<void(JobAnswer)>;
 
     JobService(EventLoop &loop, Messenger &messenger, ReplicaTask &replica,
-               const State::ControlState &state, Jobs::LeaseOptions lease);
+               const State::ControlState &state, Jobs::LeaseOptions lease,
+               Jobs::SchedulerOptions options);
 
     void start();
     /** Serves \a body; returns false, without storing the callback, while this process is not the
@@ -72,6 +73,8 @@
     void shareInterference();
     void logOrders(const MachineDirective &directive) const;
     void logReservations();
+    /** Logs the reservations for large tasks and records their metrics. */
+    void reportBackfill();
     void logMoves();
     void logIgnoredEnds();
     /** Logs the long-running jobs that miss their service level, and sets the gauges. */
--- a/Source/Runtime/logevent.cpp
+++ b/Source/Runtime/logevent.cpp
@@ -60,6 +60,8 @@
     {LogEvent::JobRerouted, LogLevel::Info, "job.rerouted"},
     {LogEvent::RunEndIgnored, LogLevel::Warning, "run.end-ignored"},
     {LogEvent::RunOutlivedLease, LogLevel::Warning, "run.outlived-lease"},
+    {LogEvent::BackfillReserved, LogLevel::Info, "backfill.reserved"},
+    {LogEvent::BackfillEnded, LogLevel::Info, "backfill.ended"},
     {LogEvent::RunPaced, LogLevel::Info, "run.paced"},
 
     {LogEvent::LeaderElected, LogLevel::Info, "control.leader-elected"},
--- a/Source/Runtime/logevent.h
+++ b/Source/Runtime/logevent.h
@@ -61,6 +61,8 @@
     JobRerouted = 3032,
     RunEndIgnored = 3033,
     RunOutlivedLease = 3034,
+    BackfillReserved = 3035,
+    BackfillEnded = 3036,
     RunPaced = 3040,
 
     LeaderElected = 4000,
--- a/Source/Settings/fleetsettings.cpp
+++ b/Source/Settings/fleetsettings.cpp
@@ -53,6 +53,7 @@
     binder.number(ControlSection, "tolerated-losses", settings.toleratedLosses, 0, 16);
     binder.duration(ControlSection, "longest-lease", settings.longestLease, seconds(1),
                     seconds(60));
+    binder.boolean(ControlSection, "backfill", settings.backfill);
     bindMetricsDoor(binder, ControlSection, settings.metricsDoor);
     bindGroup(binder, settings.group);
     bindLimits(binder, "operator-limits", settings.limits);
--- a/Source/Settings/fleetsettings.h
+++ b/Source/Settings/fleetsettings.h
@@ -35,6 +35,8 @@
     std::uint64_t toleratedLosses = 1;
     /** Maximum lease duration of a minion. */
     Duration longestLease = std::chrono::seconds(10);
+    /** Reserves resources for large tasks that small ones would keep waiting. */
+    bool backfill = false;
     /** Address of the HTTP server for metrics; disabled if empty. */
     std::string metricsDoor;
     GroupSettings group;
