--- a/Source/Fleet/controlhost.cpp
+++ b/Source/Fleet/controlhost.cpp
@@ -78,7 +78,7 @@
         , messenger_(loop_, settings.link, newIncarnation(loop_.clock()))
         , replica_(loop_, messenger_, state_, replicaOptions(settings))
         , jobService_(loop_, messenger_, replica_, state_, leaseOptions(settings),
-                      coldStartOptions(settings))
+                      Jobs::SchedulerOptions{settings.backfill, coldStartOptions(settings)})
         , leaderClient_(loop_, messenger_, settings.group.seeds)
         , evacuationHandler_(loop_, leaderClient_, settings.failureDomains)
         , budget_(std::make_shared<HttpBudget>(settings.http))
--- a/Source/Fleet/jobservice.h
+++ b/Source/Fleet/jobservice.h
@@ -30,7 +30,7 @@
 
     JobService(EventLoop &loop, Messenger &messenger, ReplicaTask &replica,
                const State::ControlState &state, Jobs::LeaseOptions lease,
-               std::optional<Jobs::ColdStartOptions> coldStarts = std::nullopt);
+               Jobs::SchedulerOptions options);
 
     void start();
     /** Serves \a body; returns false, without storing the callback, while this process is not the
@@ -83,6 +83,8 @@
     void shareInterference();
     void logOrders(const MachineDirective &directive) const;
     void logReservations();
+    /** Logs the reservations for large tasks and records their metrics. */
+    void reportBackfill();
     void logMoves();
     void logEvacuationMoves();
     void logIgnoredEnds();
--- a/Source/Jobs/jobscheduler.cpp
+++ b/Source/Jobs/jobscheduler.cpp
@@ -31,14 +31,14 @@
 
 } // namespace
 
-JobScheduler::JobScheduler(const JobBook &book, LeaseOptions options,
-                           std::optional<ColdStartOptions> coldStarts)
+JobScheduler::JobScheduler(const JobBook &book, LeaseOptions lease, SchedulerOptions options)
     : book_(book)
-    , machines_(options, &book)
+    , machines_(lease, &book)
     , planner_(book, machines_)
-    , coldStarts_(book, machines_, coldStarts)
+    , coldStarts_(book, machines_, options.coldStarts)
     , evacuations_(book, machines_, planner_, coldStarts_)
     , startWithdrawal_(book)
+    , backfill_(book, machines_, estimates_, planner_, options.backfill)
 {}
 
 void JobScheduler::startTerm(TimePoint now, std::uint64_t term)
@@ -49,6 +49,7 @@
     coldStarts_.startTerm();
     evacuations_.startTerm(now);
     startWithdrawal_.startTerm();
+    backfill_.startTerm();
     startsInFlight_ = false;
     pendingEnds_.clear();
     endingRuns_.clear();
@@ -220,7 +221,9 @@
     batch.atMs = nowMs;
     planner_.update(now, nowMs);
     coldStarts_.update(now, nowMs);
-    TaskPlacer placer(book_, machines_, interference_, estimates_, planner_, coldStarts_);
+    backfill_.update(now, nowMs);
+    TaskPlacer placer(book_, machines_, interference_, estimates_, planner_, coldStarts_,
+                      {book_, backfill_, now});
     batch.starts = placer.place(now, nowMs);
     coldStarts_.record(now, batch.starts);
     std::vector<std::pair<MinionLife, TaskRef>> claimed;
--- a/Source/Jobs/jobscheduler.h
+++ b/Source/Jobs/jobscheduler.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Jobs/backfillplanner.h"
 #include "Jobs/coldstartlimit.h"
 #include "Jobs/evacuationplanner.h"
 #include "Jobs/interferencetable.h"
@@ -26,6 +27,15 @@
     MachineDirective directive;
 };
 
+/** Optional behaviour of a JobScheduler. */
+struct SchedulerOptions
+{
+    /** Reserves resources for large tasks; see BackfillPlanner. */
+    bool backfill = false;
+    /** Limit of the starts on cold minions; none if empty. */
+    std::optional<ColdStartOptions> coldStarts;
+};
+
 /**
  * \class JobScheduler
  * \brief The leader's decisions about jobs: what to commit and which orders to send to the agents.
@@ -38,8 +48,7 @@
 class JobScheduler
 {
 public:
-    JobScheduler(const JobBook &book, LeaseOptions options,
-                 std::optional<ColdStartOptions> coldStarts = std::nullopt);
+    JobScheduler(const JobBook &book, LeaseOptions lease, SchedulerOptions options = {});
 
     /** Resets the state for a leader in \a term. */
     void startTerm(TimePoint now, std::uint64_t term);
@@ -83,6 +92,8 @@
     /** Returns the moves of long-running tasks out of evacuated failure domains that were decided
      * since the last call. */
     std::vector<EvacuationMove> takeEvacuationMoves() { return evacuations_.takeMoves(); }
+    /** Reservations for large tasks. */
+    BackfillPlanner &backfill() { return backfill_; }
 
     /** Returns the runs to move that were chosen since the last call. */
     std::vector<RunMove> takeMoves() { return std::exchange(moves_, {}); }
@@ -139,6 +150,7 @@
     ColdStartLimit coldStarts_;
     EvacuationPlanner evacuations_;
     StartWithdrawal startWithdrawal_;
+    BackfillPlanner backfill_;
     std::uint64_t term_ = 0;
     bool startsInFlight_ = false;
     std::vector<MinionRunEnd> pendingEnds_;
--- a/Source/Jobs/taskplacer.h
+++ b/Source/Jobs/taskplacer.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Jobs/backfillwindows.h"
 #include "Jobs/coldstartlimit.h"
 #include "Jobs/interferencetable.h"
 #include "Jobs/joborder.h"
@@ -12,6 +13,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace Oleander::Jobs {
@@ -42,13 +44,15 @@
 public:
     TaskPlacer(const JobBook &book, const MachineTable &machines,
                const InterferenceTable &interference, const WorkEstimates &estimates,
-               const ReservationPlanner &planner, const ColdStartLimit &coldStarts)
+               const ReservationPlanner &planner, const ColdStartLimit &coldStarts,
+               BackfillWindows windows)
         : book_(book)
         , machines_(machines)
         , interference_(interference)
         , estimates_(estimates)
         , planner_(planner)
         , coldStarts_(coldStarts)
+        , windows_(std::move(windows))
     {}
 
     /** Returns the starts for the calendar time \a nowMs, which is \a now on the monotonic clock.
@@ -135,6 +139,9 @@
      */
     bool isMostlyIdle(const std::string &service) const;
     bool fits(const Candidate &candidate, const StepSpec &step) const;
+    /** True if a task of \a step on \a candidate would delay a large task that has a reservation
+     * there. */
+    bool delaysReserved(const Candidate &candidate, const StepSpec &step) const;
     /** Capacity of \a candidate for further filling tasks of \a image. */
     const FillingCapacity &fillingCapacity(Candidate &candidate, const std::string &image) const;
     /** Adds a task of \a step to the use of \a candidate. */
@@ -146,6 +153,7 @@
     const WorkEstimates &estimates_;
     const ReservationPlanner &planner_;
     const ColdStartLimit &coldStarts_;
+    BackfillWindows windows_;
     /** True if \a run makes no progress and loses little when it is stopped. */
     bool isStalled(const RunView &run, const StepSpec &step) const;
 
--- a/Source/Settings/fleetsettings.cpp
+++ b/Source/Settings/fleetsettings.cpp
@@ -59,6 +59,7 @@
     binder.decimal(ControlSection, "cold-overage", settings.coldOverage, MinColdOverage,
                    MaxColdOverage);
     binder.number(ControlSection, "cold-slack", settings.coldSlack, 1, MaxColdSlack);
+    binder.boolean(ControlSection, "backfill", settings.backfill);
     bindMetricsDoor(binder, ControlSection, settings.metricsDoor);
     binder.failureDomains(ControlSection, "failure-domains", settings.failureDomains);
     bindGroup(binder, settings.group);
--- a/Source/Settings/fleetsettings.h
+++ b/Source/Settings/fleetsettings.h
@@ -41,6 +41,8 @@
     double coldOverage = 0;
     /** Starts on a cold minion in one second in addition; 0 for no limit. */
     std::uint64_t coldSlack = 0;
+    /** Reserves resources for large tasks that small ones would keep waiting. */
+    bool backfill = false;
     /** Address of the HTTP server for metrics; disabled if empty. */
     std::string metricsDoor;
     /** Failure domains that operators may evacuate; evacuations are not offered if empty. */
--- a/Tests/Jobs/evacuationtest.cpp
+++ b/Tests/Jobs/evacuationtest.cpp
@@ -352,8 +352,10 @@
     BookFixture book;
     const bool isLimited = GENERATE(true, false);
     const bool isAnnounced = GENERATE(true, false);
-    JobScheduler scheduler(book.book, LeaseOptions{},
-                           isLimited ? std::optional(ColdStartOptions{1.5, 5}) : std::nullopt);
+    SchedulerOptions options;
+    if (isLimited)
+        options.coldStarts = ColdStartOptions{1.5, 5};
+    JobScheduler scheduler(book.book, LeaseOptions{}, options);
     ManualClock clock;
     scheduler.startTerm(clock.now(), 1);
     const MinionLife warmLife{"minion-c", 100};
