Jobs: Bound the tasks of a job and the memory of all stored jobs

Cause: a body of legal size has room for over 20,000 steps of 10,000 tasks each. One such job would fill the memory of every control host, and again after each restart, because it is in the control log. Clients that submit legal jobs without end had the same effect in time.

A job has at most 100,000 tasks (400 otherwise). The leader refuses submissions with 503, "not run", while the estimated memory of the stored jobs exceeds [control-host] job-memory (96 MiB by default; ended jobs count until they are removed). It decides before the job is proposed, so a refused job never runs. A log line lists at most 32 steps of a job.

Ruled out: a limit of steps (bodies inside the limit of 262,144 bytes hold 21,840 small ones) and a check while the command is applied, which would need a setting that is the same on all control hosts.

--- a/Source/Fleet/controlhost.cpp
+++ b/Source/Fleet/controlhost.cpp
@@ -56,11 +56,16 @@
     return options;
 }
 
-std::optional<Jobs::ColdStartOptions> coldStartOptions(const ControlHostSettings &settings)
+JobServiceOptions jobServiceOptions(const ControlHostSettings &settings)
 {
-    if (settings.coldOverage == 0 || settings.coldSlack == 0)
-        return std::nullopt;
-    return Jobs::ColdStartOptions{settings.coldOverage, settings.coldSlack};
+    JobServiceOptions options;
+    options.lease = leaseOptions(settings);
+    options.scheduler.backfill = settings.backfill;
+    if (settings.coldOverage > 0 && settings.coldSlack > 0)
+        options.scheduler.coldStarts =
+            Jobs::ColdStartOptions{settings.coldOverage, settings.coldSlack};
+    options.maxStoredBytes = settings.jobMemory;
+    return options;
 }
 
 /**
@@ -77,8 +82,7 @@
         , codec_(codec)
         , messenger_(loop_, settings.link, newIncarnation(loop_.clock()))
         , replica_(loop_, messenger_, state_, replicaOptions(settings))
-        , jobService_(loop_, messenger_, replica_, state_, leaseOptions(settings),
-                      Jobs::SchedulerOptions{settings.backfill, coldStartOptions(settings)})
+        , jobService_(loop_, messenger_, replica_, state_, jobServiceOptions(settings))
         , leaderClient_(loop_, messenger_, settings.group.seeds)
         , evacuationHandler_(loop_, leaderClient_, settings.failureDomains)
         , budget_(std::make_shared<HttpBudget>(settings.http))
--- a/Source/Fleet/jobservice.cpp
+++ b/Source/Fleet/jobservice.cpp
@@ -7,6 +7,7 @@
 #include "Runtime/metrics.h"
 
 #include <algorithm>
+#include <ranges>
 #include <set>
 
 namespace Oleander::Fleet {
@@ -26,6 +27,11 @@
 /** Interval of the service level reports; callers measure long-running jobs at the same interval.
  */
 constexpr Duration ServiceLevelInterval = std::chrono::seconds(2);
+/** Delay after which a client should retry while too many jobs are stored. Ended jobs are stored
+ * for minutes and removed one by one. */
+constexpr std::uint32_t StoredJobsRetryAfterMs = 10'000;
+/** Number of steps that a log line lists. */
+constexpr std::size_t MaxLoggedSteps = 32;
 
 JobAnswer answerOf(JobAnswerKind kind, std::string detail = {})
 {
@@ -45,26 +51,28 @@
 std::string stepsText(const std::vector<StepSpec> &steps)
 {
     std::string text;
-    for (const StepSpec &step : steps) {
+    for (const StepSpec &step : steps | std::views::take(MaxLoggedSteps)) {
         text += fmt::format("{}{}x{}@{}ms{}{}{}", text.empty() ? "" : ",", step.count,
                             step.milliCores, step.estimateMs, step.filling ? "f" : "",
                             step.longRunning ? "l" : "", step.speculative ? "s" : "");
         if (step.maxUnavailable > 0)
             text += fmt::format("u{}", step.maxUnavailable);
     }
+    if (steps.size() > MaxLoggedSteps)
+        text += fmt::format(",...({} steps)", steps.size());
     return text;
 }
 
 } // namespace
 
 JobService::JobService(EventLoop &loop, Messenger &messenger, ReplicaTask &replica,
-                       const State::ControlState &state, Jobs::LeaseOptions lease,
-                       Jobs::SchedulerOptions options)
+                       const State::ControlState &state, JobServiceOptions options)
     : loop_(loop)
     , messenger_(messenger)
     , replica_(replica)
     , state_(state)
-    , scheduler_(state.jobs(), lease, options)
+    , options_(options)
+    , scheduler_(state.jobs(), options.lease, options.scheduler)
     , processTimer_(loop, [this] { process(); })
     , placementTimer_(loop, [this] { process(); })
     , shareTimer_(loop, [this] { shareInterference(); })
@@ -110,6 +118,7 @@
     for (Waiter &waiter : std::exchange(waiters_, {}))
         waiter.callback(answerOf(JobAnswerKind::NotLeader));
     callBatch_ = {};
+    callBatchBytes_ = 0;
     if (isLeading_)
         scheduler_.startTerm(loop_.clock().now(), replica_.status().term);
 }
@@ -145,6 +154,13 @@
     if (jobIdFromPath(*queue, call.path) != call.job.id)
         return callback(answerOf(JobAnswerKind::NoSuchQueue,
                                  "The path has more segments than the path of a job."));
+    const std::size_t bytes = Jobs::JobBook::bytesOf(call.job.steps, call.job.spec);
+    if (book().storedBytes() + callBatchBytes_ + bytes > options_.maxStoredBytes) {
+        JobAnswer refusal = answerOf(JobAnswerKind::Overloaded, "Too many jobs are stored.");
+        refusal.retryAfterMs = StoredJobsRetryAfterMs;
+        return callback(std::move(refusal));
+    }
+    callBatchBytes_ += bytes;
     logEvent(LogEvent::JobReceived, Step::Accept, {},
              {{"job", call.job.id}, {"queue", queue->name}, {"steps", stepsText(call.job.steps)}});
     callBatch_.submissions.push_back({queue->name, call.job, book().configuration().version});
@@ -341,6 +357,7 @@
     if (callBatch_.empty())
         return;
     callBatch_.atMs = nowMs();
+    callBatchBytes_ = 0;
     ++pendingCommits_;
     commit(std::exchange(callBatch_, {}),
            [this, waiters = std::exchange(waiters_, {})](const Result<Jobs::JobOutcome> &outcome) {
--- a/Source/Fleet/jobservice.h
+++ b/Source/Fleet/jobservice.h
@@ -15,6 +15,15 @@
 
 namespace Oleander::Fleet {
 
+/** Options of a JobService. */
+struct JobServiceOptions
+{
+    Jobs::LeaseOptions lease;
+    Jobs::SchedulerOptions scheduler;
+    /** Estimated memory of the stored jobs above which submissions are refused. */
+    std::size_t maxStoredBytes = std::size_t{96} << 20U;
+};
+
 /**
  * \class JobService
  * \brief Handles jobs on the leader: answers calls, commits decisions and sends directives to the
@@ -29,8 +38,7 @@
     using Callback = std::function<void(JobAnswer)>;
 
     JobService(EventLoop &loop, Messenger &messenger, ReplicaTask &replica,
-               const State::ControlState &state, Jobs::LeaseOptions lease,
-               Jobs::SchedulerOptions options);
+               const State::ControlState &state, JobServiceOptions options);
 
     void start();
     /** Serves \a body; returns false, without storing the callback, while this process is not the
@@ -100,6 +108,7 @@
     Messenger &messenger_;
     ReplicaTask &replica_;
     const State::ControlState &state_;
+    JobServiceOptions options_;
     Jobs::JobScheduler scheduler_;
     Timer processTimer_;
     Timer placementTimer_;
@@ -112,6 +121,8 @@
      * ignored. */
     std::uint64_t roleGeneration_ = 0;
     Jobs::JobBatch callBatch_;
+    /** Estimated memory of the submissions in callBatch_. */
+    std::size_t callBatchBytes_ = 0;
     std::vector<Waiter> waiters_;
     std::size_t pendingCommits_ = 0;
     /** Term in which this process as the leader received the latest EvacuationCall. */
--- a/Source/Jobs/jobbook.cpp
+++ b/Source/Jobs/jobbook.cpp
@@ -17,6 +17,12 @@
     return !runEnd.hasStarted && (kind == RunEndKind::Lost || kind == RunEndKind::Refused);
 }
 
+/** Memory of a step, of a task with one run and of the other parts of a job, including the blocks
+ * that they allocate. */
+constexpr std::size_t BytesPerStep = 320;
+constexpr std::size_t BytesPerTask = 256;
+constexpr std::size_t BytesPerJob = 512;
+
 /** Serialized content of a snapshot; new fields are appended at the end. */
 struct SnapshotContent
 {
@@ -98,8 +104,10 @@
         outcome.started.push_back(start(decision, command.atMs));
     for (const std::string &id : command.purged) {
         const auto found = jobs_.find(id);
-        if (found != jobs_.end() && found->second.hasEnded())
+        if (found != jobs_.end() && found->second.hasEnded()) {
+            storedBytes_ -= bytesOf(found->second.steps, found->second.spec);
             jobs_.erase(found);
+        }
     }
     return outcome;
 }
@@ -128,6 +136,17 @@
     return found != evacuations_.end() && found->second.requested;
 }
 
+std::size_t JobBook::bytesOf(const std::vector<StepSpec> &steps, const std::string &spec)
+{
+    std::size_t bytes = BytesPerJob + spec.size();
+    for (const StepSpec &step : steps) {
+        bytes += BytesPerStep + step.count * BytesPerTask
+                 + step.dependsOn.size() * sizeof(step.dependsOn.front()) + step.image.size()
+                 + step.affinity.size() + step.requiredLabel.size();
+    }
+    return bytes;
+}
+
 bool JobBook::submit(const Submission &submission, std::int64_t atMs)
 {
     if (jobs_.contains(submission.job.id))
@@ -147,6 +166,7 @@
     job.doneCounts.assign(job.steps.size(), 0);
     for (const StepSpec &step : job.steps)
         job.tasks.emplace_back(step.count);
+    storedBytes_ += bytesOf(job.steps, job.spec);
     openJobs_.insert(place->first);
     return true;
 }
@@ -381,7 +401,9 @@
     openJobs_.clear();
     crashSuspects_.clear();
     activeRuns_.clear();
+    storedBytes_ = 0;
     for (const auto &[id, job] : jobs_) {
+        storedBytes_ += bytesOf(job.steps, job.spec);
         if (!job.hasEnded())
             openJobs_.insert(id);
         for (std::uint32_t step = 0; step < job.tasks.size(); ++step) {
--- a/Source/Jobs/jobbook.h
+++ b/Source/Jobs/jobbook.h
@@ -160,6 +160,10 @@
     const StepSpec *findStep(const TaskRef &ref) const;
     /** Returns the task \a ref, or null if it does not exist. */
     const Task *findTask(const TaskRef &ref) const;
+    /** Estimated memory of all stored jobs, including those that have ended. */
+    std::size_t storedBytes() const { return storedBytes_; }
+    /** Estimated memory of a job with \a steps and \a spec. */
+    static std::size_t bytesOf(const std::vector<StepSpec> &steps, const std::string &spec);
     /** Jobs that have not ended. */
     const std::set<std::string> &openJobs() const { return openJobs_; }
     /** Tasks of open jobs that may have crashed a minion. */
@@ -202,6 +206,7 @@
      * jobs is stored. */
     std::map<std::string, QueueSpec> queues_;
     std::map<std::string, Job> jobs_;
+    std::size_t storedBytes_ = 0;
     std::set<std::string> openJobs_;
     std::set<TaskRef> crashSuspects_;
     std::map<MinionLife, std::set<RunKey>> activeRuns_;
--- a/Source/Settings/fleetsettings.cpp
+++ b/Source/Settings/fleetsettings.cpp
@@ -13,6 +13,8 @@
 constexpr const char *EntrySection = "job-entry";
 constexpr const char *AgentSection = "machine-agent";
 constexpr const char *GroupSection = "group";
+constexpr std::uint64_t MinJobMemory = std::uint64_t{1} << 20U;
+constexpr std::uint64_t MaxJobMemory = std::uint64_t{1} << 40U;
 constexpr double MinColdOverage = 0.1;
 constexpr double MaxColdOverage = 1000;
 constexpr std::uint64_t MaxColdSlack = 1'000'000;
@@ -56,6 +58,7 @@
     binder.number(ControlSection, "tolerated-losses", settings.toleratedLosses, 0, 16);
     binder.duration(ControlSection, "longest-lease", settings.longestLease, seconds(1),
                     seconds(60));
+    binder.bytes(ControlSection, "job-memory", settings.jobMemory, MinJobMemory, MaxJobMemory);
     binder.decimal(ControlSection, "cold-overage", settings.coldOverage, MinColdOverage,
                    MaxColdOverage);
     binder.number(ControlSection, "cold-slack", settings.coldSlack, 1, MaxColdSlack);
--- a/Source/Settings/fleetsettings.h
+++ b/Source/Settings/fleetsettings.h
@@ -37,6 +37,8 @@
     std::uint64_t toleratedLosses = 1;
     /** Maximum lease duration of a minion. */
     Duration longestLease = std::chrono::seconds(10);
+    /** Estimated memory of the stored jobs above which submissions are refused. */
+    std::uint64_t jobMemory = std::uint64_t{96} << 20U;
     /** Starts on a cold minion as a multiple of the average on a warm one; 0 for no limit. */
     double coldOverage = 0;
     /** Starts on a cold minion in one second in addition; 0 for no limit. */
--- a/Tests/Fleet/jobservicetest.cpp
+++ b/Tests/Fleet/jobservicetest.cpp
@@ -23,9 +23,10 @@
     Messenger messenger{loop, link, 1};
     State::ControlState state;
     ReplicaTask replica{loop, messenger, state, options()};
-    JobService service{loop, messenger, replica, state, {}};
+    JobService service;
 
-    LeadingService()
+    explicit LeadingService(JobServiceOptions serviceOptions = {})
+        : service{loop, messenger, replica, state, serviceOptions}
     {
         REQUIRE(messenger.listen(link));
         replica.roleChanged.connect([this] { service.onRoleChanged(); });
@@ -148,6 +149,26 @@
     CHECK(leader.state.jobs().find(SecondId)->queue == "new");
 }
 
+// Clients that submit legal jobs without end could fill the memory of every control host.
+TEST_CASE("A job beyond the memory for stored jobs is refused and certainly not stored")
+{
+    JobServiceOptions options;
+    options.maxStoredBytes =
+        Jobs::JobBook::bytesOf(submitCall(FirstId).job.steps, submitCall(FirstId).job.spec);
+    LeadingService leader(options);
+    REQUIRE(leader.serveAndWait(configureCall(1, "old")) == JobAnswerKind::Accepted);
+    std::optional<JobAnswerKind> first;
+    std::optional<JobAnswerKind> second;
+    leader.serve(submitCall(FirstId), first);
+    leader.serve(submitCall(SecondId), second);
+    leader.runUntil([&] { return first && second; });
+    CHECK(*first == JobAnswerKind::Accepted);
+    CHECK(*second == JobAnswerKind::Overloaded);
+    CHECK(leader.serveAndWait(submitCall(SecondId)) == JobAnswerKind::Overloaded);
+    CHECK(leader.serveAndWait(submitCall(FirstId)) == JobAnswerKind::Accepted);
+    CHECK(leader.state.jobs().find(SecondId) == nullptr);
+}
+
 TEST_CASE("A delayed evacuation call does not revert a later one that changed nothing")
 {
     // A call that finds its state in force leaves the revision as it was, so the revision alone
--- a/Tests/Jobs/jobbooktest.cpp
+++ b/Tests/Jobs/jobbooktest.cpp
@@ -401,3 +401,23 @@
     CHECK(restored.evacuations().at("east").revision == 2);
     CHECK(restored.evacuations().at("east").changedAtMs == 7);
 }
+
+// Guards against a count that drifts, so that jobs are refused although little is stored.
+TEST_CASE("The memory of stored jobs is counted until they are purged, and after a restore")
+{
+    BookFixture book;
+    CHECK(book.book.storedBytes() == 0);
+    book.submit("a", {step(10)});
+    book.submit("a", {step(10)});
+    const std::size_t one = book.book.storedBytes();
+    CHECK(one == JobBook::bytesOf({step(10)}, "spec of a"));
+    book.submit("b", {step(10), step(20)});
+    JobBook restored;
+    REQUIRE(restored.restore(book.book.snapshot()));
+    CHECK(restored.storedBytes() == book.book.storedBytes());
+    book.cancel("b");
+    JobBatch batch;
+    batch.purged = {"b"};
+    book.apply(batch);
+    CHECK(book.book.storedBytes() == one);
+}
--- a/Tests/Platform/platformcodectest.cpp
+++ b/Tests/Platform/platformcodectest.cpp
@@ -142,6 +142,22 @@
               .has_value());
 }
 
+// One body of legal size could ask for more tasks than the memory of a control host holds.
+TEST_CASE("A job with too many tasks in all its steps is refused")
+{
+    const auto isAccepted = [](std::size_t steps) {
+        std::string list;
+        for (std::size_t i = 0; i < steps; ++i)
+            list += fmt::format("{}{{\"count\":10000}}", i == 0 ? "" : ",");
+        return codec
+            .decodeClientCall(request("POST", "/press/5c0e7a21d94b36f8",
+                                      R"({"spec":"x","steps":[)" + list + "]}"))
+            .has_value();
+    };
+    CHECK(isAccepted(10));
+    CHECK_FALSE(isAccepted(11));
+}
+
 TEST_CASE("A configuration with any invalid part is refused as a whole")
 {
     const std::string route =
