HTTP server: Count connections that wait for their removal for each door

A crowd at one door kept the number for the whole process at its limit, so that other doors stopped accepting as well. The rate of a request also counts from one millisecond instead of ten: new requests looked slower than the stopped ones that they compete with.

--- a/Source/Runtime/httpserver.cpp
+++ b/Source/Runtime/httpserver.cpp
@@ -28,7 +28,8 @@
 // A longer interval between two sweeps is time in which the process did not run.
 constexpr Duration SuspensionThreshold = std::chrono::seconds(1);
 // Connections that may wait for their removal before the server stops accepting until the next
-// sweep. Their descriptors come from the reserved ones.
+// sweep. Their descriptors come from the reserved ones. Each server counts its own, so that load at
+// one does not stop the others.
 constexpr std::size_t MaxClosingConnections = 64;
 
 bool equalsIgnoringCase(std::string_view a, std::string_view b)
@@ -217,7 +218,7 @@
     if (stream == nullptr)
         return nullptr;
     connections[stream] = std::make_unique<HttpConnection>(context, stream);
-    if (context.budget->decisions().closingConnections() >= MaxClosingConnections)
+    if (context.budget->decisions().closingConnections(context.door) >= MaxClosingConnections)
         setPaused(true);
     return stream;
 }
@@ -264,7 +265,7 @@
             connection.closeRefused();
         ++it;
     }
-    if (context.budget->decisions().closingConnections() < MaxClosingConnections)
+    if (context.budget->decisions().closingConnections(context.door) < MaxClosingConnections)
         setPaused(false);
     context.budget->report(now);
 }
--- a/Source/Runtime/requestbudget.cpp
+++ b/Source/Runtime/requestbudget.cpp
@@ -17,8 +17,9 @@
     {RefusalReason::UnexpectedBody, "unexpected-body"},
 }};
 
-// Added to each age, so that the first bytes of a request give a finite rate.
-constexpr Duration MinAge = std::chrono::milliseconds(10);
+// Added to each age, so that the first bytes of a request give a finite rate. A longer time would
+// make new requests look slow.
+constexpr Duration MinAge = std::chrono::milliseconds(1);
 // A response that began less than this time ago is closed last: the client has not had time to
 // read it.
 constexpr Duration ReadGrace = std::chrono::seconds(1);
@@ -62,6 +63,7 @@
             refuse(*victim, RefusalReason::Connections);
     }
     connections_.insert(&connection);
+    ++own.tracked;
     connection.isCounted_ = hasRoom;
     if (hasRoom) {
         ++own.connections;
@@ -76,6 +78,7 @@
     setBytes(connection, 0);
     stopCounting(connection);
     connections_.erase(&connection);
+    --doors_.at(connection.door_).tracked;
 }
 
 bool RequestBudget::receive(BudgetedConnection &connection, std::size_t bytes, std::size_t overhead,
--- a/Source/Runtime/requestbudget.h
+++ b/Source/Runtime/requestbudget.h
@@ -126,8 +126,12 @@
 
     std::size_t heldBytes() const { return heldBytes_; }
     std::size_t openConnections() const { return openConnections_; }
-    /** Connections that were refused or closed in favour of others but are not removed yet. */
-    std::size_t closingConnections() const { return connections_.size() - openConnections_; }
+    /** Connections of \a door that were refused or closed in favour of others but are not removed
+     * yet. */
+    std::size_t closingConnections(std::size_t door) const
+    {
+        return doors_.at(door).tracked - doors_.at(door).connections;
+    }
     std::uint64_t refusals(RefusalReason reason) const
     {
         return refusals_.at(static_cast<std::size_t>(reason));
@@ -139,7 +143,10 @@
     struct Door
     {
         std::size_t maxConnections = 0;
+        /** Connections that count as open. */
         std::size_t connections = 0;
+        /** Connections that are not removed. */
+        std::size_t tracked = 0;
         std::size_t bytes = 0;
         std::size_t handling = 0;
     };
