--- a/Source/Runtime/requestbudget.cpp
+++ b/Source/Runtime/requestbudget.cpp
@@ -17,11 +17,13 @@
     {RefusalReason::UnexpectedBody, "unexpected-body"},
 }};
 
-// Added to each age, so that the first bytes of a request give a finite rate.
-constexpr Duration MinAge = std::chrono::milliseconds(10);
-// A response that began less than this time ago is closed last: the client has not had time to
-// read it.
-constexpr Duration ReadGrace = std::chrono::seconds(1);
+// Added to each age, so that the first bytes of a request give a finite rate. A longer time would
+// make new requests look slow.
+constexpr Duration MinAge = std::chrono::milliseconds(1);
+// Within this time of its beginning a response is closed last, as the client has not had time to
+// read it, and a request is not closed in favour of a new connection. Ordinary requests are
+// complete within it, even under load.
+constexpr Duration ActiveGrace = std::chrono::seconds(1);
 // A client that completed a request may send its next one within this time. It is the time that
 // clients take at most to send a head.
 constexpr Duration KeepAliveGrace = std::chrono::seconds(3);
@@ -62,6 +64,7 @@
             refuse(*victim, RefusalReason::Connections);
     }
     connections_.insert(&connection);
+    ++own.tracked;
     connection.isCounted_ = hasRoom;
     if (hasRoom) {
         ++own.connections;
@@ -76,6 +79,7 @@
     setBytes(connection, 0);
     stopCounting(connection);
     connections_.erase(&connection);
+    --doors_.at(connection.door_).tracked;
 }
 
 bool RequestBudget::receive(BudgetedConnection &connection, std::size_t bytes, std::size_t overhead,
@@ -242,7 +246,7 @@
     }
     const auto rank = [&](const BudgetedConnection &candidate) {
         const Duration age = now - candidate.phaseStart_;
-        const bool isFresh = candidate.phase_ == RequestPhase::Sending && age < ReadGrace;
+        const bool isFresh = candidate.phase_ == RequestPhase::Sending && age < ActiveGrace;
         return std::tuple(isFresh, rateOf(candidate.progress_, age), candidate.phaseStart_);
     };
     BudgetedConnection *slowest = nullptr;
@@ -258,19 +262,19 @@
 /** Returns the connection to close in favour of a new one. */
 BudgetedConnection *RequestBudget::leastUseful(const Door *door, TimePoint now) const
 {
-    enum class Class { Refused, NeverServed, Unread, Idle, Kept };
+    enum class Class { Refused, Incomplete, Unread, Idle, Kept };
     const auto classOf = [&](const BudgetedConnection &candidate) {
         const Duration age = now - candidate.phaseStart_;
         switch (candidate.phase_) {
         case RequestPhase::Closing:
             return Class::Refused;
         case RequestPhase::Receiving:
-            return Class::NeverServed;
+            return age < ActiveGrace ? Class::Kept : Class::Incomplete;
         case RequestPhase::Sending:
-            return age < ReadGrace ? Class::Kept : Class::Unread;
+            return age < ActiveGrace ? Class::Kept : Class::Unread;
         case RequestPhase::Idle:
             if (!candidate.hasServed_)
-                return Class::NeverServed;
+                return Class::Incomplete;
             return age < KeepAliveGrace ? Class::Kept : Class::Idle;
         case RequestPhase::Handling:
             break;
--- a/Tests/Runtime/requestbudgettest.cpp
+++ b/Tests/Runtime/requestbudgettest.cpp
@@ -154,7 +154,9 @@
     CHECK_FALSE(newer.isEvicted);
     CHECK_FALSE(served.isEvicted);
     CHECK(f.budget.openConnections() == 4);
-    CHECK(f.budget.closingConnections() == 1);
+    CHECK(f.budget.closingConnections(f.callers) == 1);
+    // Otherwise a crowd at one door would stop the others from accepting.
+    CHECK(f.budget.closingConnections(f.operators) == 0);
 }
 
 TEST_CASE("A full door refuses a connection while all others are being handled")
@@ -170,7 +172,23 @@
     f.budget.close(refused);
     f.budget.close(other);
     CHECK(f.budget.openConnections() == 4);
-    CHECK(f.budget.closingConnections() == 0);
+    CHECK(f.budget.closingConnections(f.callers) == 0);
+}
+
+TEST_CASE("A request has a second before it is closed in favour of a new connection")
+{
+    // Among clients that do not read their answers, an ordinary upload was the first to be closed.
+    Fixture f;
+    for (int i = 0; i < 3; ++i)
+        f.handle(f.callers, 10, seconds(0));
+    auto &upload = f.open(f.callers, seconds(0));
+    CHECK(f.receive(upload, 100, seconds(0)));
+    FakeConnection refused;
+    CHECK_FALSE(f.budget.open(refused, f.callers, f.start + milliseconds(900)));
+    CHECK_FALSE(upload.isEvicted);
+    f.open(f.callers, seconds(2));
+    CHECK(upload.isEvicted);
+    f.budget.close(refused);
 }
 
 TEST_CASE("The bytes of closed connections are released")
