Tests: Move the fleet cluster to the test support

Cause: the tests of misbehaving clients need the same processes as those of the fleet, with settings of their own, the addresses of every HTTP server, and the peak memory and descriptors of a process.

FleetCluster and its source move from Tests/Fleet to Tests/Support and accept more lines for the settings of each kind of process, as Cluster does. Socket gains a non-blocking connect, and processusage the largest resident memory and the number of open descriptors.

Ruled out: compiling Tests/Fleet/fleetcluster.cpp into a second test program, since a change of its settings would then depend on two folders.

--- a/Tests/Fleet/leadersearchtest.cpp
+++ b/Tests/Fleet/leadersearchtest.cpp
@@ -1,4 +1,4 @@
-#include "fleetcluster.h"
+#include "Support/fleetcluster.h"
 
 #include <catch2/catch.hpp>
 
--- a/Tests/Fleet/fleetcluster.cpp
+++ b/Tests/Support/fleetcluster.cpp
@@ -1,4 +1,4 @@
-#include "fleetcluster.h"
+#include "Support/fleetcluster.h"
 
 #include "Support/loopback.h"
 
@@ -17,7 +17,7 @@
 
 } // namespace
 
-FleetCluster::FleetCluster()
+FleetCluster::FleetCluster(FleetOptions options) : options_(std::move(options))
 {
     // All control hosts use the same link port, because the seeds only give their hosts.
     for (std::size_t i = 0; i < Controls; ++i)
@@ -93,10 +93,10 @@
 void FleetCluster::startControl(std::size_t control, bool mayForm)
 {
     std::filesystem::create_directories(dataFolder(control));
-    const std::string path =
-        writeSettings("control-" + std::to_string(control),
-                      controlLines(control) + "data-folder = " + dataFolder(control)
-                          + "\nmay-form = " + (mayForm ? "true" : "false") + '\n');
+    const std::string path = writeSettings(
+        "control-" + std::to_string(control),
+        controlLines(control) + "data-folder = " + dataFolder(control)
+            + "\nmay-form = " + (mayForm ? "true" : "false") + '\n' + options_.moreControlSettings);
     Control &host = controls_.at(control);
     host.process.reset();
     host.process =
@@ -105,8 +105,8 @@
 
 void FleetCluster::startDiskless(std::size_t control)
 {
-    const std::string path =
-        writeSettings("control-" + std::to_string(control), controlLines(control));
+    const std::string path = writeSettings("control-" + std::to_string(control),
+                                           controlLines(control) + options_.moreControlSettings);
     Control &host = controls_.at(control);
     host.process.reset();
     host.process =
@@ -117,10 +117,10 @@
 {
     Entry &host = entries_.at(entry);
     const std::string name = "entry-" + std::to_string(entry);
-    const std::string path =
-        writeSettings(name, "[job-entry]\nname = " + name + "\ncaller-door = " + host.callerAddress
-                                + "\nhealth-door = " + host.healthAddress + "\nmetrics-door = "
-                                + host.metricsAddress + "\ndrain-delay = 100ms\n");
+    const std::string path = writeSettings(
+        name, "[job-entry]\nname = " + name + "\ncaller-door = " + host.callerAddress
+                  + "\nhealth-door = " + host.healthAddress + "\nmetrics-door = "
+                  + host.metricsAddress + "\ndrain-delay = 100ms\n" + options_.moreEntrySettings);
     host.process.reset();
     host.process =
         std::make_unique<ChildProcess>(std::vector<std::string>{OLEANDER_PROGRAM, "entry", path});
@@ -130,10 +130,10 @@
 {
     Machine &host = machines_.at(machine);
     const std::string name = "agent-" + std::to_string(machine);
-    const std::string path =
-        writeSettings(name, "[machine-agent]\nname = " + name + "\nminion-door = "
-                                + host.agentAddress + "\nminion = " + host.minionAddress
-                                + "\nmetrics-door = " + host.metricsAddress + '\n');
+    const std::string path = writeSettings(
+        name, "[machine-agent]\nname = " + name + "\nminion-door = " + host.agentAddress
+                  + "\nminion = " + host.minionAddress + "\nmetrics-door = " + host.metricsAddress
+                  + '\n' + options_.moreAgentSettings);
     host.agent.reset();
     host.agent = std::make_unique<ChildProcess>(
         std::vector<std::string>{OLEANDER_AGENT_PROGRAM, "machine", path});
--- a/Tests/Fleet/fleetcluster.h
+++ b/Tests/Support/fleetcluster.h
@@ -12,6 +12,14 @@
 
 namespace Oleander::Testing {
 
+/** Lines appended to the settings files of every control host, entry and agent. */
+struct FleetOptions
+{
+    std::string moreControlSettings;
+    std::string moreEntrySettings;
+    std::string moreAgentSettings;
+};
+
 /**
  * \class FleetCluster
  * \brief Runs control hosts, entries, agents and stand-in minions as real processes on 127.0.0.0/8.
@@ -23,7 +31,7 @@
     static constexpr std::size_t Entries = 2;
     static constexpr std::size_t Machines = 2;
 
-    FleetCluster();
+    explicit FleetCluster(FleetOptions options = {});
 
     /** Starts every process and waits until a configuration is accepted. */
     bool start();
@@ -43,6 +51,35 @@
     ChildProcess &agent(std::size_t machine) { return *machines_.at(machine).agent; }
     ChildProcess &minion(std::size_t machine) { return *machines_.at(machine).minion; }
     std::string dataFolder(std::size_t control) const;
+    /** The following return the addresses of HTTP servers. */
+    const std::string &operatorDoor(std::size_t control) const
+    {
+        return controls_.at(control).operatorAddress;
+    }
+    const std::string &controlMetricsDoor(std::size_t control) const
+    {
+        return controls_.at(control).metricsAddress;
+    }
+    const std::string &callerDoor(std::size_t entry) const
+    {
+        return entries_.at(entry).callerAddress;
+    }
+    const std::string &healthDoor(std::size_t entry) const
+    {
+        return entries_.at(entry).healthAddress;
+    }
+    const std::string &entryMetricsDoor(std::size_t entry) const
+    {
+        return entries_.at(entry).metricsAddress;
+    }
+    const std::string &minionDoor(std::size_t machine) const
+    {
+        return machines_.at(machine).agentAddress;
+    }
+    const std::string &agentMetricsDoor(std::size_t machine) const
+    {
+        return machines_.at(machine).metricsAddress;
+    }
 
     /** Sends the configuration \a body to a control host; returns the HTTP status, or 0 without an
      * answer. */
@@ -99,6 +136,7 @@
     std::string writeSettings(const std::string &name, const std::string &lines);
     std::string controlLines(std::size_t control) const;
 
+    FleetOptions options_;
     TemporaryFolder folder_;
     std::vector<std::size_t> seeds_;
     /** Settings written so far, without the seeds. */
--- a/Tests/Support/processusage.cpp
+++ b/Tests/Support/processusage.cpp
@@ -2,6 +2,7 @@
 
 #include <unistd.h>
 
+#include <filesystem>
 #include <fstream>
 #include <sstream>
 #include <string>
@@ -37,4 +38,30 @@
     return usage;
 }
 
+std::uint64_t peakResidentBytes(pid_t id)
+{
+    constexpr std::uint64_t KiB = 1024;
+    std::ifstream status("/proc/" + std::to_string(id) + "/status");
+    std::string name;
+    while (status >> name) {
+        std::uint64_t value = 0;
+        if (name == "VmHWM:" && status >> value)
+            return value * KiB;
+        std::getline(status, name);
+    }
+    return 0;
+}
+
+std::size_t openDescriptors(pid_t id)
+{
+    std::error_code error;
+    std::filesystem::directory_iterator entry("/proc/" + std::to_string(id) + "/fd", error);
+    std::size_t count = 0;
+    while (!error && entry != std::filesystem::directory_iterator()) {
+        ++count;
+        entry.increment(error);
+    }
+    return count;
+}
+
 } // namespace Oleander::Testing
--- a/Tests/Support/processusage.h
+++ b/Tests/Support/processusage.h
@@ -2,6 +2,7 @@
 
 #include <sys/types.h>
 
+#include <cstddef>
 #include <cstdint>
 
 namespace Oleander::Testing {
@@ -13,6 +14,12 @@
     double processorSeconds = 0;
 };
 
+/** Largest resident memory of the process \a id so far; 0 if there is no such process. */
+std::uint64_t peakResidentBytes(pid_t id);
+
+/** Number of open descriptors of the process \a id; 0 if there is no such process. */
+std::size_t openDescriptors(pid_t id);
+
 /** Reads the usage of process \a id from /proc; zeros if there is no such process. */
 ProcessUsage usageOf(pid_t id);
 
--- a/Tests/Support/socket.h
+++ b/Tests/Support/socket.h
@@ -21,6 +21,9 @@
 
     /** Connects to "HOST:PORT"; the socket is not valid when that fails. */
     static Socket connectedTo(const std::string &address);
+    /** Starts to connect a non-blocking socket. A \a segmentBytes other than 0 keeps the buffers of
+     * the connection small, so that an answer that is not read stays in the memory of the peer. */
+    static Socket connectingTo(const std::string &address, int segmentBytes = 0);
     /** Listens on "HOST:PORT"; the socket is not valid when that fails. */
     static Socket listeningOn(const std::string &address);
 
