--- a/Tests/Support/socket.cpp
+++ b/Tests/Support/socket.cpp
@@ -54,16 +54,14 @@
     return socket;
 }
 
-Socket Socket::connectingTo(const std::string &address, int segmentBytes)
+Socket Socket::connectingTo(const std::string &address, int receiveBuffer)
 {
     Socket socket(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0));
     const int on = 1;
     setsockopt(socket.descriptor(), IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
-    if (segmentBytes > 0) {
-        setsockopt(socket.descriptor(), IPPROTO_TCP, TCP_MAXSEG, &segmentBytes,
-                   sizeof(segmentBytes));
-        setsockopt(socket.descriptor(), SOL_SOCKET, SO_RCVBUF, &segmentBytes, sizeof(segmentBytes));
-    }
+    if (receiveBuffer > 0)
+        setsockopt(socket.descriptor(), SOL_SOCKET, SO_RCVBUF, &receiveBuffer,
+                   sizeof(receiveBuffer));
     const sockaddr_in peer = parseAddress(address);
     if (connect(socket.descriptor(), reinterpret_cast<const sockaddr *>(&peer), sizeof(peer)) != 0
         && errno != EINPROGRESS)
--- a/Tests/Support/socket.h
+++ b/Tests/Support/socket.h
@@ -21,9 +21,9 @@
 
     /** Connects to "HOST:PORT"; the socket is not valid when that fails. */
     static Socket connectedTo(const std::string &address);
-    /** Starts to connect a non-blocking socket. A \a segmentBytes other than 0 keeps the buffers of
-     * the connection small, so that an answer that is not read stays in the memory of the peer. */
-    static Socket connectingTo(const std::string &address, int segmentBytes = 0);
+    /** Starts to connect a non-blocking socket. A small \a receiveBuffer keeps most of what is not
+     * read in the memory of the peer; 0 leaves the size to the system. */
+    static Socket connectingTo(const std::string &address, int receiveBuffer = 0);
     /** Listens on "HOST:PORT"; the socket is not valid when that fails. */
     static Socket listeningOn(const std::string &address);
 
