Fleet, Jobs: Split the job service and the task placer by topic

The answers to evacuation calls, the log events and metrics, and the placement of crash suspects are in files of their own.

--- a/Source/Fleet/evacuationhandler.cpp
+++ b/Source/Fleet/evacuationhandler.cpp
@@ -1,6 +1,7 @@
 #include "Fleet/evacuationhandler.h"
 
 #include "Entry/problemjson.h"
+#include "Fleet/jobserviceprivate.h"
 #include "Protocol/failuredomain.h"
 #include "Protocol/jsonreader.h"
 #include "Records/timetext.h"
@@ -20,14 +21,6 @@
 /** Shorter than the time that the command line waits for one control host. */
 constexpr Duration OwnTimeout = std::chrono::seconds(3);
 
-JobAnswer answerOf(JobAnswerKind kind, std::string detail)
-{
-    JobAnswer answer;
-    answer.kind = kind;
-    answer.detail = std::move(detail);
-    return answer;
-}
-
 unsigned statusOf(JobAnswerKind kind)
 {
     switch (kind) {
--- a/Source/Fleet/jobservice.cpp
+++ b/Source/Fleet/jobservice.cpp
@@ -1,8 +1,7 @@
 #include "Fleet/jobservice.h"
 
-#include "Fleet/evacuationhandler.h"
+#include "Fleet/jobserviceprivate.h"
 #include "Fleet/runlog.h"
-#include "Jobs/servicelevel.h"
 #include "Runtime/log.h"
 #include "Runtime/metrics.h"
 
@@ -33,14 +32,6 @@
 /** Number of steps that a log line lists. */
 constexpr std::size_t MaxLoggedSteps = 32;
 
-JobAnswer answerOf(JobAnswerKind kind, std::string detail = {})
-{
-    JobAnswer answer;
-    answer.kind = kind;
-    answer.detail = std::move(detail);
-    return answer;
-}
-
 std::string jobIdFromPath(const QueueSpec &queue, const std::string &path)
 {
     return path.substr(queue.pathPrefix.size());
@@ -234,105 +225,6 @@
     callback(std::move(answer));
 }
 
-void JobService::answer(const EvacuationCall &call, const Callback &callback)
-{
-    // A leader that regains its lease within a term keeps the counts of that term.
-    const std::uint64_t term = replica_.status().term;
-    if (std::exchange(evacuationTerm_, term) != term)
-        evacuationCalls_.clear();
-    const EvacuationVersion current = evacuationVersion(call.failureDomain);
-    if (call.expected != current) {
-        JobAnswer answer = answerOf(JobAnswerKind::OutdatedEvacuation);
-        answer.evacuation = current;
-        return callback(std::move(answer));
-    }
-    // Counted before the commit: an earlier call that arrives meanwhile must not be committed after
-    // this one.
-    ++evacuationCalls_[call.failureDomain];
-    ++pendingCommits_;
-    commit(Jobs::ChangeEvacuation{call.failureDomain, call.requested, current.revision, nowMs()},
-           [this, failureDomain = call.failureDomain, requested = call.requested,
-            callback](const Result<Jobs::JobOutcome> &outcome) {
-               --pendingCommits_;
-               answerEvacuation(failureDomain, requested, outcome, callback);
-           });
-}
-
-void JobService::answerEvacuation(const std::string &failureDomain, bool requested,
-                                  const Result<Jobs::JobOutcome> &outcome, const Callback &callback)
-{
-    const char *result = "failed";
-    JobAnswer answer = answerOf(JobAnswerKind::NotLeader);
-    if (!outcome) {
-        if (outcome.error().code == Failure::Unknown) {
-            result = "unknown";
-            answer.kind = JobAnswerKind::Unknown;
-        }
-    } else {
-        const bool isOutdated = outcome->evacuation == Jobs::EvacuationResult::Outdated;
-        const bool isChanged = outcome->evacuation == Jobs::EvacuationResult::Changed;
-        result = isOutdated ? "outdated" : isChanged ? "changed" : "unchanged";
-        answer.kind = isOutdated ? JobAnswerKind::OutdatedEvacuation : JobAnswerKind::Accepted;
-        answer.evacuation = evacuationVersion(failureDomain);
-    }
-    processMetrics()
-        .counter(EvacuationChangesMetric, EvacuationChangesHelp, {{"result", result}})
-        .add();
-    logEvent(LogEvent::EvacuationChanged, Step::Apply, {},
-             {{"failure_domain", failureDomain},
-              {"requested", requested ? 1 : 0},
-              {"result", result},
-              {"revision", answer.evacuation.revision}});
-    reportEvacuations();
-    callback(std::move(answer));
-    processSoon();
-}
-
-void JobService::answer(const ReadEvacuationsCall &, const Callback &callback)
-{
-    JobAnswer answer = answerOf(JobAnswerKind::Evacuations);
-    for (const auto &[failureDomain, evacuation] : book().evacuations()) {
-        answer.evacuations.push_back(
-            {failureDomain, evacuation.requested, evacuation.revision, evacuation.changedAtMs});
-    }
-    callback(std::move(answer));
-}
-
-EvacuationVersion JobService::evacuationVersion(const std::string &failureDomain) const
-{
-    EvacuationVersion version;
-    const auto found = book().evacuations().find(failureDomain);
-    if (found != book().evacuations().end())
-        version.revision = found->second.revision;
-    version.term = evacuationTerm_;
-    const auto calls = evacuationCalls_.find(failureDomain);
-    if (calls != evacuationCalls_.end())
-        version.calls = calls->second;
-    return version;
-}
-
-void JobService::reportEvacuations() const
-{
-    const auto evacuated = std::ranges::count_if(
-        book().evacuations(), [](const auto &entry) { return entry.second.requested; });
-    processMetrics()
-        .gauge("oleander_evacuated_failure_domains",
-               "Failure domains whose evacuation is requested, as this replica knows.")
-        .set(static_cast<double>(evacuated));
-}
-
-std::vector<DumpRow> JobService::evacuationRows() const
-{
-    std::vector<DumpRow> rows;
-    for (const auto &[failureDomain, evacuation] : book().evacuations()) {
-        rows.push_back({failureDomain,
-                        {{"requested", evacuation.requested},
-                         {"revision", evacuation.revision},
-                         {"changed_at_ms", evacuation.changedAtMs}}});
-    }
-    return rows;
-}
-
 void JobService::processSoon()
 {
     if (isProcessPosted_)
@@ -482,21 +374,6 @@
     }
 }
 
-void JobService::logOrders(const MachineDirective &directive) const
-{
-    const auto logOrder = [&](const TaskRef &task, std::uint32_t run, const char *order) {
-        const Jobs::Job *job = book().find(task.job);
-        logRunEvent(LogEvent::RunOrdered, Step::Order, directive.life.name, {task, run},
-                    {{"order", order},
-                     {"term", directive.term},
-                     {"job_ended", job == nullptr || job->hasEnded() ? 1 : 0}});
-    };
-    for (const StartOrder &start : directive.starts)
-        logOrder(start.task, start.run, "start");
-    for (const StopOrder &stop : directive.stops)
-        logOrder(stop.task, stop.run, "stop");
-}
-
 void JobService::shareInterference()
 {
     if (!isLeading_)
@@ -510,147 +387,6 @@
     }
 }
 
-void JobService::logReservations()
-{
-    for (const Jobs::ReservationDecision &decision : scheduler_.takeReservationDecisions()) {
-        std::string evicted;
-        for (const auto &[task, run] : decision.evicted) {
-            evicted += fmt::format("{}{}/{}/{}/{}", evicted.empty() ? "" : ",", task.job, task.step,
-                                   task.index, run);
-        }
-        logEvent(LogEvent::CapacityReserved, Step::Place, decision.minion.name,
-                 {{"job", decision.task.job},
-                  {"step", decision.task.step},
-                  {"index", decision.task.index},
-                  {"evicted", evicted}});
-    }
-}
-
-void JobService::reportBackfill()
-{
-    Jobs::BackfillPlanner &backfill = scheduler_.backfill();
-    if (!backfill.isEnabled())
-        return;
-    const TimePoint now = loop_.clock().now();
-    for (const Jobs::BackfillDecision &decision : backfill.takeDecisions()) {
-        const Duration expectedIn = decision.reservation.promisedAt - now;
-        const auto expectedInMs =
-            std::chrono::duration_cast<std::chrono::milliseconds>(expectedIn).count();
-        const TaskRef &task = decision.task;
-        const std::string &minion = decision.reservation.minion.name;
-        if (decision.end) {
-            logEvent(LogEvent::BackfillEnded, Step::Place, minion,
-                     {{"job", task.job},
-                      {"step", task.step},
-                      {"index", task.index},
-                      {"expected_ms", expectedInMs},
-                      {"why", Jobs::backfillEndName(*decision.end)}});
-        } else {
-            logEvent(LogEvent::BackfillReserved, Step::Place, minion,
-                     {{"job", task.job},
-                      {"step", task.step},
-                      {"index", task.index},
-                      {"expected_ms", expectedInMs}});
-        }
-    }
-    processMetrics()
-        .gauge("oleander_backfill_reservations",
-               "Minions that are reserved for a large task that ends by itself.")
-        .set(static_cast<double>(backfill.reservations().size()));
-    for (const Duration wait : backfill.takeWaits()) {
-        processMetrics()
-            .histogram("oleander_large_task_wait_seconds",
-                       "Time from the first plan that finds a waiting task to fit on no minion "
-                       "although enough is free on all together, to its start.")
-            .record(wait);
-    }
-}
-
-void JobService::logMoves()
-{
-    for (const Jobs::RunMove &move : scheduler_.takeMoves()) {
-        logRunEvent(
-            LogEvent::RunMoved, Step::Place, move.from.name, move.run,
-            {{"percent", move.percent},
-             {"standing_ms",
-              std::chrono::duration_cast<std::chrono::milliseconds>(move.stalledFor).count()},
-             {"room_on", move.to.name}});
-    }
-}
-
-void JobService::logEvacuationMoves()
-{
-    for (const Jobs::EvacuationMove &move : scheduler_.takeEvacuationMoves()) {
-        logRunEvent(LogEvent::RunEvacuated, Step::Place, move.from.name, move.run,
-                    {{"why", "its failure domain is evacuated"},
-                     {"failure_domain", move.failureDomain},
-                     {"room_on", move.to.name}});
-    }
-}
-
-void JobService::reportEvacuatedRuns() const
-{
-    const auto counts = Jobs::countEvacuatedRuns(book(), scheduler_.machines());
-    for (const auto &[failureDomain, evacuation] : book().evacuations()) {
-        const auto count = counts.find(failureDomain);
-        const bool isCounted = isLeading_ && count != counts.end();
-        processMetrics()
-            .gauge("oleander_evacuated_runs",
-                   "Runs that are still active in an evacuated failure domain, on the leader.",
-                   {{"failure_domain", failureDomain}})
-            .set(isCounted ? count->second : 0);
-    }
-}
-
-void JobService::logIgnoredEnds()
-{
-    for (const Jobs::MinionRunEnd &runEnd : scheduler_.takeIgnoredEnds()) {
-        logRunEvent(LogEvent::RunEndIgnored, Step::Report, runEnd.minion.name,
-                    {runEnd.end.task, runEnd.end.run});
-    }
-}
-
-void JobService::reportServiceLevels() const
-{
-    if (!isLeading_)
-        return;
-    Jobs::ServiceLevel sum;
-    for (const Jobs::ServiceLevel &level :
-         Jobs::serviceLevels(book(), scheduler_.machines(), loop_.clock().now())) {
-        sum.atWork += level.atWork;
-        sum.starting += level.starting;
-        sum.waiting += level.waiting;
-        sum.overTarget += level.overTarget;
-        if (level.isMet())
-            continue;
-        logEvent(LogEvent::JobServiceLevel, Step::Place, {},
-                 {{"job", level.job},
-                  {"tasks", level.tasks},
-                  {"at_work", level.atWork},
-                  {"starting", level.starting},
-                  {"waiting", level.waiting},
-                  {"over_bound", level.overTarget},
-                  {"beside_filling", level.overTargetWithFilling},
-                  {"waiting_millicores", level.waitingMilliCores},
-                  {"free_millicores", level.capacity.freeMilliCores},
-                  {"largest_free_millicores", level.capacity.largestFreeMilliCores},
-                  {"minions_out", level.capacity.minionsUnavailable},
-                  {"minions_suspended", level.capacity.minionsSuspended},
-                  {"minions_disturbed", level.capacity.minionsDisturbed}});
-    }
-    const auto setGauge = [](const char *state, std::uint32_t tasks) {
-        processMetrics()
-            .gauge("oleander_lasting_tasks",
-                   "Tasks of lasting jobs by state; those over their bound are at work too.",
-                   {{"state", state}})
-            .set(tasks);
-    };
-    setGauge("at-work", sum.atWork);
-    setGauge("starting", sum.starting);
-    setGauge("waiting", sum.waiting);
-    setGauge("over-bound", sum.overTarget);
-}
-
 void JobService::commit(Jobs::JobCommand command,
                         std::function<void(Result<Jobs::JobOutcome>)> callback)
 {
