--- a/Source/Fleet/jobservice.cpp
+++ b/Source/Fleet/jobservice.cpp
@@ -6,7 +6,6 @@
 #include "Runtime/metrics.h"
 
 #include <algorithm>
-#include <ranges>
 #include <set>
 
 namespace Oleander::Fleet {
@@ -42,7 +41,8 @@
 std::string stepsText(const std::vector<StepSpec> &steps)
 {
     std::string text;
-    for (const StepSpec &step : steps | std::views::take(MaxLoggedSteps)) {
+    for (std::size_t i = 0; i < std::min(steps.size(), MaxLoggedSteps); ++i) {
+        const StepSpec &step = steps[i];
         text += fmt::format("{}{}x{}@{}ms{}{}{}", text.empty() ? "" : ",", step.count,
                             step.milliCores, step.estimateMs, step.filling ? "f" : "",
                             step.longRunning ? "l" : "", step.speculative ? "s" : "");
--- a/Source/Runtime/httpconnection.cpp
+++ b/Source/Runtime/httpconnection.cpp
@@ -118,6 +118,8 @@
     if (!isIncomplete || isInFavourOfAnother
         || evbuffer_get_length(bufferevent_get_output(stream_)) > 0) {
         closeNow();
+        if (phase == RequestPhase::Sending)
+            discardOutput();
         return;
     }
     const std::string text = refusalText(refusalOf(reason));
@@ -276,6 +278,17 @@
     context_.budget->decisions().refuse(*this, reason);
 }
 
+/** Releases an answer that will not be sent. Until evhttp drops the connection, the answers of all
+ * connections that are closed in one pass of the event loop would be held otherwise. */
+void HttpConnection::discardOutput()
+{
+    evbuffer *output = bufferevent_get_output(stream_);
+    // Outside of its own writing, the bufferevent forbids to remove bytes from the front.
+    evbuffer_unfreeze(output, 1);
+    evbuffer_drain(output, evbuffer_get_length(output));
+    evbuffer_freeze(output, 1);
+}
+
 void HttpConnection::discardInput()
 {
     evbuffer *input = bufferevent_get_input(stream_);
--- a/Source/Runtime/httpconnection.h
+++ b/Source/Runtime/httpconnection.h
@@ -64,6 +64,7 @@
     void readAdded(evbuffer *input, std::size_t added);
     void checkHead();
     void discardInput();
+    void discardOutput();
     void closeNow();
     void refuse(RefusalReason reason);
     void reset();
--- a/Source/Runtime/httpserver.cpp
+++ b/Source/Runtime/httpserver.cpp
@@ -31,7 +31,7 @@
 // Connections that may wait for their removal before the server stops accepting until the next
 // sweep. Their descriptors come from the reserved ones. Each server counts its own, so that load at
 // one does not stop the others.
-constexpr std::size_t MaxClosingConnections = 64;
+constexpr std::size_t MaxClosingConnections = 48;
 
 bool equalsIgnoringCase(std::string_view a, std::string_view b)
 {
