Settings, Fleet, Tests: Remove repetitions that the last merges left

Cause: the reader of failure domains repeated the splitting of the list of addresses, a test client of the HTTP limits repeated the connecting that Tests/Support has, and answerOf() stood in a header named after the job service although the evacuation handler uses it too.

splitList() serves both readers, the test client owns a Testing::Socket, and the header is jobanswer.h. A comment on suspended hosts is clearer.

Ruled out: joining the bodies of visitFields() that are alike in shape only, and the fields in crashevidencetest.cpp, which spell out an earlier format on purpose.

--- a/Source/Fleet/evacuationhandler.cpp
+++ b/Source/Fleet/evacuationhandler.cpp
@@ -1,7 +1,7 @@
 #include "Fleet/evacuationhandler.h"
 
 #include "Entry/problemjson.h"
-#include "Fleet/jobserviceprivate.h"
+#include "Fleet/jobanswer.h"
 #include "Protocol/failuredomain.h"
 #include "Protocol/jsonreader.h"
 #include "Records/timetext.h"
@@ -140,8 +140,8 @@
 
 void EvacuationHandler::attempt(const std::shared_ptr<PendingChange> &pending)
 {
-    // After a suspension this process reads requests whose callers have tried another control host
-    // since; a later change may have been acknowledged there.
+    // After a suspension this process reads requests that their callers have given up and sent to
+    // another control host, which may have acknowledged a later change.
     if (pending->exchange->isClosed()) {
         logEvent(LogEvent::EvacuationAbandoned, Step::Accept, pending->exchange->request().peer,
                  {{"failure_domain", pending->call.failureDomain},
--- a/Source/Fleet/jobservice.cpp
+++ b/Source/Fleet/jobservice.cpp
@@ -1,6 +1,6 @@
 #include "Fleet/jobservice.h"
 
-#include "Fleet/jobserviceprivate.h"
+#include "Fleet/jobanswer.h"
 #include "Fleet/runlog.h"
 #include "Runtime/log.h"
 #include "Runtime/metrics.h"
--- a/Source/Fleet/jobserviceevacuations.cpp
+++ b/Source/Fleet/jobserviceevacuations.cpp
@@ -1,6 +1,6 @@
 #include "Fleet/evacuationhandler.h"
+#include "Fleet/jobanswer.h"
 #include "Fleet/jobservice.h"
-#include "Fleet/jobserviceprivate.h"
 #include "Runtime/log.h"
 #include "Runtime/metrics.h"
 
--- a/Source/Settings/settingsbinder.cpp
+++ b/Source/Settings/settingsbinder.cpp
@@ -26,6 +26,18 @@
     return rule == PortRule::AllowZero || portOf(address) != 0;
 }
 
+/** Splits \a text at commas; an empty text has no parts, and a comma at its end adds none. */
+std::vector<std::string> splitList(std::string_view text)
+{
+    std::vector<std::string> parts;
+    while (!text.empty()) {
+        const auto comma = text.find(',');
+        parts.emplace_back(text.substr(0, comma));
+        text = comma == std::string_view::npos ? std::string_view() : text.substr(comma + 1);
+    }
+    return parts;
+}
+
 } // namespace
 
 SettingsBinder::SettingsBinder(IniFile file) : file_(std::move(file)) {}
@@ -62,16 +74,9 @@
     const auto *entry = declareKey(section, key, presence, Allowed);
     if (entry == nullptr)
         return;
-    std::vector<std::string> found;
-    std::string_view rest = entry->value;
-    while (!rest.empty()) {
-        const auto comma = rest.find(',');
-        const std::string address(rest.substr(0, comma));
-        rest = comma == std::string_view::npos ? std::string_view() : rest.substr(comma + 1);
-        if (!isAddress(address))
-            return addEntryError(*entry, "The value contains an invalid address.", Allowed);
-        found.push_back(address);
-    }
+    std::vector<std::string> found = splitList(entry->value);
+    if (!std::ranges::all_of(found, isAddress))
+        return addEntryError(*entry, "The value contains an invalid address.", Allowed);
     field = std::move(found);
 }
 
@@ -83,17 +88,12 @@
     const auto *entry = declareKey(section, key, Presence::Optional, Allowed);
     if (entry == nullptr)
         return;
-    std::vector<std::string> found;
-    std::string_view rest = entry->value;
-    while (!rest.empty()) {
-        const auto comma = rest.find(',');
-        const std::string name(rest.substr(0, comma));
-        rest = comma == std::string_view::npos ? std::string_view() : rest.substr(comma + 1);
-        if (!isFailureDomainName(name))
-            return addEntryError(*entry, "The value contains an invalid name.", Allowed);
-        if (std::ranges::find(found, name) != found.end())
+    std::vector<std::string> found = splitList(entry->value);
+    if (!std::ranges::all_of(found, isFailureDomainName))
+        return addEntryError(*entry, "The value contains an invalid name.", Allowed);
+    for (auto name = found.begin(); name != found.end(); ++name) {
+        if (std::find(found.begin(), name, *name) != name)
             return addEntryError(*entry, "The value contains a name twice.", Allowed);
-        found.push_back(name);
     }
     field = std::move(found);
 }
--- a/Tests/Runtime/httplimitstest.cpp
+++ b/Tests/Runtime/httplimitstest.cpp
@@ -1,13 +1,11 @@
-#include "Runtime/address.h"
 #include "Runtime/httpbudget.h"
 #include "Runtime/httpserver.h"
 #include "Support/rununtil.h"
+#include "Support/socket.h"
 
-#include <arpa/inet.h>
 #include <catch2/catch.hpp>
 #include <fcntl.h>
 #include <sys/socket.h>
-#include <unistd.h>
 
 #include <algorithm>
 #include <list>
@@ -20,29 +18,22 @@
 class Client
 {
 public:
-    explicit Client(const std::string &address) : socket_(socket(AF_INET, SOCK_STREAM, 0))
+    explicit Client(const std::string &address) : socket_(Testing::Socket::connectedTo(address))
     {
-        const auto parsed = parseSocketAddress(address);
-        sockaddr_in peer{};
-        peer.sin_family = AF_INET;
-        peer.sin_port = htons(parsed->port);
-        inet_pton(AF_INET, parsed->host.c_str(), &peer.sin_addr);
-        REQUIRE(connect(socket_, reinterpret_cast<sockaddr *>(&peer), sizeof peer) == 0);
-        fcntl(socket_, F_SETFL, O_NONBLOCK);
+        REQUIRE(socket_.valid());
+        fcntl(socket_.descriptor(), F_SETFL, O_NONBLOCK);
     }
-    ~Client() { close(socket_); }
-    Client(const Client &) = delete;
-    Client &operator=(const Client &) = delete;
 
     void write(const std::string &bytes) { unsent_ += bytes; }
     /** Sends and receives what is possible; returns true while the connection is open. */
     bool poll()
     {
-        const ssize_t sent = send(socket_, unsent_.data(), unsent_.size(), MSG_NOSIGNAL);
+        const ssize_t sent =
+            send(socket_.descriptor(), unsent_.data(), unsent_.size(), MSG_NOSIGNAL);
         if (sent > 0)
             unsent_.erase(0, static_cast<std::size_t>(sent));
         char buffer[4096];
-        const ssize_t size = recv(socket_, buffer, sizeof buffer, 0);
+        const ssize_t size = recv(socket_.descriptor(), buffer, sizeof buffer, 0);
         if (size > 0)
             answer_.append(buffer, static_cast<std::size_t>(size));
         isOpen_ = isOpen_ && size != 0 && (size > 0 || errno == EAGAIN);
@@ -52,7 +43,7 @@
     const std::string &answer() const { return answer_; }
 
 private:
-    int socket_;
+    Testing::Socket socket_;
     std::string unsent_;
     std::string answer_;
     bool isOpen_ = true;
