--- /dev/null
+++ b/review/build-3.sh
@@ -0,0 +1,10 @@
+#!/usr/bin/env bash
+# Builds the stand-ins of the scripts in review/11 to review/15 into target/review-3. Run it after
+# the build of the deploy file.
+set -euo pipefail
+cd "$(dirname "${BASH_SOURCE[0]}")/.."
+mkdir -p target/review-3
+for source in resets flapping evacuation cancelled foreign; do
+    g++ -std=c++20 -O1 -Wall -Wextra -pthread -o "target/review-3/$source" \
+        "review/standins-3/$source.cpp" review/standins-3/deployment.cpp
+done
