--- a/review/standins-3/deployment.cpp
+++ b/review/standins-3/deployment.cpp
@@ -23,6 +23,11 @@
 
 namespace {
 
+/** Time from the start of a life that keeps its id to its first heartbeat. */
+constexpr std::int64_t FirstBeatMs = 60;
+/** Length of a run that fails, and of one that is carried out in the next life. */
+constexpr std::int64_t FailMs = 500;
+constexpr std::int64_t LateRunMs = 20;
 const Clock::time_point Begin = Clock::now();
 std::mutex recordMutex;
 std::ofstream recordFile;
@@ -239,8 +244,11 @@
         std::uint64_t life = 0;
         std::int64_t next = 0;
         while (true) {
-            if (up_ && (life != life_ || nowMs() >= next)) {
+            if (life != life_) {
                 life = life_;
+                next = nowMs() + (keepsId_ ? FirstBeatMs : 0);
+            }
+            if (up_ && nowMs() >= next) {
                 next = nowMs() + heartbeatMs_;
                 beat();
             }
@@ -249,14 +257,16 @@
     }).detach();
 }
 
-void Minion::start()
+void Minion::start(bool keepsId)
 {
     const std::lock_guard lock(mutex_);
     const auto wall = std::chrono::system_clock::now().time_since_epoch();
     born_ = static_cast<std::uint64_t>(
         std::chrono::duration_cast<std::chrono::milliseconds>(wall).count());
+    keepsId_ = keepsId;
     ++life_;
-    id_ = name + "-" + std::to_string(life_);
+    if (!keepsId)
+        id_ = name + "-" + std::to_string(life_);
     startedAtMs_ = nowMs();
     fence_ = 0;
     deadline_ = 0;
@@ -270,7 +280,15 @@
     if (listener_ < 0)
         leave(2, "the stand-in cannot listen at " + address);
     up_ = true;
-    record(id_ + " starts");
+    record(id_ + (keepsId ? " starts again under its id" : " starts"));
+    const Json late = std::exchange(lateStart_, Json());
+    if (keepsId && late.is_object()) {
+        record(id_ + " carries out the start that was left without an answer");
+        int ignored = 0;
+        answer("/oleanderusher/run-start", late, ignored);
+        for (Live &live : running_)
+            live.endsMs = nowMs() + LateRunMs;
+    }
     std::thread([this, listener = listener_, life = life_.load()] {
         serve(listener, life);
     }).detach();
@@ -310,6 +328,15 @@
                        [&](const Live &live) { return live.run.task.rfind(job + ".", 0) == 0; });
 }
 
+std::vector<std::string> Minion::runningTasks() const
+{
+    const std::lock_guard lock(mutex_);
+    std::vector<std::string> tasks;
+    for (const Live &live : running_)
+        tasks.push_back(live.run.task);
+    return tasks;
+}
+
 std::uint64_t Minion::clockMs() const
 {
     return static_cast<std::uint64_t>(nowMs() - startedAtMs_) + 1;
@@ -336,7 +363,8 @@
             ++it;
             continue;
         }
-        end(*it, isLapsed ? "lapsed" : "done", true);
+        const bool fails = failing.contains(it->run.task.substr(0, it->run.task.find('.')));
+        end(*it, isLapsed ? "lapsed" : fails ? "failed" : "done", true);
         it = running_.erase(it);
     }
 }
@@ -430,6 +458,8 @@
         if (!expected.empty() && expected != id()) {
             status = 421;
         } else if (value.is_object()) {
+            if (leavesUnanswered(path, value))
+                continue;
             text = answer(path, value, status);
         }
         const std::string reply = "HTTP/1.1 " + std::to_string(status)
@@ -459,6 +489,18 @@
             {"finished", std::move(finished)}};
 }
 
+bool Minion::leavesUnanswered(const std::string &path, const Json &body)
+{
+    const std::lock_guard lock(mutex_);
+    if (path != "/oleanderusher/run-start" || unansweredJob.empty()
+        || body.value("task", "").rfind(unansweredJob + ".", 0) != 0)
+        return false;
+    record(id_ + " leaves the start of " + body.value("task", "") + " without an answer");
+    unansweredJob.clear();
+    lateStart_ = body;
+    return true;
+}
+
 std::string Minion::answer(const std::string &path, const Json &body, int &status)
 {
     std::unique_lock lock(mutex_);
@@ -516,8 +558,9 @@
     Live live;
     live.run = run;
     live.at = history_.size();
-    if (!longRunning.contains(run.task.substr(0, run.task.find('.'))))
-        live.endsMs = nowMs() + workMs;
+    const std::string job = run.task.substr(0, run.task.find('.'));
+    if (!longRunning.contains(job))
+        live.endsMs = nowMs() + (failing.contains(job) ? FailMs : workMs.load());
     history_.push_back(run);
     running_.push_back(live);
     return Json{{"clockMs", clockMs()}}.dump();
--- a/review/standins-3/deployment.h
+++ b/review/standins-3/deployment.h
@@ -87,14 +87,15 @@
     Minion(std::string name, std::string address, std::string agent, int milliCores,
            int heartbeatMs);
 
-    /** Starts a new life with another id. */
-    void start();
+    /** Starts a new life, with another id unless the minion keeps its id. */
+    void start(bool keepsId = false);
     /** Ends the life as a crash does: nothing is sent any more, and all runs are gone. */
     void crash();
     bool isUp() const { return up_; }
     std::string id() const;
     std::vector<TaskRun> history() const;
     bool runs(const std::string &job) const;
+    std::vector<std::string> runningTasks() const;
 
     const std::string name;
     const std::string address;
@@ -107,6 +108,11 @@
     std::atomic<std::int64_t> drainAckedMs{-1};
     std::atomic<std::uint64_t> sequence{0};
     std::set<std::string> longRunning;
+    /** Jobs whose runs end as failed. */
+    std::set<std::string> failing;
+    /** Leaves the next start of a task of this job without an answer, and carries it out in the
+     * next life, if that has the same id. */
+    std::string unansweredJob;
     /** Fields of the latest heartbeat. */
     Json heartbeat() const;
 
@@ -121,6 +127,8 @@
     void serve(int listener, std::uint64_t life);
     void handle(int connection, std::uint64_t life);
     std::string answer(const std::string &path, const Json &body, int &status);
+    /** True if the call is a start that is left without an answer. */
+    bool leavesUnanswered(const std::string &path, const Json &body);
     void tick();
     void beat();
     std::uint64_t clockMs() const;
@@ -131,6 +139,7 @@
     const int heartbeatMs_;
     mutable std::recursive_mutex mutex_;
     std::atomic<bool> up_{false};
+    std::atomic<bool> keepsId_{false};
     std::atomic<std::uint64_t> life_{0};
     int listener_ = -1;
     std::set<int> connections_;
@@ -144,6 +153,8 @@
     std::vector<std::pair<std::uint64_t, std::size_t>> finished_;
     std::map<std::string, std::uint64_t> highest_;
     std::vector<TaskRun> history_;
+    /** The start that is carried out in the next life; null without one. */
+    Json lateStart_;
 };
 
 /**
