--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -4,7 +4,9 @@
 set -euo pipefail
 cd "$(dirname "${BASH_SOURCE[0]}")/.."
 mkdir -p target/review-3
-for source in resets flapping evacuation cancelled foreign; do
-    g++ -std=c++20 -O1 -Wall -Wextra -pthread -o "target/review-3/$source" \
-        "review/standins-3/$source.cpp" review/standins-3/deployment.cpp
+compile=(g++ -std=c++20 -O1 -Wall -Wextra -pthread)
+"${compile[@]}" -c -o target/review-3/deployment.o review/standins-3/deployment.cpp
+for source in resets crashloop evacuation foreign attempts; do
+    "${compile[@]}" -o "target/review-3/$source" "review/standins-3/$source.cpp" \
+        target/review-3/deployment.o
 done
