--- a/review/standins-3/crashloop.cpp
+++ b/review/standins-3/crashloop.cpp
@@ -75,7 +75,10 @@
         sleepMs(10);
     }
     const double used = static_cast<double>(mostRuns) * TaskMilliCores / (Minions * MilliCores);
-    std::erase_if(open, [&](const std::string &job) { return system.state(job) == "completed"; });
+    std::erase_if(open, [&](const std::string &job) {
+        const std::string state = system.state(job);
+        return state != "queued" && state != "running";
+    });
     record("in use at most: " + std::to_string(used));
     if (!open.empty() && used < 0.5)
         leave(1, std::to_string(open.size()) + " jobs, as " + open.front()
