--- a/review/standins-3/resets.cpp
+++ b/review/standins-3/resets.cpp
@@ -1,36 +1,51 @@
-// One of ten minions fails all calls to it with resets of their connections for some seconds, three
-// times. Its runs go on, and it sends heartbeats.
+// Two of twenty minions fail all calls to them with resets of their connections for some seconds,
+// up to six times. Their runs go on, and they send heartbeats.
 #include "deployment.h"
 
 using namespace Review;
 
 namespace {
 
-constexpr std::size_t Minions = 10;
+constexpr std::size_t Minions = 20;
+constexpr std::size_t GreyMinions = 2;
 constexpr std::int64_t ResetsMs = 5'500;
-constexpr int Episodes = 3;
+constexpr int Episodes = 6;
+/** No episode begins after this time, so that the script ends within its 120 s. */
+constexpr std::int64_t LastBeginMs = 90'000;
 
 void play(Deployment &system, const std::string &job)
 {
-    if (!system.submit(job, {{{"count", 4}, {"cpu", 1000}, {"memMb", 256}}}))
+    const std::size_t tasks = 2 * GreyMinions;
+    if (!system.submit(job, {{{"count", tasks},
+                              {"cpu", 1000},
+                              {"memMb", 256},
+                              {"maxPerServer", tasks / GreyMinions}}}))
         leave(2, "the job was not accepted");
-    Minion *grey = nullptr;
-    const auto isFound = [&] {
-        for (const auto &minion : system.minions)
-            grey = minion->runs(job) ? minion.get() : grey;
-        return grey != nullptr;
+    std::vector<Minion *> grey;
+    const auto areFound = [&] {
+        grey.clear();
+        std::size_t running = 0;
+        for (const auto &minion : system.minions) {
+            running += minion->runningTasks().size();
+            if (minion->runs(job))
+                grey.push_back(minion.get());
+        }
+        return running == tasks;
     };
-    if (!waitFor(isFound, 5'000))
-        leave(2, "the job's tasks did not start");
+    if (!waitFor(areFound, 5'000) || grey.size() != GreyMinions)
+        leave(2, "the job's tasks did not start on as many minions as planned");
     sleepMs(1'000);
-    if (hasTrouble()) {
-        record(grey->id() + " resets connections from now on");
-        grey->resetsConnections = true;
+    for (Minion *minion : grey) {
+        if (hasTrouble())
+            record(minion->id() + " resets connections from now on");
+        minion->resetsConnections = hasTrouble();
     }
     sleepMs(ResetsMs);
-    grey->resetsConnections = false;
-    if (hasTrouble())
-        record(grey->id() + " resets no connections any more");
+    for (Minion *minion : grey) {
+        minion->resetsConnections = false;
+        if (hasTrouble())
+            record(minion->id() + " resets no connections any more");
+    }
     const auto isCompleted = [&] {
         sleepMs(500);
         return system.state(job) == "completed";
@@ -56,7 +71,7 @@
     system.start();
     for (const auto &minion : system.minions)
         minion->workMs = 8'000;
-    for (int episode = 1; episode <= Episodes; ++episode)
+    for (int episode = 1; episode <= Episodes && nowMs() < LastBeginMs; ++episode)
         play(system, "00000000000000b" + std::to_string(episode));
     leave(0, "no task was at work twice");
 }
