Fleet: A minion ends only if its address refuses connections

Cause: the agent ended an instance after three polls that failed before a byte was sent, and took each for a refused connection. HttpClient reports the same failure for a connection that was accepted and reset, and for one that the agent could not open. The leader believes the end without waiting for the lease.

Evidence: the system calls of an agent in the case on: three times connect(), then SO_ERROR = ECONNRESET, then minion.lapsed with "no process listens at its address". Ruled out: an early end of the lease (the agent reported the end), another instance (another reason in the log), refusals of the kernel (none).

Change: after a poll that could not be sent, ConnectProbe connects to the address. Three refused probes in a row end the instance; anything else leaves its runs to their lease, with the event minion.presumed-alive. A refused connection on the same machine means that no process listens, and nothing else leads to it.

Tests that failed before (5 of 5 and 3 of 3 runs): Fleet.A minion whose process resets every connection to it has not ended; Fleet.A minion has not ended because its agent can open no connection. 5 of 5 runs pass now.

--- a/Source/Fleet/miniontask.cpp
+++ b/Source/Fleet/miniontask.cpp
@@ -43,6 +43,7 @@
     , address_(address)
     , startValidity_(confirmationTime * StartValidityPercent / Hundred)
     , verifier_(loop, codec, address, [this](const std::string &name) { return makeProbe(name); })
+    , connectProbe_(loop, address)
     , tickTimer_(loop, [this] { tick(); })
 {
     verifier_.confirmed.connect(
@@ -188,7 +189,7 @@
     acknowledgedEnd_ = 0;
     hasRunList_ = false;
     hasMoreEnds_ = false;
-    refusedPolls_ = 0;
+    forgetPollFailures();
     crashAttribution_ = {};
     highestEndNumber_ = 0;
     running_.clear();
--- a/Source/Fleet/miniontask.h
+++ b/Source/Fleet/miniontask.h
@@ -4,6 +4,7 @@
 #include "Fleet/fleetcodec.h"
 #include "Fleet/instanceverifier.h"
 #include "Jobs/pacecontroller.h"
+#include "Runtime/connectprobe.h"
 #include "Runtime/eventloop.h"
 #include "Runtime/httpclient.h"
 
@@ -14,6 +15,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <system_error>
 #include <vector>
 
 namespace Oleander::Fleet {
@@ -98,6 +100,10 @@
     void onPollAnswer(std::uint64_t number, const HttpCallResult &result);
     void applyRunLists(std::uint64_t number, RunLists lists);
     void onPollFailure(const HttpCallError &error);
+    void forgetPollFailures();
+    /** Ends the instance if its address refuses connections; \a error is the outcome of an attempt
+     * to connect after a failed poll. */
+    void onConnectProbed(std::error_code error);
     /** Stops the runs that the minion lists at \a clockMs although every lease that the leader has
      * granted has expired. A call to an earlier instance may have extended the lease. */
     void enforceLease(std::uint64_t clockMs);
@@ -164,7 +170,12 @@
     std::uint64_t pollNumber_ = 0;
     TimePoint pollStartedAt_{};
     TimePoint nextPollAt_{};
-    unsigned refusedPolls_ = 0;
+    /** Runs after a poll that could not be sent. */
+    ConnectProbe connectProbe_;
+    /** Consecutive failed polls after which the address refused a connection. */
+    unsigned refusedConnections_ = 0;
+    /** True if LogEvent::MinionPresumedAlive was logged since the last answer to a poll. */
+    bool isPresumedAliveLogged_ = false;
     std::vector<RunStatus> running_;
     std::vector<RunEnd> finished_;
     /** True if the minion may hold more ends than finished_. */
--- a/Source/Fleet/miniontaskpolling.cpp
+++ b/Source/Fleet/miniontaskpolling.cpp
@@ -16,11 +16,13 @@
 constexpr Duration PollPause = std::chrono::milliseconds(30);
 /** Pause after a failed poll. */
 constexpr Duration PollRetryInterval = std::chrono::milliseconds(100);
-/** Consecutive polls with a refused connection after which the minion process counts as ended. */
-constexpr unsigned RefusedPollsUntilGone = 3;
+/** Consecutive failed polls with a refused connection after which the minion process counts as
+ * ended. */
+constexpr unsigned RefusalsUntilGone = 3;
 
-/** True if the connection was refused because no process listens at the address. */
-bool isConnectionRefused(const HttpCallError &error)
+/** True if the connection may have been refused. It may also have been accepted and then reset, or
+ * never been opened. */
+bool mayBeRefused(const HttpCallError &error)
 {
     return !error.mayHaveBeenSent && error.error.code == Failure::Unavailable;
 }
@@ -58,7 +60,7 @@
         nextPollAt_ = loop_.clock().now() + PollRetryInterval;
         return;
     }
-    refusedPolls_ = 0;
+    forgetPollFailures();
     if (!minion_.reachable) {
         minion_.reachable = true;
         reportNeeded.emit();
@@ -77,9 +79,12 @@
     if (error.error.code == Failure::WrongIncarnation)
         return logEvent(LogEvent::FrameMalformed, error.error);
     crashAttribution_.pollFailed(now);
-    refusedPolls_ = isConnectionRefused(error) ? refusedPolls_ + 1 : 0;
-    if (refusedPolls_ >= RefusedPollsUntilGone)
-        return endInstance("no process listens at its address");
+    if (mayBeRefused(error)) {
+        connectProbe_.start([this](std::error_code outcome) { onConnectProbed(outcome); });
+    } else {
+        connectProbe_.cancel();
+        refusedConnections_ = 0;
+    }
     if (minion_.reachable) {
         logEvent(LogEvent::WorkerUnreachable, error.error);
         minion_.reachable = false;
@@ -87,6 +92,29 @@
     }
 }
 
+void MinionTask::forgetPollFailures()
+{
+    connectProbe_.cancel();
+    refusedConnections_ = 0;
+    isPresumedAliveLogged_ = false;
+}
+
+void MinionTask::onConnectProbed(std::error_code error)
+{
+    if (error == std::errc::connection_refused) {
+        if (++refusedConnections_ >= RefusalsUntilGone)
+            endInstance("no process listens at its address");
+        return;
+    }
+    // The runs of a process that answers no call go on until their lease expires.
+    refusedConnections_ = 0;
+    if (std::exchange(isPresumedAliveLogged_, true))
+        return;
+    logEvent(LogEvent::MinionPresumedAlive, Step::Connect, minion_.life.name,
+             {{"born_ms", minion_.life.bornMs},
+              {"why", error ? error.message() : "a process listens at its address"}});
+}
+
 void MinionTask::applyRunLists(std::uint64_t number, RunLists lists)
 {
     const TimePoint now = loop_.clock().now();
--- a/Source/Runtime/address.cpp
+++ b/Source/Runtime/address.cpp
@@ -14,6 +14,15 @@
     return fmt::format("{}:{}", host, port);
 }
 
+sockaddr_in nativeAddress(const SocketAddress &address)
+{
+    sockaddr_in native{};
+    native.sin_family = AF_INET;
+    native.sin_port = htons(address.port);
+    inet_pton(AF_INET, address.host.c_str(), &native.sin_addr);
+    return native;
+}
+
 Result<SocketAddress> parseSocketAddress(const std::string &text)
 {
     const auto colon = text.rfind(':');
--- a/Source/Runtime/address.h
+++ b/Source/Runtime/address.h
@@ -2,6 +2,8 @@
 
 #include "Base/error.h"
 
+#include <netinet/in.h>
+
 #include <cstdint>
 #include <string>
 
@@ -16,6 +18,9 @@
     std::string text() const;
 };
 
+/** Returns \a address, whose host is a numeric IPv4 address, as the system calls take it. */
+sockaddr_in nativeAddress(const SocketAddress &address);
+
 /** Parses "ADDRESS:PORT" with a numeric IPv4 address. */
 Result<SocketAddress> parseSocketAddress(const std::string &text);
 
--- a/Source/Runtime/link.cpp
+++ b/Source/Runtime/link.cpp
@@ -3,7 +3,6 @@
 #include "Runtime/address.h"
 #include "Runtime/framestream.h"
 
-#include <arpa/inet.h>
 #include <event2/listener.h>
 #include <fmt/format.h>
 #include <netinet/in.h>
@@ -30,15 +29,6 @@
 constexpr Duration AcceptedIdleTimeout = std::chrono::seconds(10);
 constexpr int ListenBacklog = 1024;
 
-sockaddr_in socketAddress(const SocketAddress &address)
-{
-    sockaddr_in native{};
-    native.sin_family = AF_INET;
-    native.sin_port = htons(address.port);
-    inet_pton(AF_INET, address.host.c_str(), &native.sin_addr);
-    return native;
-}
-
 Result<std::string> encodeBounded(const Frame &frame, const std::string &peer)
 {
     std::string bytes = encodeFrame(frame);
@@ -151,7 +141,7 @@
     auto parsed = parseSocketAddress(address);
     if (!parsed)
         return tl::make_unexpected(parsed.error());
-    sockaddr_in native = socketAddress(*parsed);
+    sockaddr_in native = nativeAddress(*parsed);
     private_->listener = evconnlistener_new_bind(
         private_->loop.base(),
         [](evconnlistener *, evutil_socket_t descriptor, sockaddr *, int, void *self) {
@@ -222,7 +212,7 @@
         const auto parsed = parseSocketAddress(address);
         if (!parsed)
             return;
-        const sockaddr_in native = socketAddress(*parsed);
+        const sockaddr_in native = nativeAddress(*parsed);
         FrameStreamEvents events;
         events.connected = [this] { connected(); };
         events.frame = [this](std::string_view frame) { receive(frame); };
--- a/Source/Runtime/logevent.cpp
+++ b/Source/Runtime/logevent.cpp
@@ -36,6 +36,7 @@
     {LogEvent::MinionRestored, LogLevel::Info, "minion.restored"},
     {LogEvent::MinionUnconfirmed, LogLevel::Warning, "minion.unconfirmed"},
     {LogEvent::MinionFenceRaised, LogLevel::Info, "minion.fence-raised"},
+    {LogEvent::MinionPresumedAlive, LogLevel::Warning, "minion.presumed-alive"},
 
     {LogEvent::TaskPlaced, LogLevel::Info, "task.placed"},
     {LogEvent::TaskOrderRefused, LogLevel::Warning, "task.order-refused"},
--- a/Source/Runtime/logevent.h
+++ b/Source/Runtime/logevent.h
@@ -37,6 +37,7 @@
     MinionRestored = 2014,
     MinionUnconfirmed = 2015,
     MinionFenceRaised = 2016,
+    MinionPresumedAlive = 2017,
 
     TaskPlaced = 3000,
     TaskOrderRefused = 3001,
--- a/Tests/Fleet/minionidentitytest.cpp
+++ b/Tests/Fleet/minionidentitytest.cpp
@@ -1,9 +1,13 @@
 #include "scriptedminion.h"
+#include "Support/descriptorlimit.h"
+#include "Support/resettinglistener.h"
 
 #include <catch2/catch.hpp>
 
 using namespace Oleander;
+using Oleander::Testing::DescriptorLimit;
 using Oleander::Testing::FirstBirth;
+using Oleander::Testing::ResettingListener;
 using Oleander::Testing::ScriptedMinion;
 
 namespace {
@@ -117,6 +121,42 @@
     CHECK(minion.report().ended.empty());
 }
 
+TEST_CASE("A minion whose process resets every connection to it has not ended")
+{
+    // Its runs would be started elsewhere beside those that go on.
+    constexpr std::size_t ManyPolls = 10;
+    ScriptedMinion minion;
+    minion.crash();
+    {
+        ResettingListener listener(minion.loop, minion.address);
+        minion.runUntil(
+            [&] { return listener.connections() >= ManyPolls || !minion.report().hasMinion; });
+        CHECK(minion.isTracked());
+        CHECK(minion.report().ended.empty());
+    }
+    minion.runUntil([&] { return !minion.report().hasMinion; });
+    CHECK(minion.report().ended.size() == 1);
+}
+
+TEST_CASE("A minion has not ended because its agent can open no connection")
+{
+    // Its runs would be started elsewhere beside those that go on.
+    ScriptedMinion minion;
+    minion.crash();
+    minion.runUntil([&] { return !minion.report().minion.reachable; });
+    minion.listen();
+    {
+        const DescriptorLimit limit;
+        const TimePoint start = minion.loop.clock().now();
+        minion.runUntil(
+            [&] { return minion.loop.clock().now() > start + std::chrono::seconds(1); });
+        CHECK_FALSE(minion.report().minion.reachable);
+        CHECK(minion.report().ended.empty());
+    }
+    minion.runPolls(1);
+    CHECK(minion.isTracked());
+}
+
 TEST_CASE("A minion that announced its departure keeps its runs as long as it answers")
 {
     // A minion whose call was not acknowledged in time goes on for some seconds.
