Tests: Keep the values that two tests iterate over

Two tests read temporaries after their end. One loops over a member of a temporary JSON document, whose lifetime a range-based for statement does not extend. The other passes a constant first to GENERATE, which then deduces references for all its values, also for the temporary ones.

Both passed on x86-64 and arm64. With the address sanitizer and detect_stack_use_after_return=1, 2 of 2 runs of each ended with stack-use-after-return or heap-use-after-free; 2 of 2 pass now. What they check is unchanged.

--- a/Tests/Cli/operatorcommandtest.cpp
+++ b/Tests/Cli/operatorcommandtest.cpp
@@ -100,7 +100,8 @@
 
     const auto events = cluster.operate(2, {"events", "--after=1", "--output=json"});
     REQUIRE(events.exitCode == 0);
-    for (const auto &event : json::parse(events.output)["events"])
+    const json listed = json::parse(events.output);
+    for (const auto &event : listed.at("events"))
         CHECK(event["number"].get<int>() > 1);
     CHECK_THAT(events.output, Contains("was withdrawn by anna"));
     const auto status = cluster.operate(0, {"status"});
--- a/Tests/Fleet/minionidentitytest.cpp
+++ b/Tests/Fleet/minionidentitytest.cpp
@@ -31,8 +31,9 @@
 {
     // Its runs would be started elsewhere beside those that go on.
     ScriptedMinion minion;
-    const MinionLife announced =
-        GENERATE(Foreign, MinionLife{"i-1", FirstBirth + 1'000}, MinionLife{"i-0", 1});
+    // Without as<>, the generator keeps references to its temporary arguments.
+    const MinionLife announced = GENERATE(
+        as<MinionLife>(), Foreign, MinionLife{"i-1", FirstBirth + 1'000}, MinionLife{"i-0", 1});
     minion.announceInstance(announced);
     minion.runPolls(3);
     CHECK(minion.isTracked());
