Agent: Fixture of the worker tests outlives its own variables

Cause: the constructor of WorkerFixture connected a slot that writes to a local variable of the constructor. Each later frame wrote to where it had been. That the bus error comes from this is inferred; no arm64 machine was at hand.

The variable is a member now. What the tests check is unchanged. With the address sanitizer and detect_stack_use_after_return=1, the first test ended with stack-use-after-return in 2 of 2 runs before; 3 of 3 runs of TestAgent pass now.

--- a/Tests/Agent/workertasktest.cpp
+++ b/Tests/Agent/workertasktest.cpp
@@ -23,6 +23,8 @@
     std::vector<std::string> calls;
     std::vector<std::shared_ptr<HttpExchange>> heldStarts;
     std::size_t frames = 0;
+    /** True once the leader has received a frame of the agent. */
+    bool isConnected = false;
     bool answersStarts = false;
 
     WorkerFixture()
@@ -39,8 +41,7 @@
         REQUIRE(link.has_value());
         agent.frameReceived.connect([this](const Sender &) { ++frames; });
         agent.addPeer("entry-1", *link);
-        bool isConnected = false;
-        leader.frameReceived.connect([&](const Sender &) { isConnected = true; });
+        leader.frameReceived.connect([this](const Sender &) { isConnected = true; });
         runUntil([&] {
             static_cast<void>(agent.send("entry-1", TaskReport{}));
             return isConnected && task->isReady();
