Runtime: Say what a reset connection tells a connect probe

The comment said that only an accepted connection shows a listener. One that was accepted and reset before the loop saw it shows one too; the test of the probe takes both. Comment only; format, lint, the tests of the probe (3) and those of the minions (8) passed.

--- a/Source/Runtime/connectprobe.h
+++ b/Source/Runtime/connectprobe.h
@@ -20,8 +20,8 @@
 class ConnectProbe
 {
 public:
-    /** Receives no error if the connection was accepted, and std::errc::connection_refused if no
-     * process listens at the address. Any other error tells nothing about the peer. */
+    /** Receives std::errc::connection_refused if no process listens at the address, and no error or
+     * std::errc::connection_reset if one does. Any other error tells nothing about the peer. */
     using Callback = std::function<void(std::error_code)>;
 
     /** \a address has the form "ADDRESS:PORT". */
